--- /dev/null
+++ b/standin/platform/admin.go
@@ -0,0 +1,37 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/waxwingspindle/waxwingspindle/gen/platform"
+)
+
+// Admin returns the handler that tests steer a stand-in process with: PUT /faults, PUT /hosts and GET /counts.
+func (p *Platform) Admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if decode(w, r, &f) {
+			p.SetFaults(f)
+		}
+	})
+	mux.HandleFunc("PUT /hosts", func(w http.ResponseWriter, r *http.Request) {
+		var list []*platform.PlatformHost
+		if decode(w, r, &list) {
+			p.SetHosts(list)
+		}
+	})
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(p.Counts())
+	})
+	return mux
+}
+
+func decode(w http.ResponseWriter, r *http.Request, to any) bool {
+	if err := json.NewDecoder(r.Body).Decode(to); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,302 @@
+// Package platform is a stand-in for the platform's key-value service and host list, for tests and for the development
+// mode. It keeps everything in memory and produces the faults of the real service: outages, slow calls, and answers
+// that are lost after the change took effect.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"github.com/waxwingspindle/waxwingspindle/gen/http/platform/server"
+	"github.com/waxwingspindle/waxwingspindle/gen/platform"
+)
+
+// maxValueBytes is the greatest size of a value in bytes.
+const maxValueBytes = 1_000_000
+
+// Faults are the faults that the stand-in produces.
+type Faults struct {
+	Down        bool `json:"down"`          // every call fails
+	SlowMillis  int  `json:"slow_ms"`       // added to every call, in milliseconds
+	LoseAnswers int  `json:"lose_answers"`  // number of swaps that take effect and then fail
+	HostsFrozen bool `json:"hosts_frozen"`  // the list of hosts no longer changes
+	EmptyHosts  bool `json:"empty_hosts"`   // the list of hosts is empty
+	LagMillis   int  `json:"hosts_lag_ms"`  // age of the list of hosts, in milliseconds
+	DropLeases  bool `json:"leases_lapse"`  // every lease lapses at once
+	Unreachable bool `json:"hang_silently"` // calls are not answered until their deadline
+}
+
+// Counts are the calls that were made, by method.
+type Counts struct {
+	Get, Swap, Watch, Lease, Hosts int
+}
+
+type entry struct {
+	value    []byte
+	revision uint64
+	lease    string
+}
+
+// Platform is the stand-in. It implements the goa service.
+type Platform struct {
+	mu       sync.Mutex
+	entries  map[string]entry
+	leases   map[string]time.Time // time at which each lease lapses
+	ttl      map[string]time.Duration
+	hosts    []hostsAt
+	faults   Faults
+	counts   Counts
+	changed  chan struct{} // closed and replaced at each change of a key
+	sequence uint64
+}
+
+// hostsAt is the list of hosts from a time on.
+type hostsAt struct {
+	from time.Time
+	list []*platform.PlatformHost
+}
+
+// New returns an empty platform.
+func New() *Platform {
+	return &Platform{entries: map[string]entry{}, leases: map[string]time.Time{}, ttl: map[string]time.Duration{},
+		changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	if f.DropLeases {
+		for id := range p.leases {
+			p.lapse(id)
+		}
+	}
+}
+
+// Counts returns the number of calls since the start.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// SetHosts replaces the list of hosts.
+func (p *Platform) SetHosts(list []*platform.PlatformHost) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.HostsFrozen {
+		return
+	}
+	p.hosts = append(p.hosts, hostsAt{from: time.Now(), list: list})
+}
+
+// enter counts a call and applies the faults that come before its effect.
+func (p *Platform) enter(ctx context.Context, count *int) error {
+	p.mu.Lock()
+	*count++
+	f := p.faults
+	p.mu.Unlock()
+	if f.Unreachable {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if f.SlowMillis > 0 {
+		select {
+		case <-time.After(time.Duration(f.SlowMillis) * time.Millisecond):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if f.Down {
+		return platform.MakeUnavailable(errors.New("the store is down"))
+	}
+	return nil
+}
+
+// Get implements the goa service.
+func (p *Platform) Get(ctx context.Context, q *platform.GetPayload) (*platform.Entry, error) {
+	if err := p.enter(ctx, &p.counts.Get); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.read(q.Key), nil
+}
+
+func (p *Platform) read(key string) *platform.Entry {
+	p.expire()
+	e := p.entries[key]
+	return &platform.Entry{Key: key, Value: e.value, Revision: e.revision}
+}
+
+// Swap implements the goa service.
+func (p *Platform) Swap(ctx context.Context, q *platform.SwapPayload) (*platform.SwapResult, error) {
+	if err := p.enter(ctx, &p.counts.Swap); err != nil {
+		return nil, err
+	}
+	if len(q.Value) > maxValueBytes {
+		return nil, platform.MakeBadRequest(fmt.Errorf("the value has %d bytes; at most %d are allowed", len(q.Value),
+			maxValueBytes))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expire()
+	e := p.entries[q.Key]
+	if e.revision != q.Expected {
+		return &platform.SwapResult{Swapped: false, Revision: e.revision}, nil
+	}
+	lease := ""
+	if q.Lease != nil {
+		lease = *q.Lease
+		if _, ok := p.leases[lease]; !ok {
+			return nil, platform.MakeNotFound(fmt.Errorf("lease %q does not exist", lease))
+		}
+	}
+	p.sequence++
+	p.entries[q.Key] = entry{value: q.Value, revision: p.sequence, lease: lease}
+	p.notify()
+	if p.faults.LoseAnswers > 0 {
+		p.faults.LoseAnswers--
+		return nil, platform.MakeUnavailable(errors.New("the answer was lost"))
+	}
+	return &platform.SwapResult{Swapped: true, Revision: p.sequence}, nil
+}
+
+// Watch implements the goa service.
+func (p *Platform) Watch(ctx context.Context, q *platform.WatchPayload) (*platform.Entry, error) {
+	if err := p.enter(ctx, &p.counts.Watch); err != nil {
+		return nil, err
+	}
+	deadline := time.After(time.Duration(q.WaitMs) * time.Millisecond)
+	for {
+		p.mu.Lock()
+		e, changed, down := p.read(q.Key), p.changed, p.faults.Down || p.faults.Unreachable
+		p.mu.Unlock()
+		if down {
+			return nil, platform.MakeUnavailable(errors.New("the store is down"))
+		}
+		if e.Revision != q.Known {
+			return e, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return e, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// GrantLease implements the goa service.
+func (p *Platform) GrantLease(ctx context.Context, q *platform.GrantLeasePayload) (*platform.GrantLeaseResult, error) {
+	if err := p.enter(ctx, &p.counts.Lease); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	id := fmt.Sprintf("lease-%d", p.sequence)
+	p.ttl[id] = time.Duration(q.TTLMs) * time.Millisecond
+	p.leases[id] = time.Now().Add(p.ttl[id])
+	return &platform.GrantLeaseResult{Lease: id}, nil
+}
+
+// RenewLease implements the goa service.
+func (p *Platform) RenewLease(ctx context.Context, q *platform.RenewLeasePayload) error {
+	if err := p.enter(ctx, &p.counts.Lease); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expire()
+	if _, ok := p.leases[q.Lease]; !ok {
+		return platform.MakeNotFound(fmt.Errorf("lease %q does not exist", q.Lease))
+	}
+	p.leases[q.Lease] = time.Now().Add(p.ttl[q.Lease])
+	return nil
+}
+
+// RevokeLease implements the goa service.
+func (p *Platform) RevokeLease(ctx context.Context, q *platform.RevokeLeasePayload) error {
+	if err := p.enter(ctx, &p.counts.Lease); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lapse(q.Lease)
+	return nil
+}
+
+// Hosts implements the goa service.
+func (p *Platform) Hosts(ctx context.Context) ([]*platform.PlatformHost, error) {
+	if err := p.enter(ctx, &p.counts.Hosts); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.EmptyHosts {
+		return nil, nil
+	}
+	seen := time.Now().Add(-time.Duration(p.faults.LagMillis) * time.Millisecond)
+	for i := len(p.hosts) - 1; i >= 0; i-- {
+		if !p.hosts[i].from.After(seen) {
+			return p.hosts[i].list, nil
+		}
+	}
+	return nil, nil
+}
+
+// expire lets leases lapse whose time is over.
+func (p *Platform) expire() {
+	now := time.Now()
+	for id, end := range p.leases {
+		if now.After(end) {
+			p.lapse(id)
+		}
+	}
+}
+
+// lapse ends a lease and deletes the keys that are bound to it.
+func (p *Platform) lapse(id string) {
+	delete(p.leases, id)
+	delete(p.ttl, id)
+	for key, e := range p.entries {
+		if e.lease == id {
+			delete(p.entries, key)
+			p.notify()
+		}
+	}
+}
+
+func (p *Platform) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Handler returns the HTTP handler of the service.
+func (p *Platform) Handler() http.Handler {
+	mux := goahttp.NewMuxer()
+	s := server.New(platform.NewEndpoints(p), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
+	s.Mount(mux)
+	return mux
+}
+
+// Serve answers HTTP requests on the listener until the context ends.
+func (p *Platform) Serve(ctx context.Context, l net.Listener) error {
+	srv := &http.Server{Handler: p.Handler()}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
