--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,233 @@
+// Package caller is the HTTP service for callers. It translates between HTTP and requests, bounds what a caller may
+// send, and states the outcome in every answer.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	goahttp "goa.design/goa/v3/http"
+
+	gencaller "github.com/waxwingspindle/waxwingspindle/gen/caller"
+	"github.com/waxwingspindle/waxwingspindle/gen/http/caller/server"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// MaxBodyBytes is the greatest size of a request body in bytes.
+const MaxBodyBytes = 1 << 20
+
+// Argument is an argument of a statement as text.
+type Argument struct {
+	Text string
+	Null bool
+}
+
+// Request is what every keyed request carries.
+type Request struct {
+	Authorization string
+	SessionToken  string
+	RequestID     string
+	Timeout       time.Duration // zero when the caller states none
+	Service       model.Service
+}
+
+// Statement is a statement with what the caller declares about it.
+type Statement struct {
+	SQL          string
+	Args         []Argument
+	ReadOnly     bool
+	Idempotent   bool
+	HasStaleness bool
+	MaxStaleness time.Duration
+	Transaction  string
+}
+
+// Answer is the answer to a request that is done.
+type Answer struct {
+	Columns      []string
+	Rows         [][]any
+	Affected     int64
+	Duplicate    bool
+	Target       model.TargetID
+	Transaction  string
+	SessionToken string
+}
+
+// Status is the state of a host for callers.
+type Status struct {
+	Host                 model.HostID
+	State                string
+	ConfigurationVersion uint64
+	Accepting            bool // the balancer may send requests here
+}
+
+// Backend runs requests.
+type Backend interface {
+	Execute(ctx context.Context, r Request, s Statement) (Answer, model.Result)
+	Begin(ctx context.Context, r Request) (Answer, model.Result)
+	End(ctx context.Context, r Request, transaction string, commit bool) (Answer, model.Result)
+	Status() Status
+}
+
+// NewHandler returns the HTTP handler of the callers' service.
+func NewHandler(b Backend) http.Handler {
+	mux := goahttp.NewMuxer()
+	s := server.New(gencaller.NewEndpoints(&service{backend: b}), mux, decoder, goahttp.ResponseEncoder, nil, format)
+	s.Mount(mux)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// decoder reads JSON whatever the content type says, because curl sends another one by default. Numbers stay text, so
+// that large integers keep all their digits.
+func decoder(r *http.Request) goahttp.Decoder {
+	d := json.NewDecoder(r.Body)
+	d.UseNumber()
+	return strictDecoder{d}
+}
+
+// strictDecoder refuses text after the JSON value.
+type strictDecoder struct{ *json.Decoder }
+
+// Decode reads the only JSON value of a body.
+func (d strictDecoder) Decode(v any) error {
+	if err := d.Decoder.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("the body must be one JSON value")
+	}
+	return nil
+}
+
+// service implements the goa service.
+type service struct{ backend Backend }
+
+func request(authorization, session, id *string, timeoutMs *int64, name string) Request {
+	r := Request{Service: model.Service(name), RequestID: uuid.NewString()}
+	if authorization != nil {
+		r.Authorization = *authorization
+	}
+	if session != nil {
+		r.SessionToken = *session
+	}
+	if id != nil && *id != "" {
+		r.RequestID = *id
+	}
+	if timeoutMs != nil {
+		r.Timeout = time.Duration(*timeoutMs) * time.Millisecond
+	}
+	return r
+}
+
+// Execute implements the goa service.
+func (s *service) Execute(ctx context.Context, p *gencaller.ExecutePayload) (*gencaller.ExecuteResult, error) {
+	r := request(p.Authorization, p.SessionToken, p.RequestID, p.TimeoutMs, p.Service)
+	statement := Statement{SQL: p.SQL, Args: arguments(p.Args), ReadOnly: flag(p.ReadOnly), Idempotent: flag(p.Idempotent)}
+	if p.MaxStalenessMs != nil {
+		statement.HasStaleness = true
+		statement.MaxStaleness = milliseconds(*p.MaxStalenessMs)
+	}
+	if p.Transaction != nil {
+		statement.Transaction = *p.Transaction
+	}
+	a, result := s.backend.Execute(ctx, r, statement)
+	if result.Outcome != model.OutcomeDone {
+		return nil, refusal(result, r.RequestID)
+	}
+	return &gencaller.ExecuteResult{Outcome: result.Outcome.String(), Columns: a.Columns, Rows: a.Rows,
+		RowsAffected: a.Affected, Duplicate: a.Duplicate, Target: string(a.Target), RequestID: r.RequestID,
+		SessionToken: a.SessionToken}, nil
+}
+
+// Begin implements the goa service.
+func (s *service) Begin(ctx context.Context, p *gencaller.BeginPayload) (*gencaller.BeginResult, error) {
+	r := request(p.Authorization, p.SessionToken, p.RequestID, p.TimeoutMs, p.Service)
+	a, result := s.backend.Begin(ctx, r)
+	if result.Outcome != model.OutcomeDone {
+		return nil, refusal(result, r.RequestID)
+	}
+	return &gencaller.BeginResult{Outcome: result.Outcome.String(), Transaction: a.Transaction, RequestID: r.RequestID,
+		SessionToken: a.SessionToken}, nil
+}
+
+// Commit implements the goa service.
+func (s *service) Commit(ctx context.Context, p *gencaller.CommitPayload) (*gencaller.CommitResult, error) {
+	r := request(p.Authorization, p.SessionToken, p.RequestID, p.TimeoutMs, p.Service)
+	a, result := s.backend.End(ctx, r, p.Transaction, true)
+	if result.Outcome != model.OutcomeDone {
+		return nil, refusal(result, r.RequestID)
+	}
+	return &gencaller.CommitResult{Outcome: result.Outcome.String(), RequestID: r.RequestID,
+		SessionToken: a.SessionToken}, nil
+}
+
+// Rollback implements the goa service.
+func (s *service) Rollback(ctx context.Context, p *gencaller.RollbackPayload) (*gencaller.RollbackResult, error) {
+	r := request(p.Authorization, p.SessionToken, p.RequestID, p.TimeoutMs, p.Service)
+	a, result := s.backend.End(ctx, r, p.Transaction, false)
+	if result.Outcome != model.OutcomeDone {
+		return nil, refusal(result, r.RequestID)
+	}
+	return &gencaller.RollbackResult{Outcome: result.Outcome.String(), RequestID: r.RequestID,
+		SessionToken: a.SessionToken}, nil
+}
+
+// Status implements the goa service.
+func (s *service) Status(context.Context) (*gencaller.StatusResult, error) {
+	st := s.backend.Status()
+	return &gencaller.StatusResult{Host: string(st.Host), State: st.State,
+		ConfigurationVersion: st.ConfigurationVersion}, nil
+}
+
+// Healthz implements the goa service.
+func (s *service) Healthz(context.Context) error {
+	st := s.backend.Status()
+	if st.Accepting {
+		return nil
+	}
+	return &gencaller.Refusal{Name: "unavailable", Outcome: model.OutcomeNotRun.String(), Reason: st.State,
+		Detail: fmt.Sprintf("the host is %s", st.State)}
+}
+
+func flag(b *bool) bool { return b != nil && *b }
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(ms, math.MaxInt64/int64(time.Millisecond))) * time.Millisecond
+}
+
+func arguments(args []any) []Argument {
+	out := make([]Argument, len(args))
+	for i, a := range args {
+		out[i] = argument(a)
+	}
+	return out
+}
+
+func argument(a any) Argument {
+	switch v := a.(type) {
+	case nil:
+		return Argument{Null: true}
+	case string:
+		return Argument{Text: v}
+	case json.Number:
+		return Argument{Text: v.String()}
+	case bool:
+		return Argument{Text: strconv.FormatBool(v)}
+	}
+	text, err := json.Marshal(a)
+	if err != nil {
+		panic(fmt.Sprintf("a decoded JSON value cannot be encoded: %v", err))
+	}
+	return Argument{Text: string(text)}
+}
--- a/config/document.go
+++ b/config/document.go
@@ -288,3 +288,8 @@
 	}
 	return out
 }
+
+// KeyIDs returns the ids of all keys in order.
+func (d *Document) KeyIDs() []model.KeyID {
+	return slices.Sorted(maps.Keys(d.Keys))
+}
--- /dev/null
+++ b/daemon/conn.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	nonceBytes       = 32
+	handshakeTimeout = 2 * time.Second
+)
+
+// protocolName is part of the authenticated text, so that daemons with another protocol are refused.
+const protocolName = "waxwingspindle/1"
+
+// errHandshake reports a peer that does not know the peer secret or speaks another protocol.
+var errHandshake = errors.New("the peer did not prove that it knows the peer secret")
+
+func proof(secret, nonce []byte, role string) []byte {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte(protocolName))
+	mac.Write([]byte(role))
+	mac.Write(nonce)
+	return mac.Sum(nil)
+}
+
+// acceptHandshake authenticates a connecting daemon: it sends a nonce and expects its HMAC under the peer secret.
+func acceptHandshake(c net.Conn, secret []byte) error {
+	c.SetDeadline(time.Now().Add(handshakeTimeout))
+	defer c.SetDeadline(time.Time{})
+	nonce := make([]byte, nonceBytes)
+	rand.Read(nonce)
+	if _, err := c.Write(nonce); err != nil {
+		return trace.ConnectionProblem(err, "sending the nonce")
+	}
+	answer := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(c, answer); err != nil {
+		return trace.ConnectionProblem(err, "reading the proof")
+	}
+	if !hmac.Equal(answer, proof(secret, nonce, "connecting")) {
+		return trace.AccessDenied("%v", errHandshake)
+	}
+	_, err := c.Write(proof(secret, nonce, "accepting"))
+	return trace.Wrap(err)
+}
+
+// dialHandshake authenticates this daemon to the accepting one and checks that the accepting one knows the secret too.
+func dialHandshake(c net.Conn, secret []byte) error {
+	c.SetDeadline(time.Now().Add(handshakeTimeout))
+	defer c.SetDeadline(time.Time{})
+	nonce := make([]byte, nonceBytes)
+	if _, err := io.ReadFull(c, nonce); err != nil {
+		return trace.ConnectionProblem(err, "reading the nonce")
+	}
+	if _, err := c.Write(proof(secret, nonce, "connecting")); err != nil {
+		return trace.ConnectionProblem(err, "sending the proof")
+	}
+	answer := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(c, answer); err != nil {
+		return trace.AccessDenied("%v", errHandshake)
+	}
+	if !hmac.Equal(answer, proof(secret, nonce, "accepting")) {
+		return trace.AccessDenied("%v", errHandshake)
+	}
+	return nil
+}
+
+// writeTimeout bounds a write to another daemon. Without it a silent connection with full buffers would block every
+// caller that uses it.
+const writeTimeout = 2 * time.Second
+
+// deadlineConn gives each write a deadline.
+type deadlineConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c deadlineConn) Write(b []byte) (int, error) {
+	c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return c.Conn.Write(b)
+}
--- /dev/null
+++ b/daemon/messages.go
@@ -0,0 +1,87 @@
+// Package daemon is the protocol between daemons: requests by net/rpc over TCP, authenticated with the fleet's peer
+// secret, and membership messages over UDP.
+package daemon
+
+import (
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// Caller says on whose behalf a request runs. The caller's key itself never leaves the entry host.
+type Caller struct {
+	Workspace model.Workspace
+	Key       model.KeyID
+}
+
+// Cells is a list of text values, some of which are null. It is flat because gob cannot encode nil pointers in slices.
+type Cells struct {
+	Text []string
+	Null []bool // empty when no value is null
+}
+
+// IsNull reports whether the value at an index is null.
+func (c Cells) IsNull(i int) bool { return i < len(c.Null) && c.Null[i] }
+
+// ExecuteRequest asks the home of a service to run a statement.
+type ExecuteRequest struct {
+	Caller       Caller
+	Service      model.Service
+	SQL          string
+	Args         Cells
+	ReadOnly     bool           // the caller declared that the statement only reads
+	Idempotent   bool           // the caller declared that the statement may run more than once
+	HasStaleness bool           // MaxStaleness was given
+	MaxStaleness time.Duration  // age of data that the caller accepts
+	Mark         model.Position // what the session has seen
+	RequestID    string
+	Transaction  string        // transaction handle, empty outside a transaction
+	Remaining    time.Duration // time that is left for the request
+}
+
+// ExecuteReply is the answer of the home.
+type ExecuteReply struct {
+	Result    model.Result
+	Columns   []string
+	Cells     Cells // values of all rows, row after row
+	Rows      int   // number of rows
+	Affected  int64
+	Duplicate bool           // the request id had run already
+	Target    model.TargetID // target that served the request
+	Position  model.Position // position that the session has seen now
+	SQLState  string         // SQLSTATE when the target refused the statement
+}
+
+// BeginRequest asks the home of a service to begin a transaction.
+type BeginRequest struct {
+	Caller    Caller
+	Service   model.Service
+	Mark      model.Position
+	RequestID string
+	Remaining time.Duration
+}
+
+// BeginReply has the handle of the transaction.
+type BeginReply struct {
+	Result model.Result
+	Handle string
+}
+
+// EndRequest asks the home of a transaction to commit or roll it back.
+type EndRequest struct {
+	Caller    Caller
+	Service   model.Service
+	Handle    string
+	Commit    bool
+	RequestID string
+	Remaining time.Duration
+}
+
+// EndReply has the position after a commit.
+type EndReply struct {
+	Result   model.Result
+	Position model.Position
+}
+
+// Empty is a message without content.
+type Empty struct{}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,222 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// pingInterval is the time between pings on a connection with calls that wait for an answer.
+	pingInterval = 250 * time.Millisecond
+	// silentAfter is the time without an answer to a ping after which a connection is given up. Connections can go
+	// silent for good while new ones work.
+	silentAfter = 750 * time.Millisecond
+)
+
+// NotSentError reports that a call failed before any byte of it left this host, so that it has not run.
+type NotSentError struct{ Err error }
+
+// Error returns the cause.
+func (e *NotSentError) Error() string { return "not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// IsNotSent reports whether a call failed before it was sent.
+func IsNotSent(err error) bool {
+	var e *NotSentError
+	return errors.As(err, &e)
+}
+
+// Peers keeps one connection for each daemon that is called.
+type Peers struct {
+	secret []byte
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// NewPeers returns the connections of a daemon, authenticated with the peer secret.
+func NewPeers(secret string) *Peers {
+	var d net.Dialer
+	dial := func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+	return &Peers{secret: []byte(secret), dial: dial, peers: map[string]*peer{}}
+}
+
+// Call calls a method of the daemon at an address. When the context ends first, the call may still run there. A
+// *NotSentError reports that it did not run.
+func (p *Peers) Call(ctx context.Context, address, method string, args, reply any) error {
+	return p.peer(address).call(ctx, "Daemon."+method, args, reply)
+}
+
+// Forget closes the connection to an address.
+func (p *Peers) Forget(address string) {
+	p.mu.Lock()
+	old := p.peers[address]
+	delete(p.peers, address)
+	p.mu.Unlock()
+	if old != nil {
+		old.close()
+	}
+}
+
+// Close closes all connections.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	all := p.peers
+	p.peers = map[string]*peer{}
+	p.mu.Unlock()
+	for _, one := range all {
+		one.close()
+	}
+}
+
+func (p *Peers) peer(address string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := p.peers[address]
+	if one == nil {
+		one = &peer{owner: p, address: address}
+		p.peers[address] = one
+	}
+	return one
+}
+
+// peer is the connection to one daemon. It is opened at the first call and replaced when it is lost or silent.
+type peer struct {
+	owner   *Peers
+	address string
+
+	mu     sync.Mutex
+	client *client
+}
+
+// client is one connection with the number of calls that wait on it.
+type client struct {
+	rpc *rpc.Client
+
+	mu      sync.Mutex
+	waiting int
+	pinging bool
+}
+
+func (p *peer) call(ctx context.Context, method string, args, reply any) error {
+	c, err := p.connected(ctx)
+	if err != nil {
+		return &NotSentError{Err: err}
+	}
+	c.enter()
+	defer c.leave()
+	call := c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return p.outcome(c, call.Error)
+	case <-ctx.Done():
+		return trace.LimitExceeded("no answer from the daemon at %s: %v", p.address, ctx.Err())
+	}
+}
+
+// outcome maps the error of a finished call. rpc.ErrShutdown means that the connection was closed before the call was
+// sent.
+func (p *peer) outcome(c *client, err error) error {
+	if err == nil {
+		return nil
+	}
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		return trace.Wrap(err)
+	}
+	p.drop(c)
+	if errors.Is(err, rpc.ErrShutdown) {
+		return &NotSentError{Err: err}
+	}
+	return trace.ConnectionProblem(err, "the connection to the daemon at %s was lost", p.address)
+}
+
+func (p *peer) connected(ctx context.Context) (*client, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client != nil {
+		return p.client, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.owner.dial(ctx, p.address)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "connecting to the daemon at %s", p.address)
+	}
+	if err := dialHandshake(conn, p.owner.secret); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	p.client = &client{rpc: rpc.NewClient(deadlineConn{conn})}
+	return p.client, nil
+}
+
+// drop forgets a connection, unless it has been replaced already.
+func (p *peer) drop(c *client) {
+	p.mu.Lock()
+	if p.client == c {
+		p.client = nil
+	}
+	p.mu.Unlock()
+	c.rpc.Close()
+}
+
+func (p *peer) close() {
+	p.mu.Lock()
+	c := p.client
+	p.mu.Unlock()
+	if c != nil {
+		p.drop(c)
+	}
+}
+
+// enter counts a waiting call and starts the pings that find out whether the connection has gone silent.
+func (c *client) enter() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting++
+	if !c.pinging {
+		c.pinging = true
+		go c.ping()
+	}
+}
+
+func (c *client) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting--
+}
+
+// ping sends pings while calls wait and closes the connection when one is not answered.
+func (c *client) ping() {
+	for c.keepPinging() {
+		time.Sleep(pingInterval)
+		call := c.rpc.Go("Daemon.Ping", Empty{}, &Empty{}, make(chan *rpc.Call, 1))
+		select {
+		case <-call.Done:
+			if call.Error != nil {
+				return
+			}
+		case <-time.After(silentAfter):
+			c.rpc.Close()
+			return
+		}
+	}
+}
+
+func (c *client) keepPinging() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pinging = c.waiting > 0
+	return c.pinging
+}
--- /dev/null
+++ b/daemon/serve.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+)
+
+// Service is what a daemon does for other daemons. The methods have the form that net/rpc requires; an error is used
+// only for a message that makes no sense, because outcomes are part of the replies.
+type Service interface {
+	Execute(ExecuteRequest, *ExecuteReply) error
+	Begin(BeginRequest, *BeginReply) error
+	End(EndRequest, *EndReply) error
+	Ping(Empty, *Empty) error
+}
+
+// Listener accepts connections of other daemons.
+type Listener struct {
+	server *rpc.Server
+	secret []byte
+	log    *zap.Logger
+
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+// NewListener returns a listener that answers with the service. The service may have more methods than Service has.
+func NewListener(s Service, secret string, log *zap.Logger) (*Listener, error) {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Daemon", s); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Listener{server: server, secret: []byte(secret), log: log, conns: map[net.Conn]bool{}}, nil
+}
+
+// Serve accepts connections until the context ends. A connection that sends a malformed message is closed.
+func (l *Listener) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		listener.Close()
+		l.closeAll()
+	})
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		go l.handle(conn)
+	}
+}
+
+func (l *Listener) handle(conn net.Conn) {
+	if !l.add(conn) {
+		return
+	}
+	defer l.remove(conn)
+	if err := acceptHandshake(conn, l.secret); err != nil {
+		l.log.Warn("daemon: connection refused", zap.Stringer("from", conn.RemoteAddr()), zap.Error(err))
+		return
+	}
+	l.server.ServeConn(deadlineConn{conn})
+}
+
+func (l *Listener) add(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		conn.Close()
+		return false
+	}
+	l.conns[conn] = true
+	return true
+}
+
+func (l *Listener) remove(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, conn)
+	conn.Close()
+}
+
+func (l *Listener) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for conn := range l.conns {
+		conn.Close()
+	}
+}
--- a/design/design.go
+++ b/design/design.go
@@ -41,6 +41,7 @@
 	Attribute("reason", String, "Stable reason code")
 	Attribute("detail", String, "Explanation for people")
 	Attribute("retry_after_ms", Int64, "Time in milliseconds after which a repetition may succeed")
+	Attribute("retry_after", String, "The same time in whole seconds, for the Retry-After header")
 	Attribute("request_id", String, "Request id, given by the caller or generated")
 	Required("name", "outcome", "reason", "detail", "request_id")
 })
@@ -66,8 +67,8 @@
 	Response("not_found", StatusNotFound)
 	Response("conflict", StatusConflict)
 	Response("statement_refused", StatusUnprocessableEntity)
-	Response("rate_exceeded", StatusTooManyRequests)
-	Response("unavailable", StatusServiceUnavailable)
+	Response("rate_exceeded", StatusTooManyRequests, func() { Header("retry_after:Retry-After") })
+	Response("unavailable", StatusServiceUnavailable, func() { Header("retry_after:Retry-After") })
 	Response("outcome_unknown", StatusGatewayTimeout)
 }
 
--- a/gen/caller/service.go
+++ b/gen/caller/service.go
@@ -153,6 +153,8 @@
 	Detail string
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string
 	// Request id, given by the caller or generated
 	RequestID string
 }
--- a/gen/http/caller/client/encode_decode.go
+++ b/gen/http/caller/client/encode_decode.go
@@ -230,7 +230,14 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("caller", "execute", err)
 			}
-			return nil, NewExecuteRateExceeded(&body)
+			var (
+				retryAfter *string
+			)
+			retryAfterRaw := resp.Header.Get("Retry-After")
+			if retryAfterRaw != "" {
+				retryAfter = &retryAfterRaw
+			}
+			return nil, NewExecuteRateExceeded(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body ExecuteUnavailableResponseBody
@@ -244,7 +251,14 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("caller", "execute", err)
 			}
-			return nil, NewExecuteUnavailable(&body)
+			var (
+				retryAfter *string
+			)
+			retryAfterRaw := resp.Header.Get("Retry-After")
+			if retryAfterRaw != "" {
+				retryAfter = &retryAfterRaw
+			}
+			return nil, NewExecuteUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body ExecuteOutcomeUnknownResponseBody
@@ -472,7 +486,14 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("caller", "begin", err)
 			}
-			return nil, NewBeginRateExceeded(&body)
+			var (
+				retryAfter *string
+			)
+			retryAfterRaw := resp.Header.Get("Retry-After")
+			if retryAfterRaw != "" {
+				retryAfter = &retryAfterRaw
+			}
+			return nil, NewBeginRateExceeded(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body BeginUnavailableResponseBody
@@ -486,7 +507,14 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("caller", "begin", err)
 			}
-			return nil, NewBeginUnavailable(&body)
+			var (
+				retryAfter *string
+			)
+			retryAfterRaw := resp.Header.Get("Retry-After")
+			if retryAfterRaw != "" {
+				retryAfter = &retryAfterRaw
+			}
+			return nil, NewBeginUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body BeginOutcomeUnknownResponseBody
@@ -716,7 +744,14 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("caller", "commit", err)
 			}
-			return nil, NewCommitRateExceeded(&body)
+			var (
+				retryAfter *string
+			)
+			retryAfterRaw := resp.Header.Get("Retry-After")
+			if retryAfterRaw != "" {
+				retryAfter = &retryAfterRaw
+			}
+			return nil, NewCommitRateExceeded(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body CommitUnavailableResponseBody
@@ -730,7 +765,14 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("caller", "commit", err)
 			}
-			return nil, NewCommitUnavailable(&body)
+			var (
+				retryAfter *string
+			)
+			retryAfterRaw := resp.Header.Get("Retry-After")
+			if retryAfterRaw != "" {
+				retryAfter = &retryAfterRaw
+			}
+			return nil, NewCommitUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body CommitOutcomeUnknownResponseBody
@@ -960,7 +1002,14 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("caller", "rollback", err)
 			}
-			return nil, NewRollbackRateExceeded(&body)
+			var (
+				retryAfter *string
+			)
+			retryAfterRaw := resp.Header.Get("Retry-After")
+			if retryAfterRaw != "" {
+				retryAfter = &retryAfterRaw
+			}
+			return nil, NewRollbackRateExceeded(&body, retryAfter)
 		case http.StatusServiceUnavailable:
 			var (
 				body RollbackUnavailableResponseBody
@@ -974,7 +1023,14 @@
 			if err != nil {
 				return nil, goahttp.ErrValidationError("caller", "rollback", err)
 			}
-			return nil, NewRollbackUnavailable(&body)
+			var (
+				retryAfter *string
+			)
+			retryAfterRaw := resp.Header.Get("Retry-After")
+			if retryAfterRaw != "" {
+				retryAfter = &retryAfterRaw
+			}
+			return nil, NewRollbackUnavailable(&body, retryAfter)
 		case http.StatusGatewayTimeout:
 			var (
 				body RollbackOutcomeUnknownResponseBody
--- a/gen/http/caller/client/types.go
+++ b/gen/http/caller/client/types.go
@@ -101,6 +101,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -118,6 +120,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -135,6 +139,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -152,6 +158,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -169,6 +177,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -186,6 +196,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -237,6 +249,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -254,6 +268,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -271,6 +287,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -288,6 +306,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -305,6 +325,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -322,6 +344,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -339,6 +363,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -390,6 +416,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -407,6 +435,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -424,6 +454,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -441,6 +473,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -458,6 +492,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -475,6 +511,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -492,6 +530,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -543,6 +583,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -560,6 +602,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -577,6 +621,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -594,6 +640,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -611,6 +659,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -628,6 +678,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -645,6 +697,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -696,6 +750,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -713,6 +769,8 @@
 	Detail *string `form:"detail,omitempty" json:"detail,omitempty" xml:"detail,omitempty"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
@@ -771,6 +829,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -786,6 +845,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -800,6 +860,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -814,6 +875,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -828,6 +890,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -843,6 +906,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -851,7 +915,7 @@
 
 // NewExecuteRateExceeded builds a caller service execute endpoint
 // rate_exceeded error.
-func NewExecuteRateExceeded(body *ExecuteRateExceededResponseBody) *caller.Refusal {
+func NewExecuteRateExceeded(body *ExecuteRateExceededResponseBody, retryAfter *string) *caller.Refusal {
 	v := &caller.Refusal{
 		Name:         *body.Name,
 		Outcome:      *body.Outcome,
@@ -860,13 +924,14 @@
 		RetryAfterMs: body.RetryAfterMs,
 		RequestID:    *body.RequestID,
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewExecuteUnavailable builds a caller service execute endpoint unavailable
 // error.
-func NewExecuteUnavailable(body *ExecuteUnavailableResponseBody) *caller.Refusal {
+func NewExecuteUnavailable(body *ExecuteUnavailableResponseBody, retryAfter *string) *caller.Refusal {
 	v := &caller.Refusal{
 		Name:         *body.Name,
 		Outcome:      *body.Outcome,
@@ -875,6 +940,7 @@
 		RetryAfterMs: body.RetryAfterMs,
 		RequestID:    *body.RequestID,
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
@@ -888,6 +954,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -915,6 +982,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -930,6 +998,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -944,6 +1013,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -958,6 +1028,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -972,6 +1043,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -987,6 +1059,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -995,7 +1068,7 @@
 
 // NewBeginRateExceeded builds a caller service begin endpoint rate_exceeded
 // error.
-func NewBeginRateExceeded(body *BeginRateExceededResponseBody) *caller.Refusal {
+func NewBeginRateExceeded(body *BeginRateExceededResponseBody, retryAfter *string) *caller.Refusal {
 	v := &caller.Refusal{
 		Name:         *body.Name,
 		Outcome:      *body.Outcome,
@@ -1004,12 +1077,13 @@
 		RetryAfterMs: body.RetryAfterMs,
 		RequestID:    *body.RequestID,
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewBeginUnavailable builds a caller service begin endpoint unavailable error.
-func NewBeginUnavailable(body *BeginUnavailableResponseBody) *caller.Refusal {
+func NewBeginUnavailable(body *BeginUnavailableResponseBody, retryAfter *string) *caller.Refusal {
 	v := &caller.Refusal{
 		Name:         *body.Name,
 		Outcome:      *body.Outcome,
@@ -1018,6 +1092,7 @@
 		RetryAfterMs: body.RetryAfterMs,
 		RequestID:    *body.RequestID,
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
@@ -1031,6 +1106,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1058,6 +1134,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1073,6 +1150,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1087,6 +1165,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1101,6 +1180,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1115,6 +1195,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1130,6 +1211,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1138,7 +1220,7 @@
 
 // NewCommitRateExceeded builds a caller service commit endpoint rate_exceeded
 // error.
-func NewCommitRateExceeded(body *CommitRateExceededResponseBody) *caller.Refusal {
+func NewCommitRateExceeded(body *CommitRateExceededResponseBody, retryAfter *string) *caller.Refusal {
 	v := &caller.Refusal{
 		Name:         *body.Name,
 		Outcome:      *body.Outcome,
@@ -1147,13 +1229,14 @@
 		RetryAfterMs: body.RetryAfterMs,
 		RequestID:    *body.RequestID,
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewCommitUnavailable builds a caller service commit endpoint unavailable
 // error.
-func NewCommitUnavailable(body *CommitUnavailableResponseBody) *caller.Refusal {
+func NewCommitUnavailable(body *CommitUnavailableResponseBody, retryAfter *string) *caller.Refusal {
 	v := &caller.Refusal{
 		Name:         *body.Name,
 		Outcome:      *body.Outcome,
@@ -1162,6 +1245,7 @@
 		RetryAfterMs: body.RetryAfterMs,
 		RequestID:    *body.RequestID,
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
@@ -1175,6 +1259,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1202,6 +1287,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1217,6 +1303,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1232,6 +1319,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1247,6 +1335,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1261,6 +1350,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1276,6 +1366,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1284,7 +1375,7 @@
 
 // NewRollbackRateExceeded builds a caller service rollback endpoint
 // rate_exceeded error.
-func NewRollbackRateExceeded(body *RollbackRateExceededResponseBody) *caller.Refusal {
+func NewRollbackRateExceeded(body *RollbackRateExceededResponseBody, retryAfter *string) *caller.Refusal {
 	v := &caller.Refusal{
 		Name:         *body.Name,
 		Outcome:      *body.Outcome,
@@ -1293,13 +1384,14 @@
 		RetryAfterMs: body.RetryAfterMs,
 		RequestID:    *body.RequestID,
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
 // NewRollbackUnavailable builds a caller service rollback endpoint unavailable
 // error.
-func NewRollbackUnavailable(body *RollbackUnavailableResponseBody) *caller.Refusal {
+func NewRollbackUnavailable(body *RollbackUnavailableResponseBody, retryAfter *string) *caller.Refusal {
 	v := &caller.Refusal{
 		Name:         *body.Name,
 		Outcome:      *body.Outcome,
@@ -1308,6 +1400,7 @@
 		RetryAfterMs: body.RetryAfterMs,
 		RequestID:    *body.RequestID,
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
@@ -1321,6 +1414,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
@@ -1348,6 +1442,7 @@
 		Reason:       *body.Reason,
 		Detail:       *body.Detail,
 		RetryAfterMs: body.RetryAfterMs,
+		RetryAfter:   body.RetryAfter,
 		RequestID:    *body.RequestID,
 	}
 
--- a/gen/http/caller/server/encode_decode.go
+++ b/gen/http/caller/server/encode_decode.go
@@ -220,6 +220,9 @@
 			} else {
 				body = NewExecuteRateExceededResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				w.Header().Set("Retry-After", *res.RetryAfter)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusTooManyRequests)
 			return enc.Encode(body)
@@ -233,6 +236,9 @@
 			} else {
 				body = NewExecuteUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				w.Header().Set("Retry-After", *res.RetryAfter)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -436,6 +442,9 @@
 			} else {
 				body = NewBeginRateExceededResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				w.Header().Set("Retry-After", *res.RetryAfter)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusTooManyRequests)
 			return enc.Encode(body)
@@ -449,6 +458,9 @@
 			} else {
 				body = NewBeginUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				w.Header().Set("Retry-After", *res.RetryAfter)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -657,6 +669,9 @@
 			} else {
 				body = NewCommitRateExceededResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				w.Header().Set("Retry-After", *res.RetryAfter)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusTooManyRequests)
 			return enc.Encode(body)
@@ -670,6 +685,9 @@
 			} else {
 				body = NewCommitUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				w.Header().Set("Retry-After", *res.RetryAfter)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
@@ -878,6 +896,9 @@
 			} else {
 				body = NewRollbackRateExceededResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				w.Header().Set("Retry-After", *res.RetryAfter)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusTooManyRequests)
 			return enc.Encode(body)
@@ -891,6 +912,9 @@
 			} else {
 				body = NewRollbackUnavailableResponseBody(res)
 			}
+			if res.RetryAfter != nil {
+				w.Header().Set("Retry-After", *res.RetryAfter)
+			}
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
--- a/gen/http/caller/server/types.go
+++ b/gen/http/caller/server/types.go
@@ -103,6 +103,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -120,6 +122,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -137,6 +141,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -154,6 +160,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -171,6 +179,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -188,6 +198,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -239,6 +251,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -256,6 +270,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -273,6 +289,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -290,6 +308,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -307,6 +327,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -324,6 +346,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -341,6 +365,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -392,6 +418,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -409,6 +437,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -426,6 +456,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -443,6 +475,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -460,6 +494,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -477,6 +513,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -494,6 +532,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -545,6 +585,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -562,6 +604,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -579,6 +623,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -596,6 +642,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -613,6 +661,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -630,6 +680,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -647,6 +699,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -698,6 +752,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -715,6 +771,8 @@
 	Detail string `form:"detail" json:"detail" xml:"detail"`
 	// Time in milliseconds after which a repetition may succeed
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// The same time in whole seconds, for the Retry-After header
+	RetryAfter *string `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
 	// Request id, given by the caller or generated
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
@@ -802,6 +860,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -816,6 +875,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -830,6 +890,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -844,6 +905,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -858,6 +920,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -872,6 +935,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -914,6 +978,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -928,6 +993,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -942,6 +1008,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -956,6 +1023,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -970,6 +1038,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -984,6 +1053,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -998,6 +1068,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1040,6 +1111,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1054,6 +1126,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1068,6 +1141,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1082,6 +1156,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1096,6 +1171,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1110,6 +1186,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1124,6 +1201,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1166,6 +1244,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1180,6 +1259,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1194,6 +1274,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1208,6 +1289,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1222,6 +1304,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1236,6 +1319,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1250,6 +1334,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1292,6 +1377,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
@@ -1306,6 +1392,7 @@
 		Reason:       res.Reason,
 		Detail:       res.Detail,
 		RetryAfterMs: res.RetryAfterMs,
+		RetryAfter:   res.RetryAfter,
 		RequestID:    res.RequestID,
 	}
 	return body
--- a/gen/http/cli/caller/cli.go
+++ b/gen/http/cli/caller/cli.go
@@ -257,7 +257,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller begin --service \"3f4\" --authorization \"Quis et laborum odio amet.\" --session-token \"q5m\" --request-id \"w2z\" --timeout-ms 40367")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller begin --service \"toc\" --authorization \"Accusantium neque ut iste labore.\" --session-token \"w3h\" --request-id \"heb\" --timeout-ms 262464")
 }
 
 func callerCommitUsage() {
@@ -285,7 +285,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller commit --service \"47j\" --transaction \"j1w\" --authorization \"Inventore vitae suscipit.\" --session-token \"jid\" --request-id \"z0w\" --timeout-ms 456516")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller commit --service \"yjn\" --transaction \"2v4\" --authorization \"Eum voluptatem.\" --session-token \"vkr\" --request-id \"ko5\" --timeout-ms 365")
 }
 
 func callerRollbackUsage() {
@@ -313,7 +313,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller rollback --service \"wbe\" --transaction \"mh2\" --authorization \"Dolorem tempora est voluptates ad.\" --session-token \"kvn\" --request-id \"8tj\" --timeout-ms 48676")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller rollback --service \"wcv\" --transaction \"gza\" --authorization \"Quia sit animi assumenda libero asperiores dolorem.\" --session-token \"z53\" --request-id \"fyx\" --timeout-ms 411058")
 }
 
 func callerStatusUsage() {
--- a/gen/http/cli/operator/cli.go
+++ b/gen/http/cli/operator/cli.go
@@ -29,7 +29,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "operator config-show --authorization \"Iste ipsam ex minus dolor unde.\"" + "\n" +
+	return os.Args[0] + " " + "operator config-show --authorization \"Dolor unde maiores ut ut at est.\"" + "\n" +
 		""
 }
 
@@ -235,7 +235,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator config-show --authorization \"Iste ipsam ex minus dolor unde.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator config-show --authorization \"Dolor unde maiores ut ut at est.\"")
 }
 
 func operatorConfigDiffUsage() {
@@ -255,7 +255,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator config-diff --body '{\n      \"base\": \"Voluptatum officia omnis et velit est sit.\",\n      \"overlays\": {\n         \"Omnis sunt voluptatem.\": \"Et qui et.\",\n         \"Quia aut aut eos.\": \"Minima minima omnis velit modi facilis eaque.\",\n         \"Suscipit molestiae deserunt fugiat.\": \"Est occaecati ut facilis.\"\n      }\n   }' --authorization \"Ex qui eveniet voluptatem est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator config-diff --body '{\n      \"base\": \"Quasi maiores ducimus quis.\",\n      \"overlays\": {\n         \"Et itaque qui aut fuga quidem vel.\": \"Repellat iste quas dicta non voluptatem et.\",\n         \"Et sed voluptas quis placeat exercitationem.\": \"Rem dolor qui nemo.\",\n         \"Sit eum repellat ducimus qui fugit inventore.\": \"Enim omnis facilis quia ea.\"\n      }\n   }' --authorization \"Veniam sint in laboriosam delectus qui officiis.\"")
 }
 
 func operatorConfigApplyUsage() {
@@ -275,7 +275,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator config-apply --body '{\n      \"base\": \"Minus numquam dolores voluptate repellat.\",\n      \"change_id\": \"Quidem aut fuga est.\",\n      \"expected_version\": 4266357284768445662,\n      \"overlays\": {\n         \"Laborum incidunt consequatur maiores non enim.\": \"Veritatis repellendus hic aspernatur exercitationem eum.\",\n         \"Rerum illum ducimus aut voluptas dolorem saepe.\": \"Rerum vero rem sunt omnis corporis.\"\n      }\n   }' --authorization \"Occaecati excepturi qui aspernatur ea quas.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator config-apply --body '{\n      \"base\": \"Sit voluptates quo optio eum veritatis.\",\n      \"change_id\": \"Laborum reiciendis beatae.\",\n      \"expected_version\": 11089223546090505251,\n      \"overlays\": {\n         \"Enim quas ipsum.\": \"Et odit.\",\n         \"Quia repellendus et qui.\": \"Rerum tempore mollitia.\",\n         \"Sed facilis qui modi quia ut.\": \"Delectus voluptatum adipisci temporibus sint voluptate.\"\n      }\n   }' --authorization \"Quia modi rerum molestiae officia veniam voluptatum.\"")
 }
 
 func operatorKeyCreateUsage() {
@@ -295,7 +295,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator key-create --body '{\n      \"change_id\": \"Consequuntur numquam.\",\n      \"workspace\": \"Dolore autem.\"\n   }' --authorization \"Perspiciatis aut perferendis ratione.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator key-create --body '{\n      \"change_id\": \"Architecto repellat.\",\n      \"workspace\": \"Ipsam maiores.\"\n   }' --authorization \"Possimus sed dicta velit.\"")
 }
 
 func operatorKeyWithdrawUsage() {
@@ -317,7 +317,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator key-withdraw --key-id \"Vitae accusamus excepturi ad quam omnis.\" --change-id \"Qui iure distinctio.\" --authorization \"Itaque optio.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator key-withdraw --key-id \"Accusantium voluptatem aut architecto non.\" --change-id \"Velit inventore explicabo consequatur autem.\" --authorization \"Doloremque eos sequi vel.\"")
 }
 
 func operatorWorkspaceSetUsage() {
@@ -339,7 +339,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator workspace-set --body '{\n      \"burst\": 0.8158069466565645,\n      \"change_id\": \"Quis qui mollitia et corporis.\",\n      \"expected_version\": 5417593965961661197,\n      \"rate\": 0.4084906828338979,\n      \"services\": [\n         \"Expedita in nemo impedit esse nam.\",\n         \"Et natus.\"\n      ]\n   }' --workspace \"Vero labore eos et est quae.\" --authorization \"Eum odit quidem voluptate occaecati.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator workspace-set --body '{\n      \"burst\": 0.6127243937674353,\n      \"change_id\": \"Tempora quia et.\",\n      \"expected_version\": 536101329475546008,\n      \"rate\": 0.6078070081216428,\n      \"services\": [\n         \"Qui at laudantium laborum illo odit.\",\n         \"Corrupti dolores vero expedita.\",\n         \"A atque veniam odio magnam dolores consequuntur.\"\n      ]\n   }' --workspace \"Hic sed quibusdam deserunt.\" --authorization \"Quis tenetur voluptatum non placeat enim.\"")
 }
 
 func operatorStatusUsage() {
@@ -357,7 +357,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator status --authorization \"Et at aperiam cum id est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator status --authorization \"Fugiat est rerum voluptatem.\"")
 }
 
 func operatorDrainUsage() {
@@ -375,5 +375,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator drain --authorization \"Qui id voluptate aliquam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator drain --authorization \"Quasi atque.\"")
 }
--- a/gen/http/operator/client/cli.go
+++ b/gen/http/operator/client/cli.go
@@ -38,7 +38,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorConfigDiffBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": \"Voluptatum officia omnis et velit est sit.\",\n      \"overlays\": {\n         \"Omnis sunt voluptatem.\": \"Et qui et.\",\n         \"Quia aut aut eos.\": \"Minima minima omnis velit modi facilis eaque.\",\n         \"Suscipit molestiae deserunt fugiat.\": \"Est occaecati ut facilis.\"\n      }\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": \"Quasi maiores ducimus quis.\",\n      \"overlays\": {\n         \"Et itaque qui aut fuga quidem vel.\": \"Repellat iste quas dicta non voluptatem et.\",\n         \"Et sed voluptas quis placeat exercitationem.\": \"Rem dolor qui nemo.\",\n         \"Sit eum repellat ducimus qui fugit inventore.\": \"Enim omnis facilis quia ea.\"\n      }\n   }'")
 		}
 	}
 	var authorization *string
@@ -71,7 +71,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorConfigApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": \"Minus numquam dolores voluptate repellat.\",\n      \"change_id\": \"Quidem aut fuga est.\",\n      \"expected_version\": 4266357284768445662,\n      \"overlays\": {\n         \"Laborum incidunt consequatur maiores non enim.\": \"Veritatis repellendus hic aspernatur exercitationem eum.\",\n         \"Rerum illum ducimus aut voluptas dolorem saepe.\": \"Rerum vero rem sunt omnis corporis.\"\n      }\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": \"Sit voluptates quo optio eum veritatis.\",\n      \"change_id\": \"Laborum reiciendis beatae.\",\n      \"expected_version\": 11089223546090505251,\n      \"overlays\": {\n         \"Enim quas ipsum.\": \"Et odit.\",\n         \"Quia repellendus et qui.\": \"Rerum tempore mollitia.\",\n         \"Sed facilis qui modi quia ut.\": \"Delectus voluptatum adipisci temporibus sint voluptate.\"\n      }\n   }'")
 		}
 	}
 	var authorization *string
@@ -106,7 +106,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorKeyCreateBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"change_id\": \"Consequuntur numquam.\",\n      \"workspace\": \"Dolore autem.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"change_id\": \"Architecto repellat.\",\n      \"workspace\": \"Ipsam maiores.\"\n   }'")
 		}
 	}
 	var authorization *string
@@ -159,7 +159,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorWorkspaceSetBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"burst\": 0.8158069466565645,\n      \"change_id\": \"Quis qui mollitia et corporis.\",\n      \"expected_version\": 5417593965961661197,\n      \"rate\": 0.4084906828338979,\n      \"services\": [\n         \"Expedita in nemo impedit esse nam.\",\n         \"Et natus.\"\n      ]\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"burst\": 0.6127243937674353,\n      \"change_id\": \"Tempora quia et.\",\n      \"expected_version\": 536101329475546008,\n      \"rate\": 0.6078070081216428,\n      \"services\": [\n         \"Qui at laudantium laborum illo odit.\",\n         \"Corrupti dolores vero expedita.\",\n         \"A atque veniam odio magnam dolores consequuntur.\"\n      ]\n   }'")
 		}
 		if body.Rate != nil {
 			if *body.Rate < 0 {
