--- /dev/null
+++ b/session/codec.go
@@ -0,0 +1,185 @@
+package session
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const (
+	// MaxServiceBytes bounds the name of a service in a token.
+	MaxServiceBytes = 64
+	// MaxEncodedBytes bounds an encoded token. MaxServices marks with names of MaxServiceBytes fit into it, and it
+	// stays below the 4 KiB that common HTTP servers allow for a header line.
+	MaxEncodedBytes = 2560
+	// MinSecretBytes is the least length of a secret, the output length of SHA-256.
+	MinSecretBytes = 32
+)
+
+// versionPrefix starts every token of this format. A later format gets another prefix.
+const versionPrefix = "v1."
+
+// macLabel keeps signatures of session tokens apart from other uses of the same secret.
+const macLabel = "waxwingspindle session token"
+
+var encoding = base64.RawURLEncoding.Strict()
+
+// Problem tells what is wrong with a token.
+type Problem uint8
+
+const (
+	// ProblemTooLong means that the text exceeds MaxEncodedBytes.
+	ProblemTooLong Problem = iota + 1
+	// ProblemVersion means that the text does not start with a known version.
+	ProblemVersion
+	// ProblemMalformed means that the text is not a token of its version.
+	ProblemMalformed
+	// ProblemSignature means that the signature fits no secret. Tokens of another workspace have this problem too.
+	ProblemSignature
+)
+
+// String returns a short description of the problem.
+func (p Problem) String() string {
+	switch p {
+	case ProblemTooLong:
+		return "too long"
+	case ProblemVersion:
+		return "unknown version"
+	case ProblemMalformed:
+		return "malformed"
+	case ProblemSignature:
+		return "wrong signature"
+	}
+	return "invalid"
+}
+
+// TokenError is the error for a token that was not accepted. It does not contain the token.
+type TokenError struct {
+	Problem Problem
+}
+
+// Error implements error.
+func (e *TokenError) Error() string {
+	return "session token: " + e.Problem.String()
+}
+
+// Codec encodes and decodes tokens. It is immutable and safe for concurrent use.
+type Codec struct {
+	current  []byte
+	previous []byte
+}
+
+// NewCodec returns a codec that signs with current and accepts tokens that were signed with current or previous. An
+// empty previous secret is never used. Rotation makes the old secret the previous one until no caller holds a token
+// that was signed with it.
+func NewCodec(current, previous []byte) (*Codec, error) {
+	if len(current) < MinSecretBytes {
+		return nil, fmt.Errorf("session secret has %d bytes, at least %d are needed", len(current), MinSecretBytes)
+	}
+	if len(previous) > 0 && len(previous) < MinSecretBytes {
+		return nil, fmt.Errorf("previous session secret has %d bytes, at least %d are needed", len(previous), MinSecretBytes)
+	}
+	return &Codec{current: append([]byte(nil), current...), previous: append([]byte(nil), previous...)}, nil
+}
+
+type wireMark struct {
+	Service string
+	Term    uint64
+	Offset  uint64
+}
+
+type wireToken struct {
+	Dropped bool
+	Marks   []wireMark
+}
+
+// Encode returns the text form of t, which is safe in URLs and headers. It fails when the name of a service is empty or
+// longer than MaxServiceBytes.
+func (c *Codec) Encode(t Token) (string, error) {
+	wire := wireToken{Dropped: t.dropped}
+	for _, mark := range t.marks {
+		if len(mark.Service) == 0 || len(mark.Service) > MaxServiceBytes {
+			return "", fmt.Errorf("service name of %d bytes does not fit into a session token", len(mark.Service))
+		}
+		wire.Marks = append(wire.Marks, wireMark{
+			Service: string(mark.Service),
+			Term:    mark.Position.Term,
+			Offset:  mark.Position.Offset,
+		})
+	}
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(&wire); err != nil {
+		return "", fmt.Errorf("encode session token: %w", err)
+	}
+	body := buffer.Bytes()
+	return versionPrefix + encoding.EncodeToString(append(body, sign(c.current, t.workspace, body)...)), nil
+}
+
+// Decode returns the token that text holds. An empty text is the empty token. Any other text that Encode did not
+// produce for this workspace with one of the secrets gives a *TokenError.
+func (c *Codec) Decode(text string, workspace model.Workspace) (Token, error) {
+	if text == "" {
+		return New(workspace), nil
+	}
+	if len(text) > MaxEncodedBytes {
+		return Token{}, &TokenError{ProblemTooLong}
+	}
+	payload, ok := strings.CutPrefix(text, versionPrefix)
+	if !ok {
+		return Token{}, &TokenError{ProblemVersion}
+	}
+	raw, err := encoding.DecodeString(payload)
+	if err != nil || len(raw) <= sha256.Size {
+		return Token{}, &TokenError{ProblemMalformed}
+	}
+	body, mac := raw[:len(raw)-sha256.Size], raw[len(raw)-sha256.Size:]
+	if !c.verify(workspace, body, mac) {
+		return Token{}, &TokenError{ProblemSignature}
+	}
+	return decodeBody(workspace, body)
+}
+
+func (c *Codec) verify(workspace model.Workspace, body, mac []byte) bool {
+	if hmac.Equal(mac, sign(c.current, workspace, body)) {
+		return true
+	}
+	return len(c.previous) > 0 && hmac.Equal(mac, sign(c.previous, workspace, body))
+}
+
+// decodeBody runs only on authenticated input, so a failure means that another version of the program used the same
+// version prefix.
+func decodeBody(workspace model.Workspace, body []byte) (Token, error) {
+	var wire wireToken
+	if err := msgpack.Unmarshal(body, &wire); err != nil || len(wire.Marks) > MaxServices {
+		return Token{}, &TokenError{ProblemMalformed}
+	}
+	t := Token{workspace: workspace, dropped: wire.Dropped}
+	for _, mark := range wire.Marks {
+		position := model.Position{Term: mark.Term, Offset: mark.Offset}
+		t.marks = append(t.marks, Mark{Service: model.Service(mark.Service), Position: position})
+	}
+	return t, nil
+}
+
+func sign(secret []byte, workspace model.Workspace, body []byte) []byte {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(workspace)))
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte(macLabel))
+	mac.Write([]byte(versionPrefix))
+	mac.Write(length[:])
+	mac.Write([]byte(workspace))
+	mac.Write(body)
+	return mac.Sum(nil)
+}
--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,170 @@
+package session
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+var (
+	secretA = bytes.Repeat([]byte{1}, MinSecretBytes)
+	secretB = bytes.Repeat([]byte{2}, MinSecretBytes)
+)
+
+func codec(t testing.TB, current, previous []byte) *Codec {
+	t.Helper()
+	c, err := NewCodec(current, previous)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func encode(t testing.TB, c *Codec, token Token) string {
+	t.Helper()
+	text, err := c.Encode(token)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func problemOf(err error) Problem {
+	var e *TokenError
+	if errors.As(err, &e) {
+		return e.Problem
+	}
+	return 0
+}
+
+// Guards against a mark that falls back when a session roams: merging is a maximum by (term, offset) and survives
+// encoding, whatever the order of the merges.
+func TestMergeIsMaximum(t *testing.T) {
+	c := codec(t, secretA, nil)
+	rapid.Check(t, func(t *rapid.T) {
+		want := map[model.Service]model.Position{}
+		tokens := []Token{New("w"), New("w"), New("w")}
+		for range rapid.IntRange(0, 40).Draw(t, "advances") {
+			service := model.Service(fmt.Sprint("s", rapid.IntRange(0, MaxServices-1).Draw(t, "service")))
+			p := model.Position{Term: rapid.Uint64Range(0, 3).Draw(t, "term"), Offset: rapid.Uint64Range(0, 9).Draw(t, "offset")}
+			i := rapid.IntRange(0, 2).Draw(t, "token")
+			tokens[i] = tokens[i].Advance(service, p)
+			want[service] = want[service].Later(p)
+		}
+		merged := New("w")
+		for _, i := range rapid.Permutation([]int{0, 1, 2}).Draw(t, "order") {
+			merged = merged.Merge(tokens[i])
+		}
+		text, err := c.Encode(merged)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := c.Decode(text, "w")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for service, p := range want {
+			if q, known := got.Mark(service); q != p || !known {
+				t.Fatalf("mark of %s is %v (known %v), want %v", service, q, known, p)
+			}
+		}
+	})
+}
+
+// Guards against a lost mark that looks like no mark: after a drop, services without a mark are unknown, and the mark
+// that was advanced longest ago is the one that goes.
+func TestDropLeastRecentlyAdvanced(t *testing.T) {
+	token := New("w")
+	for i := range MaxServices {
+		token = token.Advance(model.Service(fmt.Sprint("s", i)), model.Position{Term: 1, Offset: 1})
+	}
+	if _, known := token.Mark("new"); !known {
+		t.Error("a token that dropped nothing must know that a service was never used")
+	}
+	token = token.Advance("s0", model.Position{Term: 1, Offset: 2}).Advance("new", model.Position{Term: 1, Offset: 1})
+	c := codec(t, secretA, nil)
+	token, err := c.Decode(encode(t, c, token), "w")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, known := token.Mark("s0"); !known {
+		t.Error("the most recently advanced mark was dropped")
+	}
+	if _, known := token.Mark("s1"); known {
+		t.Error("the dropped mark counts as known")
+	}
+	if n := len(token.Marks()); n != MaxServices {
+		t.Errorf("%d marks, want %d", n, MaxServices)
+	}
+}
+
+// Guards against tokens of other workspaces, forged tokens, and tokens that die in a rotation of the secret.
+func TestAuthentication(t *testing.T) {
+	token := New("w").Advance("s", model.Position{Term: 7, Offset: 9})
+	old := encode(t, codec(t, secretA, nil), token)
+	rotated := codec(t, secretB, secretA)
+	if got, err := rotated.Decode(old, "w"); err != nil || len(got.Marks()) != 1 {
+		t.Errorf("token signed with the previous secret: %v, %v", got, err)
+	}
+	if _, err := codec(t, secretB, nil).Decode(old, "w"); problemOf(err) != ProblemSignature {
+		t.Errorf("token signed with a retired secret: %v", err)
+	}
+	if _, err := rotated.Decode(old, "other"); problemOf(err) != ProblemSignature {
+		t.Errorf("token of another workspace: %v", err)
+	}
+	for i := len(versionPrefix); i < len(old); i++ {
+		changed := []byte(old)
+		changed[i] ^= 1
+		if _, err := rotated.Decode(string(changed), "w"); err == nil {
+			t.Errorf("token with byte %d changed was accepted", i)
+		}
+	}
+	if _, err := NewCodec(secretA[:MinSecretBytes-1], nil); err == nil {
+		t.Error("short secret was accepted")
+	}
+}
+
+// Guards against a largest token that its own decoder refuses, and against unbounded service names.
+func TestSizeBound(t *testing.T) {
+	c, token := codec(t, secretA, nil), New("w")
+	for i := range MaxServices + 1 {
+		name := model.Service(strings.Repeat("x", MaxServiceBytes-2) + fmt.Sprintf("%02d", i))
+		token = token.Advance(name, model.Position{Term: 1<<64 - 1, Offset: 1<<64 - 1})
+	}
+	text := encode(t, c, token)
+	if _, err := c.Decode(text, "w"); err != nil {
+		t.Errorf("largest token of %d bytes: %v", len(text), err)
+	}
+	long := New("w").Advance(model.Service(strings.Repeat("x", MaxServiceBytes+1)), model.Position{})
+	if _, err := c.Encode(long); err == nil {
+		t.Error("service name above the bound was accepted")
+	}
+}
+
+// Guards against a panic or an untyped error for any text that a caller sends. The seeds are the fixed corpus.
+func FuzzDecode(f *testing.F) {
+	c := codec(f, secretA, secretB)
+	good := encode(f, c, New("w").Advance("s", model.Position{Term: 1, Offset: 2}))
+	unsound := []byte{0x92, 0xc3, 0xdd, 0xff, 0xff, 0xff, 0xff}
+	signed := versionPrefix + encoding.EncodeToString(append(unsound, sign(secretA, "w", unsound)...))
+	seeds := []string{"", good, good[:len(good)-1], good + "A", "v2" + good[2:], versionPrefix, versionPrefix + "====",
+		"v1", strings.Repeat("A", MaxEncodedBytes+1), versionPrefix + strings.Repeat("A", 64), "\x00\xff", signed}
+	for _, seed := range seeds {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		token, err := c.Decode(text, "w")
+		if err != nil && problemOf(err) == 0 {
+			t.Fatalf("error %v is not typed", err)
+		}
+		if err == nil && token.Workspace() != "w" {
+			t.Fatalf("token of workspace %q was accepted", token.Workspace())
+		}
+	})
+}
