--- a/session/codec.go
+++ b/session/codec.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -90,39 +91,13 @@
 	return &Codec{current: append([]byte(nil), current...), previous: append([]byte(nil), previous...)}, nil
 }
 
-type wireMark struct {
-	Service string
-	Term    uint64
-	Offset  uint64
-}
-
-type wireToken struct {
-	Dropped bool
-	Marks   []wireMark
-}
-
 // Encode returns the text form of t, which is safe in URLs and headers. It fails when the name of a service is empty or
 // longer than MaxServiceBytes.
 func (c *Codec) Encode(t Token) (string, error) {
-	wire := wireToken{Dropped: t.dropped}
-	for _, mark := range t.marks {
-		if len(mark.Service) == 0 || len(mark.Service) > MaxServiceBytes {
-			return "", fmt.Errorf("service name of %d bytes does not fit into a session token", len(mark.Service))
-		}
-		wire.Marks = append(wire.Marks, wireMark{
-			Service: string(mark.Service),
-			Term:    mark.Position.Term,
-			Offset:  mark.Position.Offset,
-		})
-	}
-	var buffer bytes.Buffer
-	encoder := msgpack.NewEncoder(&buffer)
-	encoder.UseArrayEncodedStructs(true)
-	encoder.UseCompactInts(true)
-	if err := encoder.Encode(&wire); err != nil {
-		return "", fmt.Errorf("encode session token: %w", err)
+	body, err := encodeBody(t)
+	if err != nil {
+		return "", err
 	}
-	body := buffer.Bytes()
 	return versionPrefix + encoding.EncodeToString(append(body, sign(c.current, t.workspace, body)...)), nil
 }
 
@@ -157,21 +132,61 @@
 	return len(c.previous) > 0 && hmac.Equal(mac, sign(c.previous, workspace, body))
 }
 
-// decodeBody runs only on authenticated input, so a failure means that another version of the program used the same
-// version prefix.
+// encodeBody writes the flag for dropped marks and the list of marks, each as service, term and offset.
+func encodeBody(t Token) ([]byte, error) {
+	var body bytes.Buffer
+	encoder := msgpack.NewEncoder(&body)
+	encoder.UseCompactInts(true)
+	err := errors.Join(encoder.EncodeBool(t.dropped), encoder.EncodeArrayLen(len(t.marks)))
+	for _, mark := range t.marks {
+		if len(mark.Service) == 0 || len(mark.Service) > MaxServiceBytes {
+			return nil, fmt.Errorf("service name of %d bytes does not fit into a session token", len(mark.Service))
+		}
+		err = errors.Join(err,
+			encoder.EncodeString(string(mark.Service)),
+			encoder.EncodeUint(mark.Position.Term),
+			encoder.EncodeUint(mark.Position.Offset))
+	}
+	return body.Bytes(), err
+}
+
+// decodeBody runs only on authenticated input. It reads the list step by step, because decoding into a slice would
+// allocate as many elements as the input claims to hold.
 func decodeBody(workspace model.Workspace, body []byte) (Token, error) {
-	var wire wireToken
-	if err := msgpack.Unmarshal(body, &wire); err != nil || len(wire.Marks) > MaxServices {
-		return Token{}, &TokenError{ProblemMalformed}
+	malformed := &TokenError{ProblemMalformed}
+	decoder := msgpack.NewDecoder(bytes.NewReader(body))
+	dropped, err := decoder.DecodeBool()
+	if err != nil {
+		return Token{}, malformed
 	}
-	t := Token{workspace: workspace, dropped: wire.Dropped}
-	for _, mark := range wire.Marks {
-		position := model.Position{Term: mark.Term, Offset: mark.Offset}
-		t.marks = append(t.marks, Mark{Service: model.Service(mark.Service), Position: position})
+	count, err := decoder.DecodeArrayLen()
+	if err != nil || count < 0 || count > MaxServices {
+		return Token{}, malformed
+	}
+	t := Token{workspace: workspace, dropped: dropped}
+	for range count {
+		mark, err := decodeMark(decoder)
+		if err != nil {
+			return Token{}, malformed
+		}
+		t.marks = append(t.marks, mark)
 	}
 	return t, nil
 }
 
+func decodeMark(decoder *msgpack.Decoder) (Mark, error) {
+	service, err := decoder.DecodeString()
+	if err != nil {
+		return Mark{}, err
+	}
+	term, err := decoder.DecodeUint64()
+	if err != nil {
+		return Mark{}, err
+	}
+	offset, err := decoder.DecodeUint64()
+	return Mark{Service: model.Service(service), Position: model.Position{Term: term, Offset: offset}}, err
+}
+
 func sign(secret []byte, workspace model.Workspace, body []byte) []byte {
 	var length [8]byte
 	binary.BigEndian.PutUint64(length[:], uint64(len(workspace)))
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -151,7 +151,7 @@
 func FuzzDecode(f *testing.F) {
 	c := codec(f, secretA, secretB)
 	good := encode(f, c, New("w").Advance("s", model.Position{Term: 1, Offset: 2}))
-	unsound := []byte{0x92, 0xc3, 0xdd, 0xff, 0xff, 0xff, 0xff}
+	unsound := []byte{0xc3, 0xdd, 0xff, 0xff, 0xff, 0xff}
 	signed := versionPrefix + encoding.EncodeToString(append(unsound, sign(secretA, "w", unsound)...))
 	seeds := []string{"", good, good[:len(good)-1], good + "A", "v2" + good[2:], versionPrefix, versionPrefix + "====",
 		"v1", strings.Repeat("A", MaxEncodedBytes+1), versionPrefix + strings.Repeat("A", 64), "\x00\xff", signed}
