--- /dev/null
+++ b/key/key.go
@@ -0,0 +1,186 @@
+// Package key creates, parses and checks the keys of callers.
+//
+// A key has the form wsk_<key id>_<secret>. Only the SHA-256 of the secret is stored, in a Record. A Key redacts itself
+// in every output; Reveal is the only way to its text.
+package key
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const (
+	prefix      = "wsk_"
+	separator   = "_"
+	secretBytes = 32
+	// maxIDBytes bounds a key id, so that a key fits into any header and into a transaction handle.
+	maxIDBytes = 64
+)
+
+// secretEncoding is strict, so that a secret has exactly one text.
+var secretEncoding = base64.RawURLEncoding.Strict()
+
+var secretChars = secretEncoding.EncodedLen(secretBytes)
+
+// Error is a fault of a key or of the header that carries it. Its text never contains any part of the header.
+type Error string
+
+// Error returns the explanation.
+func (e Error) Error() string { return string(e) }
+
+// Errors of this package. Check answers ErrInvalid for an unknown key id and for a wrong secret alike, so that callers
+// cannot find out which key ids exist.
+const (
+	ErrMissing   Error = "the Authorization header is missing"
+	ErrRepeated  Error = "the Authorization header is given more than once"
+	ErrScheme    Error = "the Authorization header does not use the Bearer scheme"
+	ErrMalformed Error = "the key does not have the form wsk_<key id>_<secret>"
+	ErrID        Error = "a key id has 1 to 64 letters, digits, hyphens, dots or underscores"
+	ErrInvalid   Error = "the key is not valid"
+	ErrWithdrawn Error = "the key is withdrawn"
+)
+
+// Reason returns the reason that a caller sees for the error.
+func (e Error) Reason() model.Reason {
+	if e == ErrMissing {
+		return model.ReasonKeyMissing
+	}
+	return model.ReasonKeyInvalid
+}
+
+// Result returns the refusal that a caller sees for the error.
+func (e Error) Result() model.Result {
+	return model.NotRun(e.Reason(), string(e))
+}
+
+// Key is a caller's key. The zero value is no key.
+type Key struct {
+	id model.KeyID
+	// secret is a function, because fmt calls no methods on the unexported fields of a struct that contains a Key and
+	// prints arrays and, for verbs that do not fit, what pointers point at. A function is printed as an address.
+	secret func() [secretBytes]byte
+}
+
+func newSecretKey(id model.KeyID, secret [secretBytes]byte) Key {
+	return Key{id: id, secret: func() [secretBytes]byte { return secret }}
+}
+
+// New creates a key with a secret that is read from random. It fails with ErrID if the id is not allowed, and with the
+// reader's error.
+func New(id model.KeyID, random io.Reader) (Key, error) {
+	if !validID(string(id)) {
+		return Key{}, ErrID
+	}
+	var secret [secretBytes]byte
+	if _, err := io.ReadFull(random, secret[:]); err != nil {
+		return Key{}, trace.Wrap(err, "reading random bytes for a key")
+	}
+	return newSecretKey(id, secret), nil
+}
+
+// Parse reads the text of a key. It fails with ErrMalformed.
+func Parse(text string) (Key, error) {
+	body, ok := strings.CutPrefix(text, prefix)
+	if !ok {
+		return Key{}, ErrMalformed
+	}
+	// The secret has a fixed length and may contain the separator, as a key id may, so the split counts from the end.
+	split := len(body) - secretChars - len(separator)
+	if split < 0 || body[split:split+len(separator)] != separator || !validID(body[:split]) {
+		return Key{}, ErrMalformed
+	}
+	// DecodeString skips line ends, which would give a secret more than one text.
+	encoded := body[split+len(separator):]
+	if strings.ContainsAny(encoded, "\r\n") {
+		return Key{}, ErrMalformed
+	}
+	decoded, err := secretEncoding.DecodeString(encoded)
+	if err != nil || len(decoded) != secretBytes {
+		return Key{}, ErrMalformed
+	}
+	return newSecretKey(model.KeyID(body[:split]), [secretBytes]byte(decoded)), nil
+}
+
+// FromHeader reads the key from the values of the Authorization header. It fails with ErrMissing, ErrRepeated,
+// ErrScheme or ErrMalformed.
+func FromHeader(values []string) (Key, error) {
+	if len(values) == 0 || len(values) == 1 && values[0] == "" {
+		return Key{}, ErrMissing
+	}
+	if len(values) > 1 {
+		return Key{}, ErrRepeated
+	}
+	scheme, credentials, _ := strings.Cut(values[0], " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return Key{}, ErrScheme
+	}
+	return Parse(strings.Trim(credentials, " "))
+}
+
+// ID returns the public part of the key.
+func (k Key) ID() model.KeyID { return k.id }
+
+// IsZero reports whether k is no key.
+func (k Key) IsZero() bool { return k.secret == nil }
+
+// Reveal returns the text of the key with its secret. It is for the one answer that gives a new key to an operator.
+func (k Key) Reveal() string {
+	if k.IsZero() {
+		return ""
+	}
+	secret := k.secret()
+	return prefix + string(k.id) + separator + secretEncoding.EncodeToString(secret[:])
+}
+
+// Record returns what is stored for the key of a workspace.
+func (k Key) Record(workspace model.Workspace) Record {
+	return Record{ID: k.id, Workspace: workspace, Hash: k.hash()}
+}
+
+func (k Key) hash() Hash {
+	if k.IsZero() {
+		return Hash{}
+	}
+	secret := k.secret()
+	return sha256.Sum256(secret[:])
+}
+
+// String returns the key without its secret.
+func (k Key) String() string { return prefix + string(k.id) + separator + "redacted" }
+
+// GoString returns the key without its secret.
+func (k Key) GoString() string { return k.String() }
+
+// Format prints the key without its secret, for every verb.
+func (k Key) Format(state fmt.State, _ rune) { _, _ = io.WriteString(state, k.String()) }
+
+// MarshalText returns the key without its secret.
+func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// MarshalJSON returns the key without its secret.
+func (k Key) MarshalJSON() ([]byte, error) {
+	text, err := json.Marshal(k.String())
+	return text, trace.Wrap(err)
+}
+
+func validID(id string) bool {
+	if id == "" || len(id) > maxIDBytes {
+		return false
+	}
+	for _, c := range []byte(id) {
+		letter := c|0x20 >= 'a' && c|0x20 <= 'z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && !strings.ContainsRune("-._", rune(c)) {
+			return false
+		}
+	}
+	return true
+}
