--- a/config/document.go
+++ b/config/document.go
@@ -11,6 +11,7 @@
 
 	"gopkg.in/ini.v1"
 
+	"github.com/waxwingspindle/waxwingspindle/key"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -31,17 +32,10 @@
 	Changes  []string                    `json:"changes"` // ids of the latest changes, the newest last
 	Base     string                      `json:"base"`
 	Overlays map[model.DataCentre]string `json:"overlays,omitempty"`
-	Keys     map[model.KeyID]Key         `json:"keys,omitempty"`
+	Keys     map[model.KeyID]key.Record  `json:"keys,omitempty"`
 	Secret   []byte                      `json:"secret"` // authenticates session tokens and transaction handles
 }
 
-// Key is a caller's key as the store holds it.
-type Key struct {
-	Workspace model.Workspace `json:"workspace"`
-	Hash      []byte          `json:"hash"` // SHA-256 of the secret
-	Withdrawn bool            `json:"withdrawn,omitempty"`
-}
-
 // ConflictError reports that the configuration changed since the operator saw it.
 type ConflictError struct {
 	Expected    uint64   // version that the operator has seen
@@ -102,7 +96,7 @@
 	}
 	n.Keys = maps.Clone(d.Keys)
 	if n.Keys == nil {
-		n.Keys = map[model.KeyID]Key{}
+		n.Keys = map[model.KeyID]key.Record{}
 	}
 	return &n
 }
@@ -163,7 +157,7 @@
 }
 
 // CreateKey adds a key for a workspace.
-func (d *Document) CreateKey(id model.KeyID, k Key, changeID string) (*Document, error) {
+func (d *Document) CreateKey(k key.Record, changeID string) (*Document, error) {
 	s, err := ParseDocument(d, "")
 	if err != nil {
 		return nil, err
@@ -172,7 +166,7 @@
 		return nil, &NotFoundError{Kind: "workspace", Name: string(k.Workspace)}
 	}
 	n := d.next(changeID)
-	n.Keys[id] = k
+	n.Keys[k.ID] = k
 	return n, nil
 }
 
@@ -187,8 +181,7 @@
 		return d, nil
 	}
 	n := d.next(changeID)
-	k.Withdrawn = true
-	n.Keys[id] = k
+	n.Keys[id] = k.Withdraw()
 	return n, nil
 }
 
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,154 @@
+// Package metrics owns the Prometheus collectors of a daemon. The four measures that users judge the service by are
+// reads by role of the target, the gap in writes of a failover, the service that each workspace gets, and refusals
+// although a workspace was inside its rate.
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const namespace = "waxwingspindle"
+
+// Metrics are the collectors of one daemon.
+type Metrics struct {
+	requests     *prometheus.CounterVec
+	duration     *prometheus.HistogramVec
+	reads        *prometheus.CounterVec
+	writeGap     *prometheus.HistogramVec
+	failovers    *prometheus.CounterVec
+	served       *prometheus.CounterVec
+	refused      *prometheus.CounterVec
+	insideRate   *prometheus.CounterVec
+	queueWait    *prometheus.HistogramVec
+	retries      *prometheus.CounterVec
+	proofAge     prometheus.Gauge
+	serving      prometheus.Gauge
+	version      prometheus.Gauge
+	roster       prometheus.Gauge
+	members      *prometheus.GaugeVec
+	storeCalls   *prometheus.CounterVec
+	controlBytes *prometheus.CounterVec
+}
+
+// latencyBuckets reach from a local statement to the longest statement timeout in use, in seconds.
+var latencyBuckets = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10, 30}
+
+// New returns collectors that are registered with the registry.
+func New(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: counter("requests_total", "Requests of callers by outcome and reason.", "service", "kind", "outcome",
+			"reason"),
+		duration:  histogram("request_seconds", "Time of requests of callers.", "service", "kind"),
+		reads:     counter("reads_total", "Reads by the role of the target that served them.", "service", "role"),
+		writeGap:  histogram("write_gap_seconds", "Time without a primary that acknowledges writes.", "service"),
+		failovers: counter("failovers_total", "Changes of primary that this host ordered.", "service"),
+		served:    counter("workspace_served_total", "Requests that were done for a workspace.", "workspace"),
+		refused:   counter("workspace_refused_total", "Requests of a workspace that were refused.", "workspace", "reason"),
+		insideRate: counter("workspace_refused_inside_rate_total",
+			"Requests refused for lack of a token while the broker's bucket was not known to be empty.", "workspace"),
+		queueWait:    histogram("queue_wait_seconds", "Time that statements waited for a slot.", "service"),
+		retries:      counter("retries_total", "Repeated attempts by reason.", "service", "reason"),
+		proofAge:     gauge("proof_age_seconds", "Age of the proof that the configuration is fresh."),
+		serving:      gauge("serving", "1 while the host serves keyed requests."),
+		version:      gauge("configuration_version", "Version of the configuration in force."),
+		roster:       gauge("roster_version", "Version of the roster in force."),
+		members:      gaugeVec("members", "Members by state.", "state"),
+		storeCalls:   counter("store_calls_total", "Calls of the platform's store by method and result.", "method", "result"),
+		controlBytes: counter("control_bytes_total", "Bytes sent for control by kind of message.", "kind"),
+	}
+	r.MustRegister(m.requests, m.duration, m.reads, m.writeGap, m.failovers, m.served, m.refused, m.insideRate,
+		m.queueWait, m.retries, m.proofAge, m.serving, m.version, m.roster, m.members, m.storeCalls, m.controlBytes)
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help,
+		Buckets: latencyBuckets}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// Request counts a request of a caller.
+func (m *Metrics) Request(s model.Service, w model.Workspace, kind string, r model.Result, took time.Duration) {
+	m.requests.WithLabelValues(string(s), kind, r.Outcome.String(), string(r.Reason)).Inc()
+	m.duration.WithLabelValues(string(s), kind).Observe(took.Seconds())
+	if w == "" {
+		return
+	}
+	if r.Outcome == model.OutcomeDone {
+		m.served.WithLabelValues(string(w)).Inc()
+		return
+	}
+	m.refused.WithLabelValues(string(w), string(r.Reason)).Inc()
+}
+
+// Read counts a read that a replica or the primary served.
+func (m *Metrics) Read(s model.Service, replica bool) {
+	role := "primary"
+	if replica {
+		role = "replica"
+	}
+	m.reads.WithLabelValues(string(s), role).Inc()
+}
+
+// Failover records a change of primary with the time in which no write was acknowledged.
+func (m *Metrics) Failover(s model.Service, gap time.Duration) {
+	m.failovers.WithLabelValues(string(s)).Inc()
+	m.writeGap.WithLabelValues(string(s)).Observe(gap.Seconds())
+}
+
+// RefusedInsideRate counts a refusal for lack of a token that the broker did not cause by an empty bucket.
+func (m *Metrics) RefusedInsideRate(w model.Workspace) { m.insideRate.WithLabelValues(string(w)).Inc() }
+
+// QueueWait records the time that a statement waited for a slot.
+func (m *Metrics) QueueWait(s model.Service, d time.Duration) {
+	m.queueWait.WithLabelValues(string(s)).Observe(d.Seconds())
+}
+
+// Retry counts a repeated attempt.
+func (m *Metrics) Retry(s model.Service, reason model.Reason) {
+	m.retries.WithLabelValues(string(s), string(reason)).Inc()
+}
+
+// Control records what the control goroutine knows.
+func (m *Metrics) Control(serving bool, proofAge time.Duration, configuration, roster uint64, members map[string]int) {
+	m.serving.Set(0)
+	if serving {
+		m.serving.Set(1)
+	}
+	m.proofAge.Set(proofAge.Seconds())
+	m.version.Set(float64(configuration))
+	m.roster.Set(float64(roster))
+	m.members.Reset()
+	for state, n := range members {
+		m.members.WithLabelValues(state).Set(float64(n))
+	}
+}
+
+// StoreCall counts a call of the platform's store.
+func (m *Metrics) StoreCall(method string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.storeCalls.WithLabelValues(method, result).Inc()
+}
+
+// ControlBytes counts bytes that were sent for control.
+func (m *Metrics) ControlBytes(kind string, n int) {
+	m.controlBytes.WithLabelValues(kind).Add(float64(n))
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingspindle/waxwingspindle/config"
 	"github.com/waxwingspindle/waxwingspindle/gen/http/operator/server"
 	genoperator "github.com/waxwingspindle/waxwingspindle/gen/operator"
+	"github.com/waxwingspindle/waxwingspindle/key"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -53,7 +54,7 @@
 	// Change stores the next document by compare-and-swap and waits until the hosts have it in force.
 	Change(ctx context.Context, changeID string, f ChangeFunc) (Change, error)
 	// NewKey returns a new key with the record that the store holds.
-	NewKey(w model.Workspace) (id model.KeyID, secret string, record config.Key)
+	NewKey(w model.Workspace) (key.Key, key.Record)
 	// NewSecret returns a new secret for session tokens.
 	NewSecret() []byte
 	// Status returns the state of the host.
@@ -180,14 +181,14 @@
 		return nil, &genoperator.OperatorFailure{Name: "conflict", Reason: "key_already_created", Problems: []string{},
 			Detail: "a key was created with this change id; it cannot be shown again, so withdraw it and create another"}
 	}
-	keyID, secret, record := s.backend.NewKey(model.Workspace(p.Workspace))
+	k, record := s.backend.NewKey(model.Workspace(p.Workspace))
 	change, err := s.change(ctx, id, func(d *config.Document) (*config.Document, error) {
-		return d.CreateKey(keyID, record, id)
+		return d.CreateKey(record, id)
 	})
 	if err != nil {
 		return nil, err
 	}
-	return &genoperator.KeyCreateResult{Key: secret, KeyID: string(keyID), Change: change}, nil
+	return &genoperator.KeyCreateResult{Key: k.Reveal(), KeyID: string(k.ID()), Change: change}, nil
 }
 
 // KeyWithdraw implements the goa service.
