--- /dev/null
+++ b/standin/target/admin.go
@@ -0,0 +1,183 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// maxAdminBody is the largest accepted body of an admin request in bytes.
+const maxAdminBody = 1 << 20
+
+// FaultRequest is the body of POST /members/{id}/faults. Fields that are left out change nothing.
+type FaultRequest struct {
+	Cut             []CutRequest `json:"cut,omitempty"`
+	Heal            bool         `json:"heal,omitempty"` // ends all cuts before new ones are set
+	Frozen          *bool        `json:"frozen,omitempty"`
+	Refuse          *bool        `json:"refuse,omitempty"`  // refuse new connections
+	Silence         bool         `json:"silence,omitempty"` // make present connections silent for good
+	LagMS           *int         `json:"lag_ms,omitempty"`  // replication lag
+	StatementTimeMS *int         `json:"statement_time_ms,omitempty"`
+	LoseAnswers     *int         `json:"lose_answers,omitempty"` // number of commits whose answer is lost
+}
+
+// CutRequest is a cut of a FaultRequest.
+type CutRequest struct {
+	Peer      string `json:"peer"`      // name of a member, "" for clients, "*" for everybody
+	Direction string `json:"direction"` // "in", "out", "both" or "none"
+}
+
+// MemberInfo is the answer about one member.
+type MemberInfo struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Status
+	Connections int `json:"connections"`
+}
+
+var directions = map[string]Direction{"in": Inbound, "out": Outbound, "both": Both, "none": 0}
+
+// ServeAdmin serves the admin interface of a group at address until ctx ends.
+func ServeAdmin(ctx context.Context, address string, g *Group) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	server := &http.Server{Handler: AdminHandler(g), ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
+// AdminHandler returns the HTTP/JSON admin interface of a group:
+//
+//	GET  /members                    status of all members
+//	POST /members/{id}/faults        set faults (FaultRequest)
+//	POST /members/{id}/kill          kill a member
+//	POST /members/{id}/restart       restart it with its durable state
+//	GET  /history?after=N            events after sequence number N
+//	GET  /received                   all bytes from clients by connection, in base64
+//	POST /received/contains          whether the bytes of the body were ever received
+func AdminHandler(g *Group) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, _ *http.Request) { answer(w, g.info()) })
+	mux.HandleFunc("POST /members/{id}/faults", withMember(g, setFaults))
+	mux.HandleFunc("POST /members/{id}/kill", withMember(g, func(m *Member, _ *http.Request) error {
+		m.Kill()
+		return nil
+	}))
+	mux.HandleFunc("POST /members/{id}/restart", withMember(g, func(m *Member, _ *http.Request) error {
+		return trace.Wrap(m.Restart())
+	}))
+	mux.HandleFunc("GET /history", func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		if err != nil && r.URL.Query().Has("after") {
+			refuse(w, trace.BadParameter("after is no number"))
+			return
+		}
+		answer(w, g.History.Events(after))
+	})
+	mux.HandleFunc("GET /received", func(w http.ResponseWriter, _ *http.Request) { answer(w, g.History.ReceivedBytes()) })
+	mux.HandleFunc("POST /received/contains", func(w http.ResponseWriter, r *http.Request) {
+		body, err := readBody(r)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		answer(w, map[string]bool{"contains": g.History.Received(body)})
+	})
+	return mux
+}
+
+func (g *Group) info() []MemberInfo {
+	infos := make([]MemberInfo, 0, len(g.Members))
+	for _, m := range g.Members {
+		infos = append(infos, MemberInfo{ID: m.ID(), Address: m.Address(), Status: m.Status(), Connections: m.Connections()})
+	}
+	return infos
+}
+
+func withMember(g *Group, act func(*Member, *http.Request) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		m := g.Member(r.PathValue("id"))
+		if m == nil {
+			refuse(w, trace.NotFound("there is no member %q", r.PathValue("id")))
+			return
+		}
+		if err := act(m, r); err != nil {
+			refuse(w, err)
+			return
+		}
+		answer(w, m.Status())
+	}
+}
+
+func setFaults(m *Member, r *http.Request) error {
+	body, err := readBody(r)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	var request FaultRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return trace.BadParameter("body is no fault request: %v", err)
+	}
+	for _, cut := range request.Cut {
+		if _, found := directions[cut.Direction]; !found {
+			return trace.BadParameter("unknown direction %q", cut.Direction)
+		}
+	}
+	return trace.Wrap(m.applyFaults(request))
+}
+
+func (m *Member) applyFaults(request FaultRequest) error {
+	if request.Heal {
+		m.Heal()
+	}
+	for _, cut := range request.Cut {
+		m.Cut(cut.Peer, directions[cut.Direction])
+	}
+	if request.Frozen != nil {
+		m.Freeze(*request.Frozen)
+	}
+	if request.Silence {
+		m.SilenceConnections()
+	}
+	if request.LagMS != nil {
+		m.SetReplicationLag(time.Duration(*request.LagMS) * time.Millisecond)
+	}
+	if request.StatementTimeMS != nil {
+		m.SetStatementTime(time.Duration(*request.StatementTimeMS) * time.Millisecond)
+	}
+	if request.LoseAnswers != nil {
+		m.LoseAnswers(*request.LoseAnswers)
+	}
+	if request.Refuse != nil {
+		return trace.Wrap(m.RefuseConnections(*request.Refuse))
+	}
+	return nil
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAdminBody))
+	return body, trace.Wrap(err)
+}
+
+func answer(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the client has gone.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	http.Error(w, trace.UserMessage(err), trace.ErrorToCode(err))
+}
--- /dev/null
+++ b/standin/target/member.go
@@ -0,0 +1,372 @@
+package target
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const (
+	// listenPatience is how long a restarted member waits for its port, which an outgoing connection of another
+	// program may hold for a moment.
+	listenPatience = 5 * time.Second
+	listenRetry    = 10 * time.Millisecond
+)
+
+// Status is the state of a member that the group functions return.
+type Status struct {
+	AdoptedTerm    uint64         `json:"adopted_term"`
+	Orderer        string         `json:"orderer"`
+	Primary        bool           `json:"primary"`
+	Position       model.Position `json:"position"`
+	PrimaryAddress string         `json:"primary_address"`
+}
+
+// durable is the state of a member that survives Kill and Restart.
+type durable struct {
+	adoptedTerm    uint64
+	orderer        string
+	leadingTerm    uint64 // term in which the member is primary, 0 for a replica
+	primaryAddress string // address that a replica follows, empty if none
+	log            []entry
+}
+
+// entry is one entry of the replicated log.
+type entry struct {
+	Term    uint64
+	Offset  uint64 // 1 for the first entry
+	Written time.Time
+	Changes []change
+}
+
+// change sets or deletes one row.
+type change struct {
+	Table   string
+	Key     string
+	Deleted bool
+	Row     row
+}
+
+type row struct {
+	Value   string
+	Created time.Time // used by the ledger only
+}
+
+type rowKey struct{ table, key string }
+
+// Member is one member of a database group.
+type Member struct {
+	id      string
+	options Options
+	faults  *faults
+	history *History
+	log     *zap.Logger
+
+	connectionNumbers  *atomic.Uint32 // shared by the members of a group
+	transactionNumbers *atomic.Uint64 // shared by the members of a group
+
+	mu          sync.Mutex
+	durable     durable
+	run         *run // nil while the member is killed
+	refusing    bool
+	address     string
+	tables      map[string]map[string]row
+	locks       map[rowKey]*transaction
+	changed     chan struct{} // closed and replaced when the position or a lock changes
+	roleChanged chan struct{} // closed and replaced when the role or the adopted term changes
+}
+
+// run is the life of a member between a start and the next kill.
+type run struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	listener net.Listener // nil while new connections are refused
+	conns    map[*faultConn]*session
+	slots    chan struct{}
+	accepted int // connections that count for the cap
+}
+
+func newMember(o Options, h *History, connections *atomic.Uint32, transactions *atomic.Uint64) *Member {
+	o = o.withDefaults()
+	return &Member{
+		id:                 o.ID,
+		options:            o,
+		faults:             newFaults(o),
+		history:            h,
+		log:                o.Logger.With(zap.String("member", o.ID)),
+		connectionNumbers:  connections,
+		transactionNumbers: transactions,
+		address:            o.Address,
+		changed:            make(chan struct{}),
+		roleChanged:        make(chan struct{}),
+	}
+}
+
+// ID returns the member's name.
+func (m *Member) ID() string { return m.id }
+
+// Address returns the address at which the member accepts connections, which stays the same after a restart.
+func (m *Member) Address() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.address
+}
+
+// Status returns the member's state, also while it is killed.
+func (m *Member) Status() Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.status()
+}
+
+func (m *Member) status() Status {
+	s := Status{
+		AdoptedTerm:    m.durable.adoptedTerm,
+		Orderer:        m.durable.orderer,
+		Primary:        m.durable.leadingTerm > 0,
+		Position:       m.durable.position(),
+		PrimaryAddress: m.durable.primaryAddress,
+	}
+	if s.Primary {
+		s.PrimaryAddress = m.address
+	}
+	return s
+}
+
+func (d *durable) position() model.Position {
+	if len(d.log) == 0 {
+		return model.Position{}
+	}
+	last := d.log[len(d.log)-1]
+	return model.Position{Term: last.Term, Offset: last.Offset}
+}
+
+// start begins a run with the durable state.
+func (m *Member) start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.run != nil {
+		return trace.AlreadyExists("member %s runs already", m.id)
+	}
+	r := &run{conns: map[*faultConn]*session{}, slots: make(chan struct{}, m.options.Slots)}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	m.run = r
+	m.locks = map[rowKey]*transaction{}
+	m.rebuildTables()
+	if !m.refusing {
+		if err := m.listen(r); err != nil {
+			m.run = nil
+			r.cancel()
+			return trace.Wrap(err)
+		}
+	}
+	r.tasks.Go(func() { m.followLoop(r) })
+	return nil
+}
+
+// listen opens the listener of a run.
+func (m *Member) listen(r *run) error {
+	deadline := time.Now().Add(listenPatience)
+	listener, err := net.Listen("tcp", m.address)
+	for err != nil && time.Now().Before(deadline) {
+		time.Sleep(listenRetry)
+		listener, err = net.Listen("tcp", m.address)
+	}
+	if err != nil {
+		return trace.ConnectionProblem(err, "member %s cannot listen on %s", m.id, m.address)
+	}
+	m.address = listener.Addr().String()
+	r.listener = listener
+	r.tasks.Go(func() { m.accept(r, listener) })
+	return nil
+}
+
+func (m *Member) accept(r *run, listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		s := m.newSession(r, conn)
+		m.mu.Lock()
+		if r.ctx.Err() != nil {
+			m.mu.Unlock()
+			conn.Close()
+			return
+		}
+		r.conns[s.conn] = s
+		r.tasks.Go(func() { m.serve(r, s) })
+		m.mu.Unlock()
+	}
+}
+
+func (m *Member) serve(r *run, s *session) {
+	s.serve()
+	s.conn.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(r.conns, s.conn)
+	if s.counted {
+		r.accepted--
+	}
+}
+
+// Kill ends the member at once: it closes the listener and all connections and drops all open transactions. The durable
+// state stays.
+func (m *Member) Kill() {
+	m.mu.Lock()
+	r := m.run
+	if r == nil {
+		m.mu.Unlock()
+		return
+	}
+	m.run = nil
+	r.cancel()
+	if r.listener != nil {
+		r.listener.Close()
+	}
+	for conn := range r.conns {
+		conn.Close()
+	}
+	m.mu.Unlock()
+	r.tasks.Wait()
+	m.history.add(Event{Member: m.id, Kind: EventKill, Position: m.Status().Position})
+}
+
+// Restart starts a killed member with its durable state at the same address. Faults that were set stay in force.
+func (m *Member) Restart() error {
+	if err := m.start(); err != nil {
+		return trace.Wrap(err)
+	}
+	m.history.add(Event{Member: m.id, Kind: EventRestart, Position: m.Status().Position})
+	return nil
+}
+
+// Cut holds back all bytes between the member and peer in the given directions. Peer is the name of a member, Clients or
+// Everybody. Direction 0 ends the cut.
+func (m *Member) Cut(peer string, d Direction) {
+	m.faults.change(func() {
+		if d == 0 {
+			delete(m.faults.cuts, peer)
+			return
+		}
+		m.faults.cuts[peer] = d
+	})
+}
+
+// Heal ends all cuts of the member.
+func (m *Member) Heal() {
+	m.faults.change(func() { clear(m.faults.cuts) })
+}
+
+// Freeze stops the member as SIGSTOP does, or lets it continue.
+func (m *Member) Freeze(frozen bool) {
+	m.faults.change(func() { m.faults.frozen = frozen })
+}
+
+// SetReplicationLag sets the least age of an entry when the member applies it as a replica.
+func (m *Member) SetReplicationLag(lag time.Duration) {
+	m.faults.change(func() { m.faults.lag = lag })
+}
+
+// SetStatementTime sets the time that each statement takes in its slot.
+func (m *Member) SetStatementTime(d time.Duration) {
+	m.faults.change(func() { m.faults.statementTime = d })
+}
+
+// LoseAnswers closes the connection of each of the next count commits after the commit and without an answer.
+func (m *Member) LoseAnswers(count int) {
+	m.faults.change(func() { m.faults.loseAnswers = count })
+}
+
+// SilenceConnections makes all present connections of clients silent for good. New connections work.
+func (m *Member) SilenceConnections() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.run == nil {
+		return
+	}
+	for conn := range m.run.conns {
+		if conn.peer.Load() == Clients {
+			conn.silent.Store(true)
+		}
+	}
+}
+
+// RefuseConnections makes the member refuse new connections, or accept them again. Present connections stay.
+func (m *Member) RefuseConnections(refuse bool) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refusing = refuse
+	if m.run == nil {
+		return nil
+	}
+	if refuse && m.run.listener != nil {
+		m.run.listener.Close()
+		m.run.listener = nil
+	}
+	if !refuse && m.run.listener == nil {
+		return trace.Wrap(m.listen(m.run))
+	}
+	return nil
+}
+
+// Connections returns the number of connections that count for the cap.
+func (m *Member) Connections() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.run == nil {
+		return 0
+	}
+	return m.run.accepted
+}
+
+// notifyChange wakes everything that waits for a position or a lock.
+func (m *Member) notifyChange() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// notifyRole wakes everything that waits for a change of role.
+func (m *Member) notifyRole() {
+	close(m.roleChanged)
+	m.roleChanged = make(chan struct{})
+	m.notifyChange()
+}
+
+// append adds entries to the log and applies them.
+func (m *Member) append(entries ...entry) {
+	for _, e := range entries {
+		m.durable.log = append(m.durable.log, e)
+		m.apply(e)
+	}
+	m.notifyChange()
+}
+
+func (m *Member) apply(e entry) {
+	for _, c := range e.Changes {
+		if c.Deleted {
+			delete(m.tables[c.Table], c.Key)
+			continue
+		}
+		m.tables[c.Table][c.Key] = c.Row
+	}
+}
+
+func (m *Member) rebuildTables() {
+	m.tables = map[string]map[string]row{LedgerTable: {}}
+	for _, name := range m.options.Tables {
+		m.tables[name] = map[string]row{}
+	}
+	for _, e := range m.durable.log {
+		m.apply(e)
+	}
+}
--- /dev/null
+++ b/standin/target/replication.go
@@ -0,0 +1,260 @@
+package target
+
+import (
+	"context"
+	"encoding/gob"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const (
+	replicationRetry = 20 * time.Millisecond
+	maxBatchEntries  = 256
+)
+
+// followRequest is the first message of a follower to its primary.
+type followRequest struct {
+	Term uint64
+	Ends []model.Position // last position of each term in the follower's log, in order
+}
+
+// batch is a message of a primary to a follower. The first one tells the common prefix of both logs.
+type batch struct {
+	Term    uint64
+	Common  uint64 // first batch: last offset that both logs share
+	Entries []entry
+}
+
+// serveReplication sends the log to a follower for as long as the member leads in the follower's term.
+func (s *session) serveReplication() error {
+	s.greet()
+	if err := s.backend.Flush(); err != nil {
+		return trace.Wrap(err)
+	}
+	var request followRequest
+	if err := gob.NewDecoder(s.conn).Decode(&request); err != nil {
+		return trace.Wrap(err)
+	}
+	encoder := gob.NewEncoder(s.conn)
+	sent, leading := s.member.commonPrefix(request)
+	if !leading {
+		return trace.CompareFailed("not the primary of term %d", request.Term)
+	}
+	if err := encoder.Encode(batch{Term: request.Term, Common: sent}); err != nil {
+		return trace.Wrap(err)
+	}
+	for {
+		entries, err := s.member.awaitEntries(s.run.ctx, request.Term, sent)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if err := encoder.Encode(batch{Term: request.Term, Entries: entries}); err != nil {
+			return trace.Wrap(err)
+		}
+		sent += uint64(len(entries))
+	}
+}
+
+// commonPrefix returns the last offset up to which the follower's log equals the member's log. Equal log terms imply
+// equal histories up to the smaller offset.
+func (m *Member) commonPrefix(request followRequest) (uint64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.durable.leadingTerm == 0 || m.durable.leadingTerm != request.Term {
+		return 0, false
+	}
+	own := m.durable.termEnds()
+	for i := len(request.Ends) - 1; i >= 0; i-- {
+		for _, end := range own {
+			if end.Term == request.Ends[i].Term {
+				return min(end.Offset, request.Ends[i].Offset), true
+			}
+		}
+	}
+	return 0, true
+}
+
+func (d *durable) termEnds() []model.Position {
+	var ends []model.Position
+	for _, e := range d.log {
+		if len(ends) > 0 && ends[len(ends)-1].Term == e.Term {
+			ends[len(ends)-1].Offset = e.Offset
+			continue
+		}
+		ends = append(ends, model.Position{Term: e.Term, Offset: e.Offset})
+	}
+	return ends
+}
+
+// awaitEntries returns the entries after the given offset, at least one. It fails when the member stops leading.
+func (m *Member) awaitEntries(ctx context.Context, term, after uint64) ([]entry, error) {
+	for {
+		m.mu.Lock()
+		leading := m.durable.leadingTerm == term
+		var entries []entry
+		if log := m.durable.log; uint64(len(log)) > after {
+			end := min(len(log), int(after)+maxBatchEntries)
+			entries = log[after:end:end]
+		}
+		changed := m.changed
+		m.mu.Unlock()
+		if !leading {
+			return nil, trace.CompareFailed("no longer the primary of term %d", term)
+		}
+		if len(entries) > 0 {
+			return entries, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+// followLoop replicates from the primary that the member follows until the run ends.
+func (m *Member) followLoop(r *run) {
+	for r.ctx.Err() == nil {
+		m.mu.Lock()
+		address, term, roleChanged := m.durable.primaryAddress, m.durable.adoptedTerm, m.roleChanged
+		m.mu.Unlock()
+		if address == "" {
+			select {
+			case <-roleChanged:
+			case <-r.ctx.Done():
+			}
+			continue
+		}
+		ctx, cancel := context.WithCancel(r.ctx)
+		go func() {
+			select {
+			case <-roleChanged:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		err := m.replicate(ctx, address, term)
+		m.log.Debug("standin target: replication ended", zap.String("primary", address), zap.Error(err))
+		// The error means that ctx has ended, which the loop checks.
+		_ = sleep(ctx, replicationRetry)
+		cancel()
+	}
+}
+
+// replicate applies the log of the primary at address. It always returns an error.
+func (m *Member) replicate(ctx context.Context, address string, term uint64) error {
+	var dialer net.Dialer
+	plain, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return trace.ConnectionProblem(err, "cannot connect to the primary")
+	}
+	stop := context.AfterFunc(ctx, func() { plain.Close() })
+	defer stop()
+	defer plain.Close()
+	conn := newFaultConn(ctx, plain, m.faults, nil)
+	if err := m.greetPrimary(conn); err != nil {
+		return trace.Wrap(err)
+	}
+	m.mu.Lock()
+	request := followRequest{Term: term, Ends: m.durable.termEnds()}
+	m.mu.Unlock()
+	if err := gob.NewEncoder(conn).Encode(request); err != nil {
+		return trace.Wrap(err)
+	}
+	return m.applyStream(ctx, gob.NewDecoder(conn), address, term)
+}
+
+// greetPrimary opens a replication connection and learns the name of the primary, which cuts refer to.
+func (m *Member) greetPrimary(conn *faultConn) error {
+	frontend := pgproto3.NewFrontend(conn, conn)
+	frontend.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": ControlUser, replicationOption: m.id},
+	})
+	if err := frontend.Flush(); err != nil {
+		return trace.Wrap(err)
+	}
+	for {
+		msg, err := frontend.Receive()
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		switch msg := msg.(type) {
+		case *pgproto3.ParameterStatus:
+			if msg.Name == memberParameter {
+				conn.peer.Store(msg.Value)
+			}
+		case *pgproto3.ReadyForQuery:
+			return nil
+		}
+	}
+}
+
+func (m *Member) applyStream(ctx context.Context, decoder *gob.Decoder, address string, term uint64) error {
+	for first := true; ; first = false {
+		var b batch
+		if err := decoder.Decode(&b); err != nil {
+			return trace.Wrap(err)
+		}
+		if first {
+			if err := m.truncate(ctx, address, term, b); err != nil {
+				return trace.Wrap(err)
+			}
+			continue
+		}
+		for _, e := range b.Entries {
+			if err := m.faults.awaitLag(ctx, e.Written); err != nil {
+				return trace.Wrap(err)
+			}
+			if err := m.applyReplicated(ctx, address, b.Term, e); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+	}
+}
+
+// allowReplication checks that a message of a primary is still welcome.
+func (m *Member) allowReplication(ctx context.Context, address string, term uint64) error {
+	d := &m.durable
+	if ctx.Err() != nil || d.leadingTerm != 0 || d.adoptedTerm != term || d.primaryAddress != address {
+		return trace.CompareFailed("no longer following %s in term %d", address, term)
+	}
+	return nil
+}
+
+// truncate drops the entries that the primary's log does not share.
+func (m *Member) truncate(ctx context.Context, address string, term uint64, b batch) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.allowReplication(ctx, address, b.Term); err != nil {
+		return trace.Wrap(err)
+	}
+	if b.Common >= uint64(len(m.durable.log)) {
+		return nil
+	}
+	m.durable.log = append([]entry(nil), m.durable.log[:b.Common]...)
+	m.rebuildTables()
+	m.notifyChange()
+	m.history.add(Event{Member: m.id, Kind: EventTruncate, Position: m.durable.position()})
+	m.log.Info("standin target: log truncated", zap.Uint64("term", term), zap.Uint64("offset", b.Common))
+	return nil
+}
+
+func (m *Member) applyReplicated(ctx context.Context, address string, term uint64, e entry) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.allowReplication(ctx, address, term); err != nil {
+		return trace.Wrap(err)
+	}
+	if e.Offset != uint64(len(m.durable.log))+1 {
+		return trace.BadParameter("entry %d does not follow offset %d", e.Offset, len(m.durable.log))
+	}
+	m.append(e)
+	return nil
+}
--- /dev/null
+++ b/standin/target/transaction.go
@@ -0,0 +1,415 @@
+package target
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// transaction holds the uncommitted changes of one connection. Its fields belong to the connection's goroutine; locks
+// and waitsFor are guarded by the member's mutex.
+type transaction struct {
+	number    uint64
+	explicit  bool // opened by BEGIN
+	readOnly  bool
+	failed    bool
+	term      uint64 // term of the first write, 0 before it
+	changes   map[rowKey]change
+	order     []rowKey // keys of changes in the order of the first change
+	workspace string   // of the ledger insert
+	requestID string   // of the ledger insert
+
+	locks    []rowKey
+	waitsFor *transaction
+}
+
+func (m *Member) newTransaction(explicit, readOnly bool) *transaction {
+	return &transaction{
+		number:   m.transactionNumbers.Add(1),
+		explicit: explicit,
+		readOnly: readOnly,
+		changes:  map[rowKey]change{},
+	}
+}
+
+// allowWrite checks that the transaction may write on this member now.
+func (m *Member) allowWrite(tx *transaction) error {
+	leading := m.durable.leadingTerm
+	if leading == 0 {
+		return sqlErrorf(codeReadOnly, "cannot write: the member is not the primary of term %d", m.durable.adoptedTerm)
+	}
+	if tx.readOnly {
+		return sqlErrorf(codeReadOnly, "cannot write in a read-only transaction")
+	}
+	if tx.term == 0 {
+		tx.term = leading
+	}
+	if tx.term != leading {
+		return sqlErrorf(codeReadOnly, "cannot write: the transaction began in term %d", tx.term)
+	}
+	return nil
+}
+
+// lock waits until the transaction holds the lock of a row and may write.
+func (m *Member) lock(ctx context.Context, tx *transaction, key rowKey) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for {
+		if err := m.allowWrite(tx); err != nil {
+			return err
+		}
+		owner := m.locks[key]
+		if owner == nil {
+			m.locks[key] = tx
+			tx.locks = append(tx.locks, key)
+			return nil
+		}
+		if owner == tx {
+			return nil
+		}
+		if owner.waitsOn(tx) {
+			return sqlErrorf(codeDeadlock, "deadlock detected on row %q of %s", key.key, key.table)
+		}
+		tx.waitsFor = owner
+		changed := m.changed
+		m.mu.Unlock()
+		err := await(ctx, changed)
+		m.mu.Lock()
+		tx.waitsFor = nil
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// waitsOn reports whether the transaction waits, through others, for a lock of the given one.
+func (tx *transaction) waitsOn(other *transaction) bool {
+	for t := tx; t != nil; t = t.waitsFor {
+		if t == other {
+			return true
+		}
+	}
+	return false
+}
+
+func await(ctx context.Context, c <-chan struct{}) error {
+	select {
+	case <-c:
+		return nil
+	case <-ctx.Done():
+		return errCanceled
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errCanceled
+	}
+}
+
+var errCanceled = sqlErrorf(codeQueryCanceled, "canceling statement due to user request")
+
+// commit appends the transaction's changes to the log. The returned position is zero if there were none.
+func (m *Member) commit(r *run, tx *transaction) (model.Position, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.releaseLocks(tx)
+	if err := r.ctx.Err(); err != nil {
+		return model.Position{}, err
+	}
+	if len(tx.order) == 0 {
+		return model.Position{}, nil
+	}
+	if err := m.allowWrite(tx); err != nil {
+		return model.Position{}, err
+	}
+	e := entry{Term: tx.term, Offset: m.durable.position().Offset + 1, Written: time.Now()}
+	for _, key := range tx.order {
+		e.Changes = append(e.Changes, tx.changes[key])
+	}
+	m.append(e)
+	return model.Position{Term: e.Term, Offset: e.Offset}, nil
+}
+
+func (m *Member) rollback(tx *transaction) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.releaseLocks(tx)
+}
+
+func (m *Member) releaseLocks(tx *transaction) {
+	for _, key := range tx.locks {
+		if m.locks[key] == tx {
+			delete(m.locks, key)
+		}
+	}
+	tx.locks = nil
+	m.notifyChange()
+}
+
+// read returns a row as the transaction sees it: its own changes over what is committed now.
+func (m *Member) read(tx *transaction, key rowKey) (row, bool) {
+	if c, found := tx.changes[key]; found {
+		return c.Row, !c.Deleted
+	}
+	r, found := m.tables[key.table][key.key]
+	return r, found
+}
+
+// write records a change of the transaction.
+func (tx *transaction) write(c change) {
+	key := rowKey{c.Table, c.Key}
+	if _, found := tx.changes[key]; !found {
+		tx.order = append(tx.order, key)
+	}
+	tx.changes[key] = c
+}
+
+// result is the answer to one statement.
+type result struct {
+	rows [][]*string
+	tag  string
+}
+
+// executeData runs a statement that reads or writes rows, with its locks and its slot.
+func (m *Member) executeData(ctx context.Context, r *run, tx *transaction, p *plan, args []*string) (result, error) {
+	values := make([]*string, len(p.operands))
+	for i, o := range p.operands {
+		value, err := o.value(args)
+		if err != nil {
+			return result{}, err
+		}
+		values[i] = value
+	}
+	if err := m.checkTable(p); err != nil {
+		return result{}, err
+	}
+	if key, found := p.rowKey(values); found && p.writes {
+		if err := m.lock(ctx, tx, key); err != nil {
+			return result{}, err
+		}
+	}
+	if err := m.occupySlot(ctx, r, p, values); err != nil {
+		return result{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.writes {
+		if err := m.allowWrite(tx); err != nil {
+			return result{}, err
+		}
+	}
+	return m.executePlan(tx, p, values)
+}
+
+func (m *Member) checkTable(p *plan) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.table != "" && m.tables[p.table] == nil {
+		return sqlErrorf(codeUndefinedTable, "relation %q does not exist", p.table)
+	}
+	return nil
+}
+
+// rowKey returns the row that the statement names.
+func (p *plan) rowKey(values []*string) (rowKey, bool) {
+	switch p.kind {
+	case planLedgerInsert, planLedgerSelect:
+		return ledgerKey(text(values[0]), text(values[1])), true
+	case planSelect, planInsert, planUpdate, planDelete:
+		if len(values) > 0 {
+			return rowKey{p.table, text(values[0])}, true
+		}
+	}
+	return rowKey{}, false
+}
+
+func ledgerKey(workspace, requestID string) rowKey {
+	return rowKey{LedgerTable, workspace + "\x00" + requestID}
+}
+
+func text(value *string) string {
+	if value == nil {
+		return ""
+	}
+	return *value
+}
+
+// occupySlot waits for a slot and holds it for the time that the statement takes.
+func (m *Member) occupySlot(ctx context.Context, r *run, p *plan, values []*string) error {
+	switch p.kind {
+	case planLedgerInsert, planLedgerSelect, planLedgerClean:
+		return nil
+	}
+	select {
+	case r.slots <- struct{}{}:
+	case <-ctx.Done():
+		return errCanceled
+	}
+	defer func() { <-r.slots }()
+	duration := m.faults.currentStatementTime()
+	if p.kind == planSleep {
+		seconds, err := strconv.ParseFloat(text(values[0]), 64)
+		if err != nil {
+			return sqlErrorf(codeInvalidText, "invalid number of seconds: %q", text(values[0]))
+		}
+		duration += time.Duration(seconds * float64(time.Second))
+	}
+	if err := sleep(ctx, duration); err != nil {
+		return err
+	}
+	if m.faults.awaitThaw(ctx) != nil {
+		return errCanceled
+	}
+	return nil
+}
+
+func (m *Member) executePlan(tx *transaction, p *plan, values []*string) (result, error) {
+	switch p.kind {
+	case planSelect:
+		return m.executeSelect(tx, p, values), nil
+	case planInsert:
+		return m.executeInsert(tx, p, values)
+	case planUpdate:
+		return m.executeUpdate(tx, p, values), nil
+	case planDelete:
+		return m.executeDelete(tx, p, values), nil
+	case planSleep:
+		return result{rows: [][]*string{{new(string)}}, tag: "SELECT 1"}, nil
+	case planConstant:
+		return result{rows: [][]*string{{values[0]}}, tag: "SELECT 1"}, nil
+	case planLedgerInsert:
+		return m.executeLedgerInsert(tx, values)
+	case planLedgerSelect:
+		return m.executeLedgerSelect(tx, values), nil
+	case planLedgerClean:
+		return m.executeLedgerClean(tx, values)
+	}
+	return result{}, sqlErrorf(codeNotSupported, "the stand-in cannot execute this statement")
+}
+
+func (m *Member) executeSelect(tx *transaction, p *plan, values []*string) result {
+	var keys []string
+	if p.all {
+		keys = m.sortedKeys(tx, p.table)
+	} else if values[0] != nil {
+		keys = []string{*values[0]}
+	}
+	var rows [][]*string
+	for _, key := range keys {
+		r, found := m.read(tx, rowKey{p.table, key})
+		if !found {
+			continue
+		}
+		if p.withKey {
+			rows = append(rows, []*string{&key, &r.Value})
+			continue
+		}
+		rows = append(rows, []*string{&r.Value})
+	}
+	return result{rows: rows, tag: "SELECT " + strconv.Itoa(len(rows))}
+}
+
+func (m *Member) sortedKeys(tx *transaction, table string) []string {
+	keys := map[string]bool{}
+	for key := range m.tables[table] {
+		keys[key] = true
+	}
+	for key := range tx.changes {
+		if key.table == table {
+			keys[key.key] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(keys))
+}
+
+func (m *Member) executeInsert(tx *transaction, p *plan, values []*string) (result, error) {
+	key := rowKey{p.table, text(values[0])}
+	if _, found := m.read(tx, key); found && !p.upsert {
+		return result{}, sqlErrorf(codeUniqueViolation, "duplicate key value violates unique constraint: %q exists in %s", key.key, key.table)
+	}
+	value := text(values[1])
+	tx.write(change{Table: key.table, Key: key.key, Row: row{Value: value}})
+	if p.returning {
+		return result{rows: [][]*string{{&key.key, &value}}, tag: "SELECT 1"}, nil
+	}
+	return result{tag: "INSERT 0 1"}, nil
+}
+
+func (m *Member) executeUpdate(tx *transaction, p *plan, values []*string) result {
+	key := rowKey{p.table, text(values[0])}
+	r, found := m.read(tx, key)
+	if !found {
+		return result{tag: "UPDATE 0"}
+	}
+	if p.append {
+		r.Value += text(values[1])
+	} else {
+		r.Value = text(values[1])
+	}
+	tx.write(change{Table: key.table, Key: key.key, Row: r})
+	return result{tag: "UPDATE 1"}
+}
+
+func (m *Member) executeDelete(tx *transaction, p *plan, values []*string) result {
+	key := rowKey{p.table, text(values[0])}
+	if _, found := m.read(tx, key); !found {
+		return result{tag: "DELETE 0"}
+	}
+	tx.write(change{Table: key.table, Key: key.key, Deleted: true})
+	return result{tag: "DELETE 1"}
+}
+
+func (m *Member) executeLedgerInsert(tx *transaction, values []*string) (result, error) {
+	key := ledgerKey(text(values[0]), text(values[1]))
+	if _, found := m.read(tx, key); found {
+		return result{}, sqlErrorf(codeUniqueViolation, "duplicate key value violates unique constraint %q", LedgerTable+"_pkey")
+	}
+	tx.workspace, tx.requestID = text(values[0]), text(values[1])
+	tx.write(change{Table: key.table, Key: key.key, Row: row{Value: text(values[2]), Created: time.Now()}})
+	return result{tag: "INSERT 0 1"}, nil
+}
+
+func (m *Member) executeLedgerSelect(tx *transaction, values []*string) result {
+	r, found := m.read(tx, ledgerKey(text(values[0]), text(values[1])))
+	if !found {
+		return result{tag: "SELECT 0"}
+	}
+	return result{rows: [][]*string{{&r.Value}}, tag: "SELECT 1"}
+}
+
+// executeLedgerClean deletes old rows. It leaves out rows that another transaction has locked.
+func (m *Member) executeLedgerClean(tx *transaction, values []*string) (result, error) {
+	seconds, err := strconv.ParseFloat(text(values[0]), 64)
+	if err != nil {
+		return result{}, sqlErrorf(codeInvalidText, "invalid age %q", text(values[0]))
+	}
+	limit, err := strconv.Atoi(text(values[1]))
+	if err != nil {
+		return result{}, sqlErrorf(codeInvalidText, "invalid limit %q", text(values[1]))
+	}
+	oldest := time.Now().Add(-time.Duration(seconds * float64(time.Second)))
+	deleted := 0
+	for key, r := range m.tables[LedgerTable] {
+		if deleted >= limit {
+			break
+		}
+		if r.Created.Before(oldest) && m.locks[rowKey{LedgerTable, key}] == nil {
+			tx.write(change{Table: LedgerTable, Key: key, Deleted: true})
+			deleted++
+		}
+	}
+	return result{tag: "DELETE " + strconv.Itoa(deleted)}, nil
+}
