--- /dev/null
+++ b/routing/samples.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// MaxSamples bounds the samples that are kept. At one sample every 200 ms the newer half covers 12 s exactly; older
+// samples are thinned out, so stated ages of minutes still find one.
+const MaxSamples = 128
+
+type sample struct {
+	at       time.Time
+	position model.Position
+}
+
+// Samples holds positions of the primary, each with a local time at which the primary had not passed it. It is not safe
+// for concurrent use; Clone makes a copy that can be published.
+type Samples struct {
+	list []sample // by time
+}
+
+// Add records that the primary answered position to a question that was sent at time at. The time of sending is used
+// because the position may date from any moment between the question and the answer. Times must not decrease; an older
+// sample is ignored.
+func (s *Samples) Add(at time.Time, position model.Position) {
+	if n := len(s.list); n > 0 && at.Before(s.list[n-1].at) {
+		return
+	}
+	s.list = append(s.list, sample{at, position})
+	if len(s.list) > MaxSamples {
+		s.thin()
+	}
+}
+
+// Clone returns a copy of s.
+func (s *Samples) Clone() *Samples {
+	return &Samples{list: slices.Clone(s.list)}
+}
+
+// ProvenAt returns the latest sampled time whose position is covered by p. A replica at p has all data that the primary
+// had at that time. It reports false when no sample is covered.
+func (s *Samples) ProvenAt(p model.Position) (time.Time, bool) {
+	if s == nil {
+		return time.Time{}, false
+	}
+	for _, sample := range slices.Backward(s.list) {
+		if p.Covers(sample.position) {
+			return sample.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// thin removes every second sample of the older half.
+func (s *Samples) thin() {
+	kept := s.list[:0]
+	for i, sample := range s.list {
+		if i >= MaxSamples/2 || i%2 == 1 {
+			kept = append(kept, sample)
+		}
+	}
+	s.list = kept
+}
