Add package fairqueue: bounded fair queue over workspaces for the slots of a target

A free slot goes to the workspace with the least slot time used. Debt is bounded at 1 s of slot time. A refund is now at most what was charged.

--- /dev/null
+++ b/fairqueue/schedule.go
@@ -0,0 +1,319 @@
+package fairqueue
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const (
+	// serviceWeight is the weight of a new service time in the moving averages.
+	serviceWeight = 0.1
+	// maxDebt bounds, in seconds of slot time, how far a workspace can fall behind the others through slow statements.
+	// Without a bound one statement of 10 s would shut its workspace out for 10 s of everyone else's slot time.
+	maxDebt = 1.0
+	// maxRemembered bounds the workspaces whose service times are remembered while they are idle.
+	maxRemembered = 1024
+)
+
+type item struct {
+	ticket        Ticket
+	request       Request
+	owner         *workspace
+	previous      *item // in the queue of the owner
+	next          *item
+	deadlinePlace int
+	running       bool
+	started       time.Time
+	charged       float64
+}
+
+func earlier(a, b *item) bool {
+	if !a.request.Deadline.Equal(b.request.Deadline) {
+		return a.request.Deadline.Before(b.request.Deadline)
+	}
+	return a.ticket < b.ticket
+}
+
+func deadlinePlace(i *item) *int { return &i.deadlinePlace }
+
+type workspace struct {
+	name         model.Workspace
+	account      float64 // what the workspace was charged, in seconds of slot time or in statements
+	turn         uint64  // order of the last start, which decides between equal accounts
+	service      float64 // recent service time in seconds
+	oldest       *item
+	newest       *item
+	queued       int
+	running      []*item
+	readyPlace   int
+	longestPlace int
+}
+
+func lessServed(a, b *workspace) bool {
+	if a.account != b.account {
+		return a.account < b.account
+	}
+	return a.turn < b.turn
+}
+
+func moreQueued(a, b *workspace) bool {
+	if a.queued != b.queued {
+		return a.queued > b.queued
+	}
+	return a.name < b.name
+}
+
+func readyPlace(w *workspace) *int   { return &w.readyPlace }
+func longestPlace(w *workspace) *int { return &w.longestPlace }
+
+func (q *Queue) workspace(name model.Workspace) *workspace {
+	w, known := q.workspaces[name]
+	if !known {
+		q.forgetIdle()
+		q.turns++
+		w = &workspace{name: name, account: q.virtual, service: q.overall, turn: q.turns}
+		q.workspaces[name] = w
+	}
+	return w
+}
+
+// forgetIdle keeps the number of remembered workspaces bounded.
+func (q *Queue) forgetIdle() {
+	if len(q.workspaces) < maxRemembered {
+		return
+	}
+	maps.DeleteFunc(q.workspaces, func(_ model.Workspace, w *workspace) bool {
+		return w.queued == 0 && len(w.running) == 0
+	})
+}
+
+// admit makes room for a request and returns the zero result, or returns the refusal.
+func (q *Queue) admit(now time.Time, w *workspace, entry *item) model.Result {
+	remaining := entry.request.Deadline.Sub(now)
+	switch {
+	case q.closed:
+		return draining()
+	case remaining <= 0:
+		return expired()
+	case w.queued >= q.config.MaxQueuedPerWorkspace:
+		return model.NotRun(model.ReasonQueueFull, "the workspace has too many queued requests")
+	}
+	if wait := seconds(q.estimate(w)); wait > remaining {
+		return model.Result{
+			Outcome: model.OutcomeNotRun, Reason: model.ReasonDeadline, RetryAfter: wait - remaining,
+			Detail: "the queue is longer than the time of the request",
+		}
+	}
+	if q.queued >= q.config.MaxQueued && !q.evict(w) {
+		return model.NotRun(model.ReasonQueueFull, "the queue is full")
+	}
+	return model.Result{}
+}
+
+// evict refuses the newest request of the workspace with the most queued requests, if that is more than its fair part
+// of the queue and if the given workspace is below its own part. It reports whether there is room now.
+func (q *Queue) evict(newcomer *workspace) bool {
+	parts := q.waiting
+	if newcomer.queued == 0 {
+		parts++
+	}
+	victim, some := q.longest.first()
+	if !some || newcomer.queued*parts >= q.config.MaxQueued || victim.queued*parts <= q.config.MaxQueued {
+		return false
+	}
+	// With a difference of 1 the two would only change places, and evict each other for ever.
+	if victim.queued <= newcomer.queued+1 {
+		return false
+	}
+	entry := victim.newest
+	q.remove(entry)
+	q.refuse(entry, model.NotRun(model.ReasonQueueFull, "the workspace held more than its fair part of a full queue"))
+	return true
+}
+
+// estimate returns the expected wait of a new request in seconds. A workspace gets an equal part of the slot time, so
+// its own queue and its debt take as many times longer as workspaces wait. It never waits longer than for everything
+// that is queued, which is zero for an empty queue: so a wrong estimate never keeps an idle target from being used.
+func (q *Queue) estimate(w *workspace) float64 {
+	if q.config.Slots == 0 {
+		return 0
+	}
+	own := float64(w.queued) * w.service
+	if q.config.Policy == PolicySlotTime {
+		own += max(0, w.account-q.virtual)
+	}
+	parts := q.waiting
+	if w.queued == 0 {
+		parts++
+	}
+	return min(own*float64(parts), q.queuedWork) / float64(q.config.Slots)
+}
+
+// append queues the request behind the others of its workspace.
+func (q *Queue) append(w *workspace, entry *item) {
+	entry.owner = w
+	if w.newest == nil {
+		w.oldest = entry
+		q.activate(w)
+	} else {
+		entry.previous, w.newest.next = w.newest, entry
+	}
+	w.newest = entry
+	q.items[entry.ticket] = entry
+	q.deadlines.set(entry, true)
+	q.count(w, 1)
+}
+
+// activate takes the credit of a workspace that begins to wait. A workspace with credit for its idle time would take
+// every slot until it had used it up.
+func (q *Queue) activate(w *workspace) {
+	w.account = max(w.account, q.virtual)
+}
+
+// remove takes the request out of the queue of its workspace.
+func (q *Queue) remove(entry *item) {
+	w := entry.owner
+	if entry.previous == nil {
+		w.oldest = entry.next
+	} else {
+		entry.previous.next = entry.next
+	}
+	if entry.next == nil {
+		w.newest = entry.previous
+	} else {
+		entry.next.previous = entry.previous
+	}
+	entry.previous, entry.next = nil, nil
+	delete(q.items, entry.ticket)
+	q.deadlines.set(entry, false)
+	q.count(w, -1)
+}
+
+// count changes the number of queued requests of a workspace.
+func (q *Queue) count(w *workspace, change int) {
+	if w.queued == 0 {
+		q.waiting++
+	}
+	w.queued += change
+	q.queued += change
+	q.queuedWork += float64(change) * w.service
+	if w.queued == 0 {
+		q.waiting--
+	}
+	if q.queued == 0 {
+		q.queuedWork = 0 // removes rounding errors
+	}
+	q.longest.set(w, w.queued > 0)
+	q.place(w)
+}
+
+// place puts the workspace where it belongs among those that may start a request.
+func (q *Queue) place(w *workspace) {
+	limit := q.config.MaxInUsePerWorkspace
+	q.ready.set(w, w.queued > 0 && (limit == 0 || len(w.running) < limit))
+}
+
+// dispatch starts requests while slots are free.
+func (q *Queue) dispatch(now time.Time) {
+	for q.running < q.config.Slots {
+		w, some := q.ready.first()
+		if !some {
+			return
+		}
+		if q.settle(now, w) {
+			continue
+		}
+		entry := w.oldest
+		q.remove(entry)
+		if refusal := recheck(now, entry); refusal.Outcome != 0 {
+			q.refuse(entry, refusal)
+			continue
+		}
+		q.start(now, w, entry)
+	}
+}
+
+func recheck(now time.Time, entry *item) model.Result {
+	if !entry.request.Deadline.After(now) {
+		return expired()
+	}
+	if entry.request.Recheck == nil {
+		return model.Result{}
+	}
+	return entry.request.Recheck()
+}
+
+func (q *Queue) start(now time.Time, w *workspace, entry *item) {
+	q.virtual = max(q.virtual, w.account)
+	q.turns++
+	w.turn = q.turns
+	entry.running = true
+	entry.started = now
+	cost := w.service
+	if q.config.Policy == PolicyCount {
+		cost = 1
+	}
+	entry.charged = q.charge(w, cost)
+	w.running = append(w.running, entry)
+	q.items[entry.ticket] = entry
+	q.running++
+	q.place(w)
+	q.actions = append(q.actions, Action{Ticket: entry.ticket, Start: true})
+}
+
+// charge changes the account of a workspace up to the bound of its debt, and returns the change. A later refund is at
+// most that change; a refund of what was not charged would put the workspace ahead of the others.
+func (q *Queue) charge(w *workspace, amount float64) float64 {
+	before := w.account
+	w.account += amount
+	if q.config.Policy == PolicySlotTime && amount > 0 {
+		w.account = max(before, min(w.account, q.virtual+maxDebt))
+	}
+	q.place(w)
+	return w.account - before
+}
+
+// settle charges the workspace for the time that its running requests have held their slots beyond what they were
+// charged at the start, and reports whether another workspace goes first now. Without it, requests that take longer than
+// expected would be free until they end.
+func (q *Queue) settle(now time.Time, w *workspace) bool {
+	if q.config.Policy == PolicyCount {
+		return false
+	}
+	charged := 0.0
+	for _, entry := range w.running {
+		if due := now.Sub(entry.started).Seconds() - entry.charged; due > 0 {
+			more := q.charge(w, due)
+			entry.charged += more
+			charged += more
+		}
+	}
+	if charged == 0 {
+		return false
+	}
+	first, _ := q.ready.first()
+	return first != w
+}
+
+// release corrects the charge of a request that has ended and learns from its service time.
+func (q *Queue) release(now time.Time, entry *item) {
+	w := entry.owner
+	place := slices.Index(w.running, entry)
+	w.running = slices.Delete(w.running, place, place+1)
+	took := max(0, now.Sub(entry.started).Seconds())
+	if q.config.Policy == PolicySlotTime {
+		q.charge(w, took-entry.charged)
+	}
+	q.learn(w, took)
+	q.place(w)
+}
+
+func (q *Queue) learn(w *workspace, took float64) {
+	before := w.service
+	w.service += serviceWeight * (took - w.service)
+	q.overall += serviceWeight * (took - q.overall)
+	q.queuedWork += float64(w.queued) * (w.service - before)
+}
