Test the configuration document and the callers' service

The test of the outcomes found that goa passes declared errors to the error formatter too, which replaced every refusal by a bad request. The formatter now returns the refusal itself.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,161 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// backend records the last request and gives a fixed result.
+type backend struct {
+	request   Request
+	statement Statement
+	calls     int
+	answer    Answer
+	result    model.Result
+	status    Status
+}
+
+func (b *backend) Execute(_ context.Context, r Request, s Statement) (Answer, model.Result) {
+	b.request, b.statement = r, s
+	b.calls++
+	return b.answer, b.result
+}
+
+func (b *backend) Begin(_ context.Context, r Request) (Answer, model.Result) {
+	b.request = r
+	return b.answer, b.result
+}
+
+func (b *backend) End(_ context.Context, r Request, _ string, _ bool) (Answer, model.Result) {
+	b.request = r
+	return b.answer, b.result
+}
+
+func (b *backend) Status() Status { return b.status }
+
+func post(t *testing.T, b Backend, path, body string, headers ...string) (int, http.Header, map[string]any) {
+	t.Helper()
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	NewHandler(b).ServeHTTP(w, r)
+	text, _ := io.ReadAll(w.Body)
+	var decoded map[string]any
+	if err := json.Unmarshal(text, &decoded); err != nil {
+		t.Fatalf("status %d, body %q: %v", w.Code, text, err)
+	}
+	return w.Code, w.Header(), decoded
+}
+
+const statements = "/v1/services/stock/statements"
+
+// TestExecutePassesEverythingOn guards against a header or field that is lost, and against large numbers that lose
+// digits.
+func TestExecutePassesEverythingOn(t *testing.T) {
+	b := &backend{result: model.Done(), answer: Answer{Columns: []string{"value"}, Rows: [][]any{{"x"}, {nil}},
+		SessionToken: "next", Target: "db1"}}
+	status, header, body := post(t, b, statements,
+		`{"sql":"SELECT $1","args":["a",9007199254740993,null,true],"max_staleness_ms":0,"read_only":true}`,
+		"Authorization", "Bearer k", "X-Session-Token", "before", "X-Request-Id", "r1", "X-Timeout-Ms", "250",
+		"Content-Type", "application/x-www-form-urlencoded")
+	if status != http.StatusOK || header.Get("X-Session-Token") != "next" || body["outcome"] != "done" {
+		t.Fatalf("status %d, body %v", status, body)
+	}
+	wantRequest := Request{Authorization: "Bearer k", SessionToken: "before", RequestID: "r1",
+		Timeout: 250 * time.Millisecond, Service: "stock"}
+	wantStatement := Statement{SQL: "SELECT $1", ReadOnly: true, HasStaleness: true, Args: []Argument{
+		{Text: "a"}, {Text: "9007199254740993"}, {Null: true}, {Text: "true"}}}
+	if diff := cmp.Diff(wantRequest, b.request); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(wantStatement, b.statement); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestMalformedRequestsDoNotRun guards against a request that runs although it could not be read, and against a refusal
+// that does not state its outcome.
+func TestMalformedRequestsDoNotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		body   string
+		header string
+		status int
+	}{
+		"empty":         {"", "", http.StatusBadRequest},
+		"not JSON":      {"{", "", http.StatusBadRequest},
+		"two values":    {`{"sql":"SELECT 1"}{"sql":"SELECT 2"}`, "", http.StatusBadRequest},
+		"no SQL":        {`{}`, "", http.StatusBadRequest},
+		"empty SQL":     {`{"sql":""}`, "", http.StatusBadRequest},
+		"SQL no string": {`{"sql":7}`, "", http.StatusBadRequest},
+		"negative age":  {`{"sql":"SELECT 1","max_staleness_ms":-1}`, "", http.StatusBadRequest},
+		"bad timeout":   {`{"sql":"SELECT 1"}`, "soon", http.StatusBadRequest},
+		"oversized":     {`{"sql":"` + strings.Repeat("x", MaxBodyBytes) + `"}`, "", http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &backend{result: model.Done()}
+			headers := []string{}
+			if c.header != "" {
+				headers = append(headers, "X-Timeout-Ms", c.header)
+			}
+			status, _, body := post(t, b, statements, c.body, headers...)
+			if status != c.status || body["outcome"] != "not_run" || b.calls != 0 {
+				t.Errorf("status %d, %d calls, body %v", status, b.calls, body)
+			}
+		})
+	}
+}
+
+// TestOutcomesMapToStatuses guards against an unknown outcome that looks like a refusal.
+func TestOutcomesMapToStatuses(t *testing.T) {
+	for _, c := range []struct {
+		result model.Result
+		status int
+	}{
+		{model.NotRun(model.ReasonKeyInvalid, ""), http.StatusUnauthorized},
+		{model.NotRun(model.ReasonServiceForbidden, ""), http.StatusForbidden},
+		{model.NotRun(model.ReasonServiceUnknown, ""), http.StatusNotFound},
+		{model.NotRun(model.ReasonTransactionLost, ""), http.StatusConflict},
+		{model.NotRun(model.ReasonStatementRefused, ""), http.StatusUnprocessableEntity},
+		{model.NotRun(model.ReasonNoPrimary, ""), http.StatusServiceUnavailable},
+		{model.Unknown(model.ReasonConnectionLost, ""), http.StatusGatewayTimeout},
+		{model.Unknown(model.ReasonStatementRefused, ""), http.StatusGatewayTimeout},
+	} {
+		status, _, body := post(t, &backend{result: c.result}, statements, `{"sql":"SELECT 1"}`)
+		if status != c.status || body["outcome"] != c.result.Outcome.String() || body["request_id"] == "" {
+			t.Errorf("%+v: status %d, body %v", c.result, status, body)
+		}
+	}
+}
+
+func TestRateRefusalSaysWhenToRepeat(t *testing.T) {
+	r := model.NotRun(model.ReasonRateExceeded, "")
+	r.RetryAfter = 1200 * time.Millisecond
+	status, header, body := post(t, &backend{result: r}, statements, `{"sql":"SELECT 1"}`)
+	if status != http.StatusTooManyRequests || header.Get("Retry-After") != "2" || body["retry_after_ms"] != 1200.0 {
+		t.Errorf("status %d, header %v, body %v", status, header, body)
+	}
+}
+
+func TestHealthFollowsTheState(t *testing.T) {
+	for _, accepting := range []bool{true, false} {
+		b := &backend{status: Status{State: "draining", Accepting: accepting}}
+		w := httptest.NewRecorder()
+		NewHandler(b).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/healthz", nil))
+		want := map[bool]int{true: http.StatusNoContent, false: http.StatusServiceUnavailable}[accepting]
+		if w.Code != want {
+			t.Errorf("accepting %v: status %d", accepting, w.Code)
+		}
+	}
+}
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -63,29 +63,36 @@
 	return out
 }
 
-// malformed is the error body of a request that the HTTP layer could not read. It did not run.
-type malformed struct {
-	Name      string `json:"name"`
-	Outcome   string `json:"outcome"`
-	Reason    string `json:"reason"`
-	Detail    string `json:"detail"`
-	RequestID string `json:"request_id"`
-	status    int
+// errorBody is the JSON body of every answer other than done.
+type errorBody struct {
+	Name         string `json:"name"`
+	Outcome      string `json:"outcome"`
+	Reason       string `json:"reason"`
+	Detail       string `json:"detail"`
+	RetryAfterMs *int64 `json:"retry_after_ms,omitempty"`
+	RequestID    string `json:"request_id"`
+	status       int
 }
 
-// StatusCode implements goahttp.Statuser.
-func (m *malformed) StatusCode() int { return m.status }
+// StatusCode implements goahttp.Statuser. It is used for faults that the HTTP layer finds itself; the status of a
+// refusal comes from the design.
+func (e *errorBody) StatusCode() int { return e.status }
 
-// format returns the error body for faults that the HTTP layer finds itself.
+// format returns the error body for refusals and for faults that the HTTP layer finds itself. A request with such a
+// fault did not run.
 func format(_ context.Context, err error) goahttp.Statuser {
-	status := http.StatusBadRequest
-	detail := err.Error()
+	var r *gencaller.Refusal
+	if errors.As(err, &r) {
+		return &errorBody{Name: r.Name, Outcome: r.Outcome, Reason: r.Reason, Detail: r.Detail,
+			RetryAfterMs: r.RetryAfterMs, RequestID: r.RequestID}
+	}
+	e := &errorBody{Name: classBadRequest, Outcome: model.OutcomeNotRun.String(),
+		Reason: string(model.ReasonBadRequest), Detail: err.Error(), status: http.StatusBadRequest}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) || isTooLarge(detail) {
-		status, detail = http.StatusRequestEntityTooLarge, "the body is larger than 1 MiB"
+	if errors.As(err, &tooLarge) || isTooLarge(e.Detail) {
+		e.status, e.Detail = http.StatusRequestEntityTooLarge, "the body is larger than 1 MiB"
 	}
-	return &malformed{Name: classBadRequest, Outcome: model.OutcomeNotRun.String(),
-		Reason: string(model.ReasonBadRequest), Detail: detail, status: status}
+	return e
 }
 
 // isTooLarge recognises the body limit in an error that goa has turned into text.
--- a/config/document.go
+++ b/config/document.go
@@ -64,7 +64,7 @@
 
 // Decode reads a document from the store.
 func Decode(data []byte) (*Document, error) {
-	d := &Document{}
+	d := &Document{Keys: map[model.KeyID]key.Record{}}
 	if err := json.Unmarshal(data, d); err != nil {
 		return nil, fmt.Errorf("the configuration in the store cannot be read: %w", err)
 	}
--- a/config/parse.go
+++ b/config/parse.go
@@ -91,10 +91,17 @@
 // Parse checks a base file with an overlay as a whole. The overlay may be nil. It returns an *InvalidError with all
 // problems when there are any.
 func Parse(base File, overlay *File) (*Settings, error) {
+	return ParseFiles(base, overlay)
+}
+
+// ParseFiles is Parse with several overlays, each over the one before. Nil overlays are left out.
+func ParseFiles(base File, overlays ...*File) (*Settings, error) {
 	p := &parser{targets: map[model.Service][]Target{}}
 	merged := p.load(base)
-	if overlay != nil {
-		p.merge(merged, p.load(*overlay))
+	for _, overlay := range overlays {
+		if overlay != nil {
+			p.merge(merged, p.load(*overlay))
+		}
 	}
 	if len(p.problems) == 0 {
 		p.sections(merged, base.Name)
--- a/config/settings.go
+++ b/config/settings.go
@@ -117,3 +117,22 @@
 	}
 	return false
 }
+
+// Complete returns an *InvalidError when a key is missing that a daemon needs to start. The file is named in it.
+func (d Daemon) Complete(file string) error {
+	invalid := &InvalidError{}
+	for _, k := range []struct{ key, value string }{
+		{"host", string(d.Host)}, {"data_centre", string(d.DataCentre)}, {"caller_listen", d.CallerListen},
+		{"operator_listen", d.OperatorListen}, {"peer_listen", d.PeerListen}, {"platform_url", d.PlatformURL},
+		{"operator_token", d.OperatorToken}, {"peer_secret", d.PeerSecret},
+	} {
+		if k.value == "" {
+			invalid.Problems = append(invalid.Problems, Problem{File: file, Section: "daemon", Key: k.key,
+				Allowed: "the key is missing; a daemon needs it to start"})
+		}
+	}
+	if len(invalid.Problems) > 0 {
+		return invalid
+	}
+	return nil
+}
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -20,6 +20,21 @@
 	Null []bool // empty when no value is null
 }
 
+// Add appends a value; nil stands for null.
+func (c *Cells) Add(cell *string) {
+	if cell != nil {
+		c.Text = append(c.Text, *cell)
+		if len(c.Null) > 0 {
+			c.Null = append(c.Null, false)
+		}
+		return
+	}
+	for len(c.Null) < len(c.Text) {
+		c.Null = append(c.Null, false)
+	}
+	c.Text, c.Null = append(c.Text, ""), append(c.Null, true)
+}
+
 // IsNull reports whether the value at an index is null.
 func (c Cells) IsNull(i int) bool { return i < len(c.Null) && c.Null[i] }
 
@@ -34,6 +49,7 @@
 	HasStaleness bool           // MaxStaleness was given
 	MaxStaleness time.Duration  // age of data that the caller accepts
 	Mark         model.Position // what the session has seen
+	MarkUnknown  bool           // the session has seen more than its token can say
 	RequestID    string
 	Transaction  string        // transaction handle, empty outside a transaction
 	Remaining    time.Duration // time that is left for the request
