Add the client side of targets

The package target has the control connections of a member and a bounded pool that runs reads, writes with a ledger entry and explicit transactions, and tells requests that were not sent, refused or lost apart. The stand-in can run in memory, so that tests use the fake time of testing/synctest.

--- a/standin/target/doc.go
+++ b/standin/target/doc.go
@@ -14,5 +14,7 @@
 //   - Connections of the user ControlUser may use the reserved connections beyond the cap.
 //   - Replication runs over the member's only listener, in connections that ask for it in their startup message.
 //   - A connection that was made silent ends when its client closes it. Replication is never made silent.
+//   - Calls of group functions and of pg_stat_activity are not recorded, except orders that had an effect.
+//   - A null is stored as an empty text.
 //   - Group functions, transaction control and ledger statements take neither a slot nor statement time.
 package target
--- a/standin/target/group.go
+++ b/standin/target/group.go
@@ -15,6 +15,7 @@
 	Size      int      // number of members; 3 when zero
 	Addresses []string // listen addresses; free ports on 127.0.0.1 when empty
 	Unordered bool     // start without a primary, so that an orderer has to promote one
+	InMemory  bool     // no sockets: connections come through Group.Dial only
 	Member    Options  // settings of all members; ID and Address are set by the group
 }
 
@@ -24,6 +25,8 @@
 type Group struct {
 	Members []*Member
 	History *History
+
+	inMemory bool
 }
 
 // StartGroup starts a group. Unless it is unordered, the first member is the primary of term 1.
@@ -37,7 +40,7 @@
 	if len(o.Addresses) > 0 && len(o.Addresses) != o.Size {
 		return nil, trace.BadParameter("%d addresses do not fit %d members", len(o.Addresses), o.Size)
 	}
-	g := &Group{History: NewHistory(o.Member.DiscardHistory)}
+	g := &Group{History: NewHistory(o.Member.DiscardHistory), inMemory: o.InMemory}
 	var connections atomic.Uint32
 	var transactions atomic.Uint64
 	for i := range o.Size {
@@ -47,8 +50,12 @@
 		if len(o.Addresses) > 0 {
 			options.Address = o.Addresses[i]
 		}
-		m := newMember(options, g.History, &connections, &transactions)
-		g.Members = append(g.Members, m)
+		if o.InMemory {
+			options.Address = memoryGroupAddress(i)
+		}
+		g.Members = append(g.Members, newMember(options, g, &connections, &transactions))
+	}
+	for _, m := range g.Members {
 		if err := m.start(); err != nil {
 			g.Close()
 			return nil, trace.Wrap(err)
@@ -60,6 +67,9 @@
 	return g, nil
 }
 
+// memoryGroupAddress returns an address that no other member of a group in memory has.
+func memoryGroupAddress(i int) string { return fmt.Sprintf("127.0.0.1:%d", i+1) }
+
 // order makes the first member the primary of term 1.
 func (g *Group) order() {
 	primary := g.Members[0]
--- a/standin/target/member.go
+++ b/standin/target/member.go
@@ -67,6 +67,7 @@
 	options Options
 	faults  *faults
 	history *History
+	group   *Group
 	log     *zap.Logger
 
 	connectionNumbers  *atomic.Uint32 // shared by the members of a group
@@ -94,13 +95,14 @@
 	accepted int // connections that count for the cap
 }
 
-func newMember(o Options, h *History, connections *atomic.Uint32, transactions *atomic.Uint64) *Member {
+func newMember(o Options, g *Group, connections *atomic.Uint32, transactions *atomic.Uint64) *Member {
 	o = o.withDefaults()
 	return &Member{
 		id:                 o.ID,
 		options:            o,
 		faults:             newFaults(o),
-		history:            h,
+		history:            g.History,
+		group:              g,
 		log:                o.Logger.With(zap.String("member", o.ID)),
 		connectionNumbers:  connections,
 		transactionNumbers: transactions,
@@ -174,12 +176,7 @@
 
 // listen opens the listener of a run.
 func (m *Member) listen(r *run) error {
-	deadline := time.Now().Add(listenPatience)
-	listener, err := net.Listen("tcp", m.address)
-	for err != nil && time.Now().Before(deadline) {
-		time.Sleep(listenRetry)
-		listener, err = net.Listen("tcp", m.address)
-	}
+	listener, err := m.openListener()
 	if err != nil {
 		return trace.ConnectionProblem(err, "member %s cannot listen on %s", m.id, m.address)
 	}
@@ -189,6 +186,19 @@
 	return nil
 }
 
+func (m *Member) openListener() (net.Listener, error) {
+	if m.group.inMemory {
+		return newMemoryListener(m.address), nil
+	}
+	deadline := time.Now().Add(listenPatience)
+	listener, err := net.Listen("tcp", m.address)
+	for err != nil && time.Now().Before(deadline) {
+		time.Sleep(listenRetry)
+		listener, err = net.Listen("tcp", m.address)
+	}
+	return listener, err
+}
+
 func (m *Member) accept(r *run, listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
--- a/standin/target/replication.go
+++ b/standin/target/replication.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/gob"
-	"net"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -37,6 +36,7 @@
 	if err := s.backend.Flush(); err != nil {
 		return trace.Wrap(err)
 	}
+	s.conn.record = nil // a follower is no client
 	var request followRequest
 	if err := gob.NewDecoder(s.conn).Decode(&request); err != nil {
 		return trace.Wrap(err)
@@ -149,8 +149,7 @@
 
 // replicate applies the log of the primary at address. It always returns an error.
 func (m *Member) replicate(ctx context.Context, address string, term uint64) error {
-	var dialer net.Dialer
-	plain, err := dialer.DialContext(ctx, "tcp", address)
+	plain, err := m.group.Dial(ctx, "tcp", address)
 	if err != nil {
 		return trace.ConnectionProblem(err, "cannot connect to the primary")
 	}
--- a/standin/target/session.go
+++ b/standin/target/session.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -46,6 +47,8 @@
 	tx         *transaction // nil outside a transaction
 	skipping   bool         // an error occurred and messages are skipped until Sync
 
+	active atomic.Bool // messages since the last ReadyForQuery are being handled
+
 	cancelMu sync.Mutex
 	cancel   context.CancelFunc // cancels the running statement, nil if none runs
 }
@@ -175,6 +178,7 @@
 }
 
 func (s *session) handle(msg pgproto3.FrontendMessage) error {
+	s.active.Store(true)
 	switch msg.(type) {
 	case *pgproto3.Terminate:
 		return errTerminated
@@ -226,7 +230,7 @@
 func (s *session) parse(msg *pgproto3.Parse) error {
 	p, err := parse(msg.Query)
 	if err != nil {
-		s.recordRefused(msg.Query, nil, err)
+		s.record(msg.Query, nil, err)
 		return err
 	}
 	s.statements[msg.Name] = p
@@ -354,6 +358,7 @@
 
 func (s *session) ready() error {
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus()})
+	defer s.active.Store(false)
 	return s.backend.Flush()
 }
 
@@ -377,7 +382,6 @@
 		err = s.simpleStatement(statements[i])
 	}
 	if err != nil {
-		s.recordRefused(sql, nil, err)
 		if err := s.fail(err); err != nil {
 			return err
 		}
@@ -388,6 +392,7 @@
 func (s *session) simpleStatement(sql string) error {
 	p, err := parse(sql)
 	if err != nil {
+		s.record(sql, nil, err)
 		return err
 	}
 	if p.parameters() > 0 {
@@ -417,7 +422,7 @@
 	if s.run.ctx.Err() != nil {
 		return result{}, s.run.ctx.Err()
 	}
-	if p.kind != planGroup && p.kind != planEmpty {
+	if p.kind != planGroup && p.kind != planActivity && p.kind != planEmpty {
 		s.record(p.sql, args, err)
 	}
 	return answer, err
@@ -454,6 +459,8 @@
 		return result{tag: "DISCARD ALL"}, nil
 	case planGroup:
 		return s.executeGroup(ctx, p, args)
+	case planActivity:
+		return s.executeActivity(p, args)
 	}
 	if s.tx == nil {
 		s.tx = s.member.newTransaction(false, false)
@@ -484,6 +491,9 @@
 func (s *session) commit() error {
 	tx := s.tx
 	s.tx = nil
+	if err := s.member.faults.awaitThaw(s.run.ctx); err != nil {
+		return err
+	}
 	position, err := s.member.commit(s.run, tx)
 	if err != nil {
 		s.recordEnd(EventRollback, tx, position)
@@ -544,6 +554,28 @@
 	return result{rows: [][]*string{status.columns()}, tag: "SELECT 1"}, err
 }
 
+// executeActivity tells whether another connection runs a statement, as pg_stat_activity does.
+func (s *session) executeActivity(p *plan, args []*string) (result, error) {
+	pid, err := p.operands[0].value(args)
+	if err != nil {
+		return result{}, err
+	}
+	m := s.member
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, other := range s.run.conns {
+		if strconv.FormatUint(uint64(other.number), 10) != text(pid) {
+			continue
+		}
+		state := "idle"
+		if other.active.Load() {
+			state = "active"
+		}
+		return result{rows: [][]*string{{&state}}, tag: "SELECT 1"}, nil
+	}
+	return result{tag: "SELECT 0"}, nil
+}
+
 // columns returns the status in the order of groupColumns.
 func (s Status) columns() []*string {
 	role := "replica"
@@ -580,10 +612,6 @@
 	s.member.history.add(e)
 }
 
-func (s *session) recordRefused(sql string, args []*string, err error) {
-	s.record(sql, args, err)
-}
-
 func (s *session) recordEnd(kind EventKind, tx *transaction, position model.Position) {
 	s.member.history.add(Event{
 		Member: s.member.id, Kind: kind, Connection: s.number, Transaction: tx.number,
--- a/standin/target/statement.go
+++ b/standin/target/statement.go
@@ -58,6 +58,7 @@
 	planLedgerSelect
 	planLedgerClean
 	planGroup
+	planActivity
 )
 
 // operand is a parameter ($n) or a literal of a statement.
@@ -132,6 +133,7 @@
 	formLedgerInsert = form(`INSERT INTO waxwingspindle_request_ \(_ workspace_ ,_ request_id_ ,_ statement_hash_ \)_ VALUES_ \(_ §_ ,_ §_ ,_ §_ \)`)
 	formLedgerSelect = form(`SELECT statement_hash FROM waxwingspindle_request WHERE workspace_ =_ §_ AND request_id_ =_ §`)
 	formLedgerClean  = form(`DELETE FROM waxwingspindle_request WHERE_ \(_ workspace_ ,_ request_id_ \)_ IN_ \(_ SELECT workspace_ ,_ request_id FROM waxwingspindle_request WHERE created_at_ <_ now\(\)_ -_ make_interval_ \(_ secs_ =>_ §_ \)_ LIMIT §_ \)`)
+	formActivity     = form(`SELECT state FROM pg_stat_activity WHERE pid_ =_ §`)
 	formGroup        = form(`SELECT \* FROM group_(status|adopt|promote|follow|wait)_ \((.*)\)`)
 	formOperand      = form(operandPattern)
 )
@@ -230,6 +232,9 @@
 	if m := formSleep.FindStringSubmatch(text); m != nil {
 		return &plan{kind: planSleep, operands: parseOperands(m[1:2]), columns: []string{"pg_sleep"}}
 	}
+	if m := formActivity.FindStringSubmatch(text); m != nil {
+		return &plan{kind: planActivity, operands: parseOperands(m[1:2]), columns: []string{"state"}}
+	}
 	if m := formConstant.FindStringSubmatch(text); m != nil {
 		return &plan{kind: planConstant, operands: parseOperands(m[1:2]), columns: []string{"?column?"}}
 	}
--- /dev/null
+++ b/target/execute.go
@@ -0,0 +1,269 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// LedgerSchema creates the request ledger in a service's database. It is replicated like all other tables.
+const LedgerSchema = `CREATE TABLE IF NOT EXISTS waxwingspindle_request (
+	workspace text NOT NULL,
+	request_id text NOT NULL,
+	statement_hash text NOT NULL,
+	created_at timestamptz NOT NULL DEFAULT now(),
+	PRIMARY KEY (workspace, request_id)
+)`
+
+const (
+	sqlBegin         = "BEGIN"
+	sqlBeginReadOnly = "BEGIN READ ONLY"
+	sqlCommit        = "COMMIT"
+	sqlRollback      = "ROLLBACK"
+	sqlDiscard       = "DISCARD ALL"
+	sqlLedgerInsert  = "INSERT INTO waxwingspindle_request (workspace, request_id, statement_hash) VALUES ($1, $2, $3)"
+	sqlLedgerSelect  = "SELECT statement_hash FROM waxwingspindle_request WHERE workspace = $1 AND request_id = $2"
+	sqlLedgerClean   = "DELETE FROM waxwingspindle_request WHERE (workspace, request_id) IN " +
+		"(SELECT workspace, request_id FROM waxwingspindle_request WHERE created_at < now() - make_interval(secs => $1) LIMIT $2)"
+)
+
+const refusedControl = "statements that open or end a transaction are refused here"
+
+var (
+	stepStatus   = step{sql: sqlStatus}
+	stepCommit   = step{sql: sqlCommit}
+	resetSession = segment{{sql: sqlDiscard}}
+)
+
+func (s Statement) step() step { return step{sql: s.SQL, args: s.values()} }
+
+// Steps of the transaction of a read.
+const (
+	readStatusBefore = iota + 1
+	readStatement
+	readStatusAfter
+)
+
+// Read implements Traffic. The state of the target is sampled in the same transaction before and after the statement,
+// so the check against mark holds for the data that the statement saw.
+func (p *Pool) Read(ctx context.Context, s Statement, mark model.Position) Answer {
+	if controlsTransaction(s.SQL) {
+		return refusedBySelf(model.ReasonStatementRefused, refusedControl)
+	}
+	c, err := p.acquire(ctx)
+	if err != nil {
+		return notSent(err)
+	}
+	defer p.release(c)
+	c.dirty = true
+	sent := c.clock.sent.Load()
+	answers, err := c.run(ctx, segment{{sql: sqlBeginReadOnly}, stepStatus, s.step(), stepStatus, stepCommit}, resetSession)
+	if len(answers) == 0 {
+		return readFailed(c, sent, err)
+	}
+	return readAnswer(answers[0], mark)
+}
+
+// readFailed is the answer to a read that got none. A read whose answer was too large for the connection has no effect.
+func readFailed(c *connection, sentBefore int64, err error) Answer {
+	a := failed(c, sentBefore, err)
+	if a.Result.Reason == model.ReasonAnswerTooLarge {
+		return refusedBySelf(model.ReasonAnswerTooLarge, readTooLarge)
+	}
+	return a
+}
+
+const readTooLarge = "the answer is larger than the limit; the read had no effect"
+
+// readAnswer checks the position first, because data that is too old may also be the cause of an error.
+func readAnswer(r segmentResult, mark model.Position) Answer {
+	if len(r.results) > readStatusBefore {
+		before, err := r.results[readStatusBefore].status()
+		if err != nil {
+			return refusedBySelf(model.ReasonTargetUnavailable, err.Error())
+		}
+		if !before.Position.Covers(mark) {
+			return behind(before)
+		}
+	}
+	if r.err != nil {
+		return refused(r.err)
+	}
+	return readRows(r.results)
+}
+
+func readRows(results []stepResult) Answer {
+	before, err := results[readStatusBefore].status()
+	if err != nil {
+		return refusedBySelf(model.ReasonTargetUnavailable, err.Error())
+	}
+	after, err := results[readStatusAfter].status()
+	if err != nil {
+		return refusedBySelf(model.ReasonTargetUnavailable, err.Error())
+	}
+	// A change of term in between may have truncated the log, so that the statement saw less than the first status.
+	if before.AdoptedTerm != after.AdoptedTerm {
+		return behind(after)
+	}
+	if results[readStatement].tooLarge {
+		return refusedBySelf(model.ReasonAnswerTooLarge, readTooLarge)
+	}
+	return Answer{Result: model.Done(), Rows: results[readStatement].rows, Status: after, Position: after.Position}
+}
+
+func behind(status MemberStatus) Answer {
+	a := refusedBySelf(model.ReasonTargetUnavailable, "the target's data does not cover the session")
+	a.Failure, a.Status = FailureBehind, status
+	return a
+}
+
+// refusedBySelf is the answer when this package drops or refuses a request that has no effect.
+func refusedBySelf(reason model.Reason, detail string) Answer {
+	return Answer{Result: model.NotRun(reason, detail), Failure: FailureRefused}
+}
+
+// Steps of the transaction of a write.
+const (
+	writeLedger = iota + 1
+	writeStatement
+	writeStatus
+	writeCommit
+)
+
+// Write implements Traffic. The ledger entry and the statement are one transaction. The position is sampled in the same
+// pipeline: once before the commit, to learn the term of the write, and once after it. The later position covers the
+// write only if the target has led in the same term all the time, since a target that changed its term may have dropped
+// the write.
+func (p *Pool) Write(ctx context.Context, r Request, s Statement) Answer {
+	if controlsTransaction(s.SQL) {
+		return refusedBySelf(model.ReasonStatementRefused, refusedControl)
+	}
+	c, err := p.acquire(ctx)
+	if err != nil {
+		return notSent(err)
+	}
+	defer p.release(c)
+	c.dirty = true
+	hash := s.hash()
+	entry := step{sql: sqlLedgerInsert, args: [][]byte{[]byte(r.Workspace), []byte(r.ID), []byte(hash)}}
+	sent := c.clock.sent.Load()
+	answers, err := c.run(ctx, segment{{sql: sqlBegin}, entry, s.step(), stepStatus, stepCommit}, segment{stepStatus}, resetSession)
+	if len(answers) == 0 {
+		return failed(c, sent, err)
+	}
+	if first := answers[0]; first.err != nil {
+		if len(first.results) == writeLedger && first.err.Code == codeUniqueViolation {
+			return c.resolveDuplicate(ctx, r, hash)
+		}
+		return refusedBeforeCommit(first, writeCommit)
+	}
+	if len(answers) == 1 {
+		return lost(err)
+	}
+	return committed(answers[0].results[writeStatus], answers[0].results[writeCommit], answers[1], answers[0].results[writeStatement])
+}
+
+// refusedBeforeCommit is the answer to an error in a transaction whose COMMIT is the given step. An error that ends the
+// connection during COMMIT leaves the outcome open.
+func refusedBeforeCommit(r segmentResult, commit int) Answer {
+	if len(r.results) == commit && fatal(r.err) {
+		return lost(r.err)
+	}
+	return refused(r.err)
+}
+
+// committed is the answer to a transaction that the target has answered completely.
+func committed(before, commit stepResult, afterwards segmentResult, statement stepResult) Answer {
+	if commit.tag != sqlCommit {
+		return refusedBySelf(model.ReasonStatementRefused, "the target rolled the transaction back")
+	}
+	after, err := positionInTerm(before, afterwards)
+	if err != nil {
+		return lost(err)
+	}
+	a := Answer{Result: model.Done(), Rows: statement.rows, Status: after, Position: after.Position}
+	if statement.tooLarge {
+		a.Result.Reason = model.ReasonAnswerTooLarge
+		a.Result.Detail = "the statement ran and is committed; its answer is larger than the limit and was dropped"
+	}
+	return a
+}
+
+var (
+	errTermChanged     = errors.New("the target stopped being the primary during the commit")
+	errLedgerEntryGone = errors.New("the ledger entry went away while it was read")
+)
+
+// positionInTerm returns the status after a commit if the target has led in one term from the status before it.
+func positionInTerm(before stepResult, afterwards segmentResult) (MemberStatus, error) {
+	if afterwards.err != nil {
+		return MemberStatus{}, afterwards.err
+	}
+	first, err := before.status()
+	if err != nil {
+		return MemberStatus{}, err
+	}
+	last, err := afterwards.results[0].status()
+	if err != nil {
+		return MemberStatus{}, err
+	}
+	if !first.Leads() || !last.Leads() || first.AdoptedTerm != last.AdoptedTerm {
+		return MemberStatus{}, errTermChanged
+	}
+	return last, nil
+}
+
+// Steps of the transaction that looks up a ledger entry.
+const (
+	lookupStatusBefore = iota + 1
+	lookupHash
+	lookupStatusAfter
+)
+
+// resolveDuplicate answers a write whose ledger entry exists: an earlier attempt with the same request id has run. A
+// failure here leaves the outcome of the request open, because it is not known what ran.
+func (c *connection) resolveDuplicate(ctx context.Context, r Request, hash string) Answer {
+	lookup := step{sql: sqlLedgerSelect, args: [][]byte{[]byte(r.Workspace), []byte(r.ID)}}
+	answers, err := c.run(ctx, segment{{sql: sqlRollback}}, segment{{sql: sqlBeginReadOnly}, stepStatus, lookup, stepStatus, stepCommit}, resetSession)
+	if len(answers) < 2 {
+		return lost(err)
+	}
+	found := answers[1]
+	if found.err != nil {
+		return lost(found.err)
+	}
+	rows := found.results[lookupHash].rows.Values
+	if len(rows) == 0 {
+		return lost(errLedgerEntryGone)
+	}
+	if rows[0][0] == nil || *rows[0][0] != hash {
+		return refusedBySelf(model.ReasonRequestIDConflict, "the request id was used for another statement")
+	}
+	after, err := positionInTerm(found.results[lookupStatusBefore], segmentResult{results: found.results[lookupStatusAfter:]})
+	if err != nil {
+		return lost(err)
+	}
+	return Answer{Result: model.Done(), Status: after, Position: after.Position, Duplicate: true}
+}
+
+// CleanLedger implements Traffic.
+func (p *Pool) CleanLedger(ctx context.Context, age time.Duration, limit int) Answer {
+	c, err := p.acquire(ctx)
+	if err != nil {
+		return notSent(err)
+	}
+	defer p.release(c)
+	sent := c.clock.sent.Load()
+	seconds := strconv.FormatFloat(age.Seconds(), 'f', 3, 64)
+	answers, err := c.run(ctx, segment{{sql: sqlLedgerClean, args: [][]byte{[]byte(seconds), []byte(strconv.Itoa(limit))}}})
+	if err != nil {
+		return failed(c, sent, err)
+	}
+	if answers[0].err != nil {
+		return refused(answers[0].err)
+	}
+	return Answer{Result: model.Done(), Rows: answers[0].results[0].rows}
+}
--- /dev/null
+++ b/target/target.go
@@ -0,0 +1,151 @@
+// Package target is the client side of a service's targets, the members of a replicated database group. It speaks the
+// PostgreSQL protocol through pgconn and uses the extended protocol only, which refuses several statements in one
+// string.
+//
+// ControlMember calls the group functions of one target over control connections. Pool holds the connections for
+// traffic to one target and runs statements on them. The home of a service drives both through the interfaces Member,
+// Traffic and Transaction.
+//
+// Every call of Traffic and Transaction ends in an Answer, whose Result says whether the request ran and whose Failure
+// says how far it came.
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// Statement is one SQL statement with its arguments in text format.
+type Statement struct {
+	SQL      string
+	Args     []string
+	NullArgs []bool // NullArgs[i] makes argument i null; may be shorter than Args
+}
+
+// values returns the arguments as the protocol takes them.
+func (s Statement) values() [][]byte {
+	values := make([][]byte, len(s.Args))
+	for i, arg := range s.Args {
+		if i < len(s.NullArgs) && s.NullArgs[i] {
+			continue
+		}
+		values[i] = []byte(arg)
+	}
+	return values
+}
+
+// Rows is the answer to a statement in text format. A nil value is null.
+type Rows struct {
+	Columns  []string
+	Values   [][]*string
+	Affected int64
+}
+
+// Role is the role of a member in its group.
+type Role string
+
+// Roles.
+const (
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
+)
+
+// MemberStatus is what a member tells about itself.
+type MemberStatus struct {
+	AdoptedTerm    uint64
+	Orderer        string
+	Role           Role
+	Position       model.Position // Term is the log term
+	PrimaryAddress string
+}
+
+// Leads reports whether the member is the primary of the term it has adopted.
+func (s MemberStatus) Leads() bool {
+	return s.Role == RolePrimary && s.AdoptedTerm == s.Position.Term
+}
+
+// Member is one target of a group, over its control connections. The errors of all methods are for IsRefusedConnection
+// and IsRefusedOrder; any other error means that the target gave no usable answer.
+type Member interface {
+	// Status returns the state of the member.
+	Status(ctx context.Context) (MemberStatus, error)
+	// Adopt makes the member adopt a term.
+	Adopt(ctx context.Context, term uint64, orderer string) (MemberStatus, error)
+	// Promote makes the member the primary of its adopted term.
+	Promote(ctx context.Context, term uint64, orderer string) (MemberStatus, error)
+	// Follow makes the member a replica of the primary at the given address.
+	Follow(ctx context.Context, term uint64, primary string) (MemberStatus, error)
+	// WaitPosition waits until the member's position covers p or ctx ends.
+	WaitPosition(ctx context.Context, p model.Position) (MemberStatus, error)
+}
+
+// Request identifies a write in the request ledger.
+type Request struct {
+	Workspace model.Workspace
+	ID        string
+}
+
+// Traffic runs statements on one target.
+type Traffic interface {
+	// Read runs a statement in a read-only transaction, on data that covers mark.
+	Read(ctx context.Context, s Statement, mark model.Position) Answer
+	// Write runs a statement together with its ledger entry in one transaction on the primary. The write is not
+	// acknowledged before the answer's position is durable on a majority of the group.
+	Write(ctx context.Context, r Request, s Statement) Answer
+	// Begin opens a transaction. The Transaction is nil unless the answer's outcome is done.
+	Begin(ctx context.Context, readOnly bool) (Transaction, Answer)
+	// CleanLedger deletes up to limit ledger entries that are older than age. Rows.Affected is their number.
+	CleanLedger(ctx context.Context, age time.Duration, limit int) Answer
+	// SetLimit changes the greatest number of connections.
+	SetLimit(limit int)
+	// Stats returns the state of the connections.
+	Stats() Stats
+	// Close closes all connections. Requests that run are lost.
+	Close()
+}
+
+// Transaction is an explicit transaction on a connection of its own. It must be ended by Commit or Rollback. Calls that
+// overlap are refused with model.ReasonTransactionBusy.
+type Transaction interface {
+	// Execute runs a statement in the transaction.
+	Execute(ctx context.Context, s Statement) Answer
+	// Commit ends the transaction. A commit without an answer is unknown.
+	Commit(ctx context.Context) Answer
+	// Rollback ends the transaction without an effect.
+	Rollback(ctx context.Context) Answer
+}
+
+// Failure tells how far a request came that was not answered as wanted.
+type Failure uint8
+
+const (
+	// FailureNone means that the target answered the request.
+	FailureNone Failure = iota
+	// FailureNotSent means that no byte of the request was sent.
+	FailureNotSent
+	// FailureRefused means that the target refused the request and that it has no effect.
+	FailureRefused
+	// FailureBehind means that the target's data does not cover the position that a read asked for, or that the target
+	// changed its term during the read. The read's rows were dropped.
+	FailureBehind
+	// FailureLost means that the request was sent and no answer came.
+	FailureLost
+)
+
+// String returns the failure's name for logs.
+func (f Failure) String() string {
+	return [...]string{"none", "not_sent", "refused", "behind", "lost"}[f]
+}
+
+// Answer is the answer to a request.
+type Answer struct {
+	Result    model.Result
+	Failure   Failure
+	Code      string // SQLSTATE if the target answered with an error
+	Rows      Rows
+	Status    MemberStatus   // state of the target after the request, if known
+	Position  model.Position // covers everything that the request wrote or saw, if the outcome is done
+	Duplicate bool           // the ledger shows that an earlier attempt ran; there are no rows
+}
