--- a/standin/target/history.go
+++ b/standin/target/history.go
@@ -77,6 +77,12 @@
 	h.received[connection] = append(h.received[connection], data...)
 }
 
+func (h *History) dropReceived(connection uint32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.received, connection)
+}
+
 // Events returns a copy of the events after the given sequence number, in time order.
 func (h *History) Events(after uint64) []Event {
 	h.mu.Lock()
--- a/standin/target/replication.go
+++ b/standin/target/replication.go
@@ -36,7 +36,9 @@
 	if err := s.backend.Flush(); err != nil {
 		return trace.Wrap(err)
 	}
-	s.conn.record = nil // a follower is no client
+	// A follower is no client, so its bytes are not recorded.
+	s.conn.record = nil
+	s.member.history.dropReceived(s.number)
 	var request followRequest
 	if err := gob.NewDecoder(s.conn).Decode(&request); err != nil {
 		return trace.Wrap(err)
