--- a/failover/failover.go
+++ b/failover/failover.go
@@ -59,7 +59,7 @@
 	Orderer        string // from which the member adopted AdoptedTerm
 	Role           Role
 	Position       model.Position // end of the log; Term is the term of the last entry
-	PrimaryAddress string         // address of the primary that the member follows, empty if none
+	PrimaryAddress string         // address that Follow named for AdoptedTerm, empty before
 }
 
 // Member is one member of the group in the configuration.
@@ -325,5 +325,6 @@
 	AdoptedTerm uint64
 	Role        Role
 	Position    model.Position
+	Replicated  bool      // the entries of the last term are copies, so no failover drops them in a group of up to three
 	Asked       time.Time // time at which the status was asked for; Position dates from then or later
 }
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -217,6 +217,7 @@
 			AdoptedTerm: x.status.AdoptedTerm,
 			Role:        x.status.Role,
 			Position:    x.status.Position,
+			Replicated:  slices.Contains(x.followed, x.status.Position.Term),
 			Asked:       x.asked,
 		})
 	}
--- a/failover/member.go
+++ b/failover/member.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/model"
@@ -17,6 +18,7 @@
 	asked     time.Time      // the status dates from then or later
 	primaryAt time.Time      // when a status with RolePrimary last arrived
 	holds     model.Position // greatest position reported together with the term of the primary
+	followed  []uint64       // terms in which the member followed a primary, from the term of its position on
 
 	probe       request // on the control connection
 	dial        request // on a new connection
@@ -66,6 +68,17 @@
 	if status.Role == RolePrimary {
 		x.primaryAt = now
 	}
+	x.noteFollowed()
+}
+
+// noteFollowed records that the member follows a primary. A member that followed the primary of a term was not that
+// primary itself, so all its entries of the term are copies.
+func (x *member) noteFollowed() {
+	x.followed = slices.DeleteFunc(x.followed, func(term uint64) bool { return term < x.status.Position.Term })
+	term := x.status.AdoptedTerm
+	if x.status.Role != RolePrimary && x.status.PrimaryAddress != "" && !slices.Contains(x.followed, term) {
+		x.followed = append(x.followed, term)
+	}
 }
 
 // noteHolds records what the member is proven to have of the log of term.
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -22,6 +22,7 @@
 	ID          model.TargetID
 	Alive       bool           // answers its probes
 	Leaving     bool           // the operator is removing it
+	Replicated  bool           // all of its last term's entries are copies; a former primary may hold entries to be dropped
 	AdoptedTerm uint64         // term that the target has adopted
 	Position    model.Position // last reported position in the log
 	Running     int            // statements that run or wait for a slot
@@ -209,11 +210,12 @@
 	return now.Sub(at) <= read.MaxStaleness
 }
 
-// replicas returns the targets that may serve reads as replicas.
+// replicas returns the targets that may serve reads as replicas. A former primary is not among them until it has copied
+// from its successor, because a session that reads an entry to be dropped would later see it gone.
 func replicas(group Group) []Target {
 	var result []Target
 	for _, t := range group.Targets {
-		if t.ID != group.Primary && t.Alive && !t.Leaving {
+		if t.ID != group.Primary && t.Alive && t.Replicated && !t.Leaving {
 			result = append(result, t)
 		}
 	}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -91,8 +91,8 @@
 	samples.Add(at(1000), position(2, 100))
 	return Group{Term: 2, Primary: "a", Confirmed: at(900), Samples: samples, Targets: []Target{
 		{ID: "a", Alive: true, AdoptedTerm: 2, Position: position(2, 100), Slots: 3},
-		{ID: "b", Alive: true, AdoptedTerm: 2, Position: b, Slots: 3, Running: 2},
-		{ID: "c", Alive: true, AdoptedTerm: 2, Position: c, Slots: 3, Running: 1},
+		{ID: "b", Alive: true, Replicated: true, AdoptedTerm: 2, Position: b, Slots: 3, Running: 2},
+		{ID: "c", Alive: true, Replicated: true, AdoptedTerm: 2, Position: c, Slots: 3, Running: 1},
 	}}
 }
 
@@ -120,6 +120,7 @@
 		}, KindPrimary, "a"},
 		{"leaving replica", current, behind, func(g *Group, _ *Read) { g.Targets[2].Leaving = true }, KindReplica, "b"},
 		{"dead replica", current, behind, func(g *Group, _ *Read) { g.Targets[2].Alive = false }, KindReplica, "b"},
+		{"former primary", current, behind, func(g *Group, _ *Read) { g.Targets[2].Replicated = false }, KindReplica, "b"},
 		{"replaced primary", behind, behind, func(_ *Group, r *Read) { r.Mark = position(3, 1) }, KindRefused, "a"},
 		{"dropped mark", current, current, func(_ *Group, r *Read) { r.MarkUnknown = true }, KindPrimary, "a"},
 		{"no primary", behind, behind, func(g *Group, r *Read) { g.Primary, r.MarkUnknown = "", true }, KindWait, ""},
