--- /dev/null
+++ b/internal/simlimit/figures.go
@@ -0,0 +1,136 @@
+package simlimit
+
+import (
+	"encoding/gob"
+	"math"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/limit"
+)
+
+// Figures are the counts of one workspace or of all.
+type Figures struct {
+	Offered       int
+	Admitted      int
+	Central       int     // requests that a single central bucket admits
+	Wrongful      int     // refused requests that the central bucket admits
+	OverAdmission float64 // greatest count − rate × length − burst over all windows, 0 if none is positive
+
+	TailOffered, TailAdmitted, TailCentral int
+}
+
+func (f *Figures) offered(r *request) {
+	f.Offered++
+	if r.central {
+		f.Central++
+	}
+}
+
+func (f *Figures) add(g Figures) {
+	f.Offered += g.Offered
+	f.Admitted += g.Admitted
+	f.Central += g.Central
+	f.Wrongful += g.Wrongful
+	f.OverAdmission = math.Max(f.OverAdmission, g.OverAdmission)
+	f.TailOffered += g.TailOffered
+	f.TailAdmitted += g.TailAdmitted
+	f.TailCentral += g.TailCentral
+}
+
+// WrongfulPerMille returns the refused requests that the central bucket admits, per thousand requests.
+func (f Figures) WrongfulPerMille() float64 { return perMille(f.Wrongful, f.Offered) }
+
+// ShortfallPerMille returns by how much fewer requests are admitted than by the central bucket, per thousand requests.
+// Under overload it differs from WrongfulPerMille, because the two may admit different requests of equal number.
+func (f Figures) ShortfallPerMille() float64 {
+	return perMille(max(0, f.Central-f.Admitted), f.Offered)
+}
+
+func perMille(n, of int) float64 {
+	if of == 0 {
+		return 0
+	}
+	return 1000 * float64(n) / float64(of)
+}
+
+// Traffic is the rate of messages between hosts; requests and replies count, sent and received.
+type Traffic struct {
+	MessagesMean, MessagesMax float64 // per second and host
+	BytesMean, BytesMax       float64 // per second and host
+}
+
+// Result is the result of a run.
+type Result struct {
+	Hosts      int
+	Total      Figures
+	Workspaces []Figures
+	Messages   Traffic
+}
+
+// meter counts messages and their size.
+type meter struct {
+	messages []int
+	bytes    []int
+	written  int
+	encoders map[string]*gob.Encoder
+}
+
+func newMeter(hosts int) *meter {
+	return &meter{messages: make([]int, hosts), bytes: make([]int, hosts), encoders: map[string]*gob.Encoder{}}
+}
+
+// Write counts the bytes that the encoders write.
+func (m *meter) Write(b []byte) (int, error) {
+	m.written += len(b)
+	return len(b), nil
+}
+
+// size returns the encoded size of a message on a connection that has carried its type before.
+func (m *meter) size(message any) int {
+	name := "token"
+	switch message.(type) {
+	case limit.LoanBatch:
+		name = "loan"
+	case limit.LoanReply:
+		name = "loan-reply"
+	case limit.TokenReply:
+		name = "token-reply"
+	case ownerMessage:
+		name = "owner"
+	}
+	e := m.encoders[name]
+	if e == nil {
+		e = gob.NewEncoder(m)
+		m.encoders[name] = e
+		m.encode(e, message)
+	}
+	m.written = 0
+	m.encode(e, message)
+	return m.written
+}
+
+func (m *meter) encode(e *gob.Encoder, message any) {
+	if err := e.Encode(message); err != nil {
+		panic(err) // the message types can always be encoded
+	}
+}
+
+func (m *meter) count(from, to *host, size int) {
+	for _, h := range []*host{from, to} {
+		m.messages[h.index]++
+		m.bytes[h.index] += size
+	}
+}
+
+func (m *meter) rates(d time.Duration) Traffic {
+	var t Traffic
+	hosts := float64(len(m.messages))
+	for i := range m.messages {
+		n, b := float64(m.messages[i])/d.Seconds(), float64(m.bytes[i])/d.Seconds()
+		t.MessagesMean += n / hosts
+		t.BytesMean += b / hosts
+		t.MessagesMax = math.Max(t.MessagesMax, n)
+		t.BytesMax = math.Max(t.BytesMax, b)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/simlimit/scenario.go
@@ -0,0 +1,40 @@
+package simlimit
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/limit"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// Scenario returns the measured configuration: 8 workspaces on up to 9 hosts, else 64. A few workspaces are large, the
+// bursts are between 10 ms and 1 s of the rate, and the arrivals are unevenly spread over the hosts.
+func Scenario(design Design, hosts int, load float64, fault Kind) Config {
+	count, total := 8, 3000.0
+	if hosts > 9 {
+		count, total = 64, 25*float64(hosts)
+	}
+	cfg := Config{
+		Design: design, Hosts: hosts, Slots: 12, Warmup: 5 * time.Second, Duration: 30 * time.Second, Seed: 1,
+		Tail: 5 * time.Second, ClockError: 0.0001,
+	}
+	sum := 0.0
+	for i := range count {
+		sum += 1 / float64(i+1)
+	}
+	burstTimes := []float64{0.2, 0.1, 1, 0.05, 0.5}
+	for i := range count {
+		rate := math.Round(total / sum / float64(i+1))
+		burst := math.Max(1, math.Round(rate*burstTimes[i%len(burstTimes)]))
+		cfg.Workspaces = append(cfg.Workspaces, Workspace{
+			Name: model.Workspace(fmt.Sprintf("workspace-%02d", i)), Limit: limit.Limit{Rate: rate, Burst: burst},
+			Load: load, Skew: 1,
+		})
+	}
+	if fault != "none" {
+		cfg.Faults = []Fault{{Kind: fault, At: 10 * time.Second, For: 5 * time.Second}}
+	}
+	return cfg
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -66,6 +66,8 @@
 	// idleAfter is the time without token requests after which the broker calls a workspace idle.
 	idleAfter = 10 * time.Second
 
+	// reportPart divides the interval: unreported tokens lie in the caches and on top keep the bucket from refilling.
+	reportPart  = 4
 	minInterval = 5 * time.Millisecond
 	maxInterval = 100 * time.Millisecond
 	// cachedBurst is the part of the burst that may lie in the caches of all spenders together. A greater part saves
@@ -84,7 +86,9 @@
 )
 
 // disabled switches single guards off. Only tests set it, to show that the checks depend on each guard.
-var disabled struct {
+var disabled guards
+
+type guards struct {
 	loanDating  bool // the broker counts a loan from its arrival
 	levelZero   bool // an expired loan comes back with the level that was lent
 	outstanding bool // outstanding tokens don't count in the burst
--- a/limit/spender.go
+++ b/limit/spender.go
@@ -317,7 +317,7 @@
 	if g.report == g.confirmed {
 		return time.Time{}
 	}
-	t := g.changed.Add(c.interval)
+	t := g.changed.Add(c.interval / reportPart)
 	if draining || g.report.Returned != g.confirmed.Returned {
 		t = g.changed
 	}
