Drop a silent connection between daemons from the peer table

The test of a silent connection found that the pings closed the connection but left it in the table, so that the next call failed as not sent. The ping now drops it, and the next call opens a new connection.

--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -101,3 +101,12 @@
 
 // Empty is a message without content.
 type Empty struct{}
+
+// Announcement tells a host that a version of a document is about to exist.
+type Announcement struct {
+	Document string // key of the document in the store
+	Version  uint64
+}
+
+// Acknowledgement answers an announcement. A host that acknowledged states no outage until it has seen the version.
+type Acknowledgement struct{ Acknowledged bool }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -113,7 +113,9 @@
 	if err != nil {
 		return &NotSentError{Err: err}
 	}
-	c.enter()
+	if c.enter() {
+		go p.ping(c)
+	}
 	defer c.leave()
 	call := c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
@@ -180,15 +182,15 @@
 	}
 }
 
-// enter counts a waiting call and starts the pings that find out whether the connection has gone silent.
-func (c *client) enter() {
+// enter counts a waiting call. It reports whether pings have to be started, which find out whether the connection has
+// gone silent.
+func (c *client) enter() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting++
-	if !c.pinging {
-		c.pinging = true
-		go c.ping()
-	}
+	start := !c.pinging
+	c.pinging = true
+	return start
 }
 
 func (c *client) leave() {
@@ -197,8 +199,8 @@
 	c.waiting--
 }
 
-// ping sends pings while calls wait and closes the connection when one is not answered.
-func (c *client) ping() {
+// ping sends pings while calls wait and drops the connection when one is not answered.
+func (p *peer) ping(c *client) {
 	for c.keepPinging() {
 		time.Sleep(pingInterval)
 		call := c.rpc.Go("Daemon.Ping", Empty{}, &Empty{}, make(chan *rpc.Call, 1))
@@ -208,7 +210,7 @@
 				return
 			}
 		case <-time.After(silentAfter):
-			c.rpc.Close()
+			p.drop(c)
 			return
 		}
 	}
--- /dev/null
+++ b/daemon/rpc_test.go
@@ -0,0 +1,227 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const testSecret = "0123456789abcdef"
+
+// fakeService answers with the SQL that it was asked, and holds answers back while it is blocked.
+type fakeService struct {
+	mu      sync.Mutex
+	seen    []ExecuteRequest
+	blocked chan struct{}
+}
+
+func (f *fakeService) Execute(q ExecuteRequest, r *ExecuteReply) error {
+	f.mu.Lock()
+	f.seen = append(f.seen, q)
+	blocked := f.blocked
+	f.mu.Unlock()
+	if blocked != nil {
+		<-blocked
+	}
+	*r = ExecuteReply{Result: model.Done(), Columns: []string{q.SQL}}
+	return nil
+}
+
+func (f *fakeService) Begin(BeginRequest, *BeginReply) error { return nil }
+func (f *fakeService) End(EndRequest, *EndReply) error       { return nil }
+func (f *fakeService) Ping(Empty, *Empty) error              { return nil }
+
+func (f *fakeService) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.seen)
+}
+
+func serve(t *testing.T, s Service) string {
+	t.Helper()
+	l, err := NewListener(s, testSecret, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Serve(ctx, socket) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return socket.Addr().String()
+}
+
+func execute(t *testing.T, p *Peers, address string, q ExecuteRequest, timeout time.Duration) (ExecuteReply, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var r ExecuteReply
+	return r, p.Call(ctx, address, "Execute", q, &r)
+}
+
+// TestCallsCarryNulls guards against null arguments that gob drops, and against answers that reach another call.
+func TestCallsCarryNulls(t *testing.T) {
+	f := &fakeService{}
+	address := serve(t, f)
+	p := NewPeers(testSecret)
+	defer p.Close()
+	var args Cells
+	text := "a"
+	args.Add(&text)
+	args.Add(nil)
+	args.Add(&text)
+	q := ExecuteRequest{Caller: Caller{Workspace: "w", Key: "k"}, SQL: "SELECT $1", Args: args, Remaining: time.Second}
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			var r ExecuteReply
+			if err := p.Call(context.Background(), address, "Execute", q, &r); err != nil || r.Columns[0] != q.SQL {
+				t.Errorf("%v, %v", r, err)
+			}
+		})
+	}
+	wg.Wait()
+	if diff := cmp.Diff(q, f.seen[0]); diff != "" {
+		t.Error(diff)
+	}
+	if !f.seen[0].Args.IsNull(1) || f.seen[0].Args.IsNull(2) {
+		t.Error("the null is at the wrong place")
+	}
+}
+
+// TestStrangersAreRefused guards against a host without the peer secret that sends requests, and against one that
+// receives them.
+func TestStrangersAreRefused(t *testing.T) {
+	f := &fakeService{}
+	address := serve(t, f)
+	stranger := NewPeers("another secret 0123")
+	defer stranger.Close()
+	_, err := execute(t, stranger, address, ExecuteRequest{}, 5*time.Second)
+	if !IsNotSent(err) || f.count() != 0 {
+		t.Errorf("a stranger got %v after %d calls", err, f.count())
+	}
+}
+
+// TestRefusedConnectionIsNotSent guards against a request that is reported as unknown although nothing was sent.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	p := NewPeers(testSecret)
+	defer p.Close()
+	if _, err := execute(t, p, address, ExecuteRequest{}, 5*time.Second); !IsNotSent(err) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestMalformedMessageClosesTheConnection guards against a daemon that stops, or answers, when a peer sends garbage.
+func TestMalformedMessageClosesTheConnection(t *testing.T) {
+	f := &fakeService{}
+	address := serve(t, f)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := dialHandshake(c, []byte(testSecret)); err != nil {
+		t.Fatal(err)
+	}
+	c.Write([]byte("\x05garbage that is no gob message"))
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.ReadAll(c); err != nil {
+		t.Errorf("the connection was not closed: %v", err)
+	}
+	p := NewPeers(testSecret)
+	defer p.Close()
+	if _, err := execute(t, p, address, ExecuteRequest{SQL: "x"}, 5*time.Second); err != nil {
+		t.Errorf("the daemon no longer answers: %v", err)
+	}
+}
+
+// valve passes bytes on until it is shut; then the connection stays open and silent until it is closed.
+type valve struct {
+	net.Conn
+	shut, closed chan struct{}
+}
+
+func (v *valve) Read(b []byte) (int, error) {
+	n, err := v.Conn.Read(b)
+	select {
+	case <-v.shut:
+		<-v.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+func (v *valve) Close() error {
+	close(v.closed)
+	return v.Conn.Close()
+}
+
+// TestSilentConnectionIsReplaced guards against calls that hang for good on a connection that something between the
+// hosts has forgotten, while new connections work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	f := &fakeService{}
+	address := serve(t, f)
+	p := NewPeers(testSecret)
+	defer p.Close()
+	shut := make(chan struct{})
+	dialed := 0
+	real := p.dial
+	p.dial = func(ctx context.Context, a string) (net.Conn, error) {
+		c, err := real(ctx, a)
+		dialed++
+		if dialed == 1 && err == nil {
+			return &valve{Conn: c, shut: shut, closed: make(chan struct{})}, nil
+		}
+		return c, err
+	}
+	if _, err := execute(t, p, address, ExecuteRequest{SQL: "first"}, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	close(shut)
+	_, err := execute(t, p, address, ExecuteRequest{SQL: "second"}, time.Minute)
+	if err == nil || IsNotSent(err) {
+		t.Errorf("a call on the silent connection got %v, want an error that does not deny that it ran", err)
+	}
+	if _, err := execute(t, p, address, ExecuteRequest{SQL: "third"}, 10*time.Second); err != nil {
+		t.Errorf("no new connection was opened: %v", err)
+	}
+}
+
+// TestLateAnswerReachesNobody guards against an answer of a call that was given up and then reaches the next call.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	f := &fakeService{blocked: make(chan struct{})}
+	address := serve(t, f)
+	p := NewPeers(testSecret)
+	defer p.Close()
+	if _, err := execute(t, p, address, ExecuteRequest{SQL: "slow"}, 100*time.Millisecond); err == nil || IsNotSent(err) {
+		t.Fatalf("got %v", err)
+	}
+	close(f.blocked)
+	r, err := execute(t, p, address, ExecuteRequest{SQL: "next"}, 10*time.Second)
+	if err != nil || r.Columns[0] != "next" {
+		t.Errorf("got %v, %v", r, err)
+	}
+}
