--- a/internal/simlimit/sim.go
+++ b/internal/simlimit/sim.go
@@ -134,10 +134,10 @@
 }
 
 type request struct {
-	ws      *workspace
-	central bool // the central bucket admits it
-	warmup  bool
-	tail    bool
+	ws        *workspace
+	central   bool // the central bucket admits it
+	uncounted bool
+	tail      bool
 }
 
 // Run runs a simulation to its end.
--- a/limit/broker.go
+++ b/limit/broker.go
@@ -327,7 +327,7 @@
 		p.asked = now
 		g := Grant{Workspace: ask.Workspace}
 		g.Tokens = p.grant(now, grantID{id, req.Sequence}, ask)
-		g.Interval = p.interval()
+		g.Interval, g.Report = p.interval(), p.reportWithin()
 		g.Retry = p.retry(now, id.host, g.Tokens < ask.Need)
 		reply.Grants = append(reply.Grants, g)
 	}
@@ -386,6 +386,14 @@
 	return clamp(seconds(t.Burst*cachedBurst/t.Rate), minInterval, maxInterval)
 }
 
+// reportWithin returns the time within which spenders should report.
+func (p *pool) reportWithin() time.Duration {
+	if p.outstanding > tightBurst*p.total().Burst {
+		return p.interval() / reportPart
+	}
+	return lazyReport
+}
+
 // retry returns how long a spender that got too little should wait. The more spenders compete, the longer it is, so
 // that the message rate at the broker stays bounded.
 func (p *pool) retry(now time.Time, spender model.HostID, short bool) time.Duration {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -66,8 +66,11 @@
 	// idleAfter is the time without token requests after which the broker calls a workspace idle.
 	idleAfter = 10 * time.Second
 
-	// reportPart divides the interval: unreported tokens lie in the caches and on top keep the bucket from refilling.
+	// Unreported tokens keep a full bucket from refilling. When they take more than tightBurst of the burst, reports have
+	// to come within a part of the interval; otherwise they wait for the next ask.
+	tightBurst  = 0.25
 	reportPart  = 4
+	lazyReport  = 200 * time.Millisecond
 	minInterval = 5 * time.Millisecond
 	maxInterval = 100 * time.Millisecond
 	// cachedBurst is the part of the burst that may lie in the caches of all spenders together. A greater part saves
@@ -187,7 +190,8 @@
 type Grant struct {
 	Workspace model.Workspace
 	Tokens    int
-	Interval  time.Duration // time after which tokens should be reported or returned
+	Interval  time.Duration // time for which tokens should be asked in advance
+	Report    time.Duration // time within which spent tokens should be reported
 	Retry     time.Duration // when tokens are scarce, time before which asking again is useless
 }
 
--- a/limit/spender.go
+++ b/limit/spender.go
@@ -51,7 +51,8 @@
 
 	asks      []sentAsk     // unanswered asks, in order of time
 	askedAt   time.Time     // time of the last ask
-	interval  time.Duration // time in which changes are reported and half of the time that tokens are kept
+	interval  time.Duration // half of the time that unspent tokens are kept
+	report    time.Duration // time within which spent tokens are reported
 	horizon   time.Duration // time for which tokens are asked in advance
 	notBefore time.Time     // tokens are scarce: no ask before this time
 }
@@ -317,12 +318,12 @@
 	if g.report == g.confirmed {
 		return time.Time{}
 	}
-	t := g.changed.Add(c.interval / reportPart)
+	t := g.changed.Add(c.report)
 	if draining || g.report.Returned != g.confirmed.Returned {
 		t = g.changed
 	}
 	if g.sentIn != 0 && g.sent == g.report {
-		t = later(t, g.changed.Add(c.interval+askTimeout))
+		t = later(t, g.changed.Add(c.report+askTimeout))
 	}
 	return t
 }
@@ -351,6 +352,7 @@
 func (c *cache) receive(now time.Time, sent sentAsk, g Grant) {
 	c.interval = max(g.Interval, minInterval)
 	c.horizon = max(c.interval, g.Retry)
+	c.report = g.Report
 	c.notBefore = time.Time{}
 	if g.Retry > 0 {
 		c.notBefore = now.Add(g.Retry)
