Add package roster: share slots, registered hosts and their changes

A version registers or removes at most one host, so that majorities of consecutive versions share a host. A slot that nobody has held before is usable at once.

--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,222 @@
+// Package roster computes the versions of the roster, the store document that assigns the share slots of package limit to
+// hosts and lists the hosts that count in majorities.
+//
+// Every change is a new document computed from the old one, with the next version. Two changes of the same document have
+// the same version, so that compare-and-swap in the store lets one of them win; the other is computed again.
+//
+// A version registers or removes at most one host. A majority of the hosts of one version then shares a host with every
+// majority of the next one, which the outage proof of package freshness relies on while versions change.
+//
+// A slot that moves is used by its new holder only after UsableFrom. By then its former holder has seen the new version
+// or has stopped, because its documents must be current at most freshness ago, and all of its loans have ended.
+package roster
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/limit"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const (
+	// DefaultSlots is the number of share slots of a new roster.
+	DefaultSlots = 12
+	// Freshness is the time within which a host has the newest documents or stops.
+	Freshness = 5 * time.Second
+	// Margin is added to the wait of a new holder, for a request that is admitted just before its host stops.
+	Margin = time.Second
+
+	keptChanges = 64
+)
+
+// Errors of changes.
+var (
+	// ErrOldIncarnation means that a later start of the host is registered.
+	ErrOldIncarnation = errors.New("roster: a later incarnation of the host is registered")
+	// ErrInvalid means that a document breaks the rules of the roster.
+	ErrInvalid = errors.New("roster: invalid document")
+)
+
+// Slot is a share slot and its holder.
+type Slot struct {
+	Holder      model.HostID      `json:"holder,omitempty"` // empty while nobody holds the slot
+	Incarnation model.Incarnation `json:"incarnation,omitempty"`
+	Since       uint64            `json:"since,omitempty"` // version that gave the slot to this incarnation
+	First       bool              `json:"first,omitempty"` // nobody has held the slot before
+}
+
+// Host is a registered host. It counts in majorities.
+type Host struct {
+	ID          model.HostID      `json:"id"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	DataCentre  model.DataCentre  `json:"data_centre,omitempty"`
+}
+
+// Document is one version of the roster. Functions never change a document that they are given.
+type Document struct {
+	Version uint64   `json:"version"`
+	Slots   []Slot   `json:"slots"`
+	Hosts   []Host   `json:"hosts"`   // sorted by id
+	Changes []string `json:"changes"` // ids of the last changes, the newest last
+}
+
+// New returns version 0, which is never stored, with free slots and no hosts.
+func New(slots int) Document {
+	return Document{Slots: make([]Slot, slots)}
+}
+
+// Parse reads a document and checks it.
+func Parse(data []byte) (Document, error) {
+	var d Document
+	if err := json.Unmarshal(data, &d); err != nil {
+		return Document{}, fmt.Errorf("%w: %v", ErrInvalid, err)
+	}
+	return d, d.check()
+}
+
+// Encode returns the document as JSON.
+func (d Document) Encode() ([]byte, error) { return json.Marshal(d) }
+
+func (d Document) check() error {
+	if len(d.Slots) == 0 {
+		return fmt.Errorf("%w: no slots", ErrInvalid)
+	}
+	for i := 1; i < len(d.Hosts); i++ {
+		if d.Hosts[i-1].ID >= d.Hosts[i].ID {
+			return fmt.Errorf("%w: host %q is repeated or out of order", ErrInvalid, d.Hosts[i].ID)
+		}
+	}
+	for i, s := range d.Slots {
+		if s.Holder == "" {
+			continue
+		}
+		if h, ok := d.Host(s.Holder); !ok || h.Incarnation != s.Incarnation {
+			return fmt.Errorf("%w: the holder of slot %d is not registered", ErrInvalid, i)
+		}
+		if s.Since > d.Version {
+			return fmt.Errorf("%w: slot %d dates from a later version", ErrInvalid, i)
+		}
+	}
+	return nil
+}
+
+// Host returns the registration of a host.
+func (d Document) Host(id model.HostID) (Host, bool) {
+	i, ok := d.find(id)
+	if !ok {
+		return Host{}, false
+	}
+	return d.Hosts[i], true
+}
+
+func (d Document) find(id model.HostID) (int, bool) {
+	return slices.BinarySearchFunc(d.Hosts, id, func(h Host, id model.HostID) int {
+		return strings.Compare(string(h.ID), string(id))
+	})
+}
+
+// Applied reports whether the change with the id is part of the document. It resolves a swap whose answer was lost.
+func (d Document) Applied(changeID string) bool { return slices.Contains(d.Changes, changeID) }
+
+// Majority returns the number of registered hosts that form a majority.
+func (d Document) Majority() int { return len(d.Hosts)/2 + 1 }
+
+// IsMajority reports whether a majority of the registered hosts satisfies the predicate.
+func (d Document) IsMajority(in func(Host) bool) bool {
+	n := 0
+	for _, h := range d.Hosts {
+		if in(h) {
+			n++
+		}
+	}
+	return n >= d.Majority()
+}
+
+// next returns a copy with the next version and the change id.
+func (d Document) next(changeID string) Document {
+	n := Document{
+		Version: d.Version + 1,
+		Slots:   slices.Clone(d.Slots),
+		Hosts:   slices.Clone(d.Hosts),
+		Changes: append(slices.Clone(d.Changes), changeID),
+	}
+	if extra := len(n.Changes) - keptChanges; extra > 0 {
+		n.Changes = n.Changes[extra:]
+	}
+	return n
+}
+
+// Register adds a host, or replaces the incarnation of a host that has restarted together with that of its slots. It
+// reports whether anything has changed.
+func Register(old Document, host Host, changeID string) (Document, bool, error) {
+	i, known := old.find(host.ID)
+	if known && old.Hosts[i] == host {
+		return old, false, nil
+	}
+	if known && old.Hosts[i].Incarnation > host.Incarnation {
+		return old, false, ErrOldIncarnation
+	}
+	d := old.next(changeID)
+	if !known {
+		d.Hosts = slices.Insert(d.Hosts, i, host)
+		return d, true, nil
+	}
+	d.Hosts[i] = host
+	for i := range d.Slots {
+		if s := &d.Slots[i]; s.Holder == host.ID && s.Incarnation != host.Incarnation {
+			*s = Slot{Holder: host.ID, Incarnation: host.Incarnation, Since: d.Version}
+		}
+	}
+	return d, true, nil
+}
+
+// UsableFrom returns the earliest time at which the holder may use a slot, if it saw the version that gave it the slot
+// at the given time. It saw that version no earlier than the store accepted it.
+func (s Slot) UsableFrom(seen time.Time) time.Time {
+	if s.First {
+		return seen
+	}
+	wait := float64(Freshness+limit.IdleLoanDuration) * limit.ClockTolerance
+	return seen.Add(time.Duration(wait) + Margin)
+}
+
+// Tenure remembers from when on one incarnation of a host may use its slots.
+type Tenure struct {
+	host        model.HostID
+	incarnation model.Incarnation
+	slots       map[int]tenancy
+}
+
+type tenancy struct {
+	since uint64
+	from  time.Time
+}
+
+// NewTenure returns the tenure of a host that has just started.
+func NewTenure(host model.HostID, incarnation model.Incarnation) *Tenure {
+	return &Tenure{host: host, incarnation: incarnation, slots: map[int]tenancy{}}
+}
+
+// Update takes over a version and returns the slots for limit.Holder. Call it with each version when it is first seen. A
+// slot that went to another host and came back in between counts as new, because its version differs.
+func (t *Tenure) Update(now time.Time, d Document) []limit.Slot {
+	var out []limit.Slot
+	for i, s := range d.Slots {
+		if s.Holder != t.host || s.Incarnation != t.incarnation {
+			delete(t.slots, i)
+			continue
+		}
+		x, ok := t.slots[i]
+		if !ok || x.since != s.Since {
+			x = tenancy{since: s.Since, from: s.UsableFrom(now)}
+			t.slots[i] = x
+		}
+		out = append(out, limit.Slot{Number: i, From: x.from})
+	}
+	return out
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,258 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/waxwingspindle/waxwingspindle/limit"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/roster"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func id(i int) model.HostID { return model.HostID(fmt.Sprintf("host-%d", i)) }
+
+// fleet returns a roster of n living hosts in three data centres.
+func fleet(t rapid.TB, n, slots int) (roster.Document, roster.Observation) {
+	d := roster.New(slots)
+	var seen roster.Observation
+	for i := range n {
+		h := roster.Host{ID: id(i), Incarnation: 1, DataCentre: model.DataCentre(fmt.Sprint(i % 3))}
+		next, ok, err := roster.Register(d, h, fmt.Sprint("register ", i))
+		if err != nil || !ok {
+			t.Fatalf("register: %v, %v", ok, err)
+		}
+		d = next
+		seen.Members = append(seen.Members, roster.Member{ID: h.ID})
+	}
+	d, _, _ = roster.Plan(d, seen, "assign")
+	return d, seen
+}
+
+func counts(d roster.Document) map[model.HostID]int {
+	n := map[model.HostID]int{}
+	for _, s := range d.Slots {
+		n[s.Holder]++
+	}
+	return n
+}
+
+// checkStep checks what every change has to keep.
+func checkStep(t rapid.TB, old, d roster.Document) {
+	if d.Version != old.Version+1 {
+		t.Fatalf("version %d follows %d", d.Version, old.Version)
+	}
+	if len(d.Slots) != len(old.Slots) {
+		t.Fatalf("%d slots after %d", len(d.Slots), len(old.Slots))
+	}
+	union := len(old.Hosts)
+	for _, h := range d.Hosts {
+		if _, ok := old.Host(h.ID); !ok {
+			union++
+		}
+	}
+	if old.Majority()+d.Majority() <= union {
+		t.Fatalf("majorities of versions %d and %d may be disjoint", old.Version, d.Version)
+	}
+	for i, s := range d.Slots {
+		o := old.Slots[i]
+		moved := s.Holder != o.Holder || s.Incarnation != o.Incarnation
+		if moved && s.Since != d.Version || !moved && s != o {
+			t.Fatalf("slot %d: %+v follows %+v in version %d", i, s, o, d.Version)
+		}
+		if s.First && moved && (o.Holder != "" || o.Since != 0) {
+			t.Fatalf("slot %d counts as never held after %+v", i, o)
+		}
+	}
+	data, err := d.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := roster.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(d, parsed); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// Guards against a sequence of changes that loses a slot, repeats a version, makes disjoint majorities, or lets a slot
+// move without a new wait; and against a plan that never comes to rest.
+func TestChangesKeepRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "hosts")
+		d, seen := fleet(t, n, rapid.IntRange(1, 24).Draw(t, "slots"))
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			old := d
+			before, _ := old.Encode()
+			changed := step(t, &d, &seen)
+			if after, _ := old.Encode(); string(after) != string(before) {
+				t.Fatal("the old document has changed")
+			}
+			if changed {
+				checkStep(t, old, d)
+			}
+		}
+		seen.Unchanged = time.Hour
+		for range 100 {
+			old := d
+			next, _, ok := roster.Plan(d, seen, "x")
+			if !ok {
+				return
+			}
+			checkStep(t, old, next)
+			d = next
+		}
+		t.Fatal("the plan does not come to rest")
+	})
+}
+
+// step makes one random change of the members or of the roster.
+func step(t *rapid.T, d *roster.Document, seen *roster.Observation) bool {
+	i := rapid.IntRange(0, len(seen.Members)-1).Draw(t, "member")
+	m := &seen.Members[i]
+	switch rapid.IntRange(0, 4).Draw(t, "action") {
+	case 0:
+		m.State = rapid.SampledFrom([]roster.State{roster.Alive, roster.Suspect, roster.Dead, roster.Left}).Draw(t, "state")
+		m.For = time.Duration(rapid.IntRange(0, 1000).Draw(t, "seconds")) * time.Second
+	case 1:
+		seen.Platform = nil
+		for j := range seen.Members {
+			if rapid.Bool().Draw(t, "listed") {
+				leaving := rapid.IntRange(0, 5).Draw(t, "leaving") == 0
+				seen.Platform = append(seen.Platform, roster.Listed{ID: id(j), Leaving: leaving})
+			}
+		}
+	case 2:
+		inc := model.Incarnation(rapid.IntRange(1, 5).Draw(t, "incarnation"))
+		next, ok, err := roster.Register(*d, roster.Host{ID: m.ID, Incarnation: inc}, "register")
+		if err == nil {
+			*d = next
+		}
+		return ok
+	default:
+		seen.Unchanged = time.Duration(rapid.IntRange(0, 100).Draw(t, "unchanged")) * time.Second
+		next, _, ok := roster.Plan(*d, *seen, "plan")
+		*d = next
+		return ok
+	}
+	return false
+}
+
+// Guards against an uneven start and against a slot that waits although nobody has held it.
+func TestFirstAssignmentIsEvenAndUsable(t *testing.T) {
+	d, _ := fleet(t, 9, 12)
+	for h, n := range counts(d) {
+		if n < 1 || n > 2 {
+			t.Errorf("host %s has %d slots", h, n)
+		}
+	}
+	for _, s := range roster.NewTenure(id(0), 1).Update(start, d) {
+		if !s.From.Equal(start) {
+			t.Errorf("slot %d waits until %v", s.Number, s.From)
+		}
+	}
+}
+
+// Guards against a dead host that keeps its slots, and against a live entry of the platform's list that outweighs it.
+func TestDeadHostLosesSlots(t *testing.T) {
+	d, seen := fleet(t, 9, 12)
+	seen.Members[4] = roster.Member{ID: id(4), State: roster.Dead, For: roster.FreeAfter}
+	seen.Platform = []roster.Listed{{ID: id(4)}}
+	next, _, ok := roster.Plan(d, seen, "free")
+	if !ok || counts(next)[id(4)] != 0 {
+		t.Fatalf("planned %v, %d slots", ok, counts(next)[id(4)])
+	}
+	if _, registered := next.Host(id(4)); !registered {
+		t.Error("the host must count in majorities until it is dead for longer")
+	}
+	for i, s := range next.Slots {
+		wait := s.UsableFrom(start).Sub(start)
+		if s.Holder != d.Slots[i].Holder && wait < roster.Freshness+limit.IdleLoanDuration {
+			t.Errorf("slot %d is usable after %v", i, wait)
+		}
+	}
+}
+
+// Guards against an observer that is cut off and takes the slots of everybody else.
+func TestMinorityPlansNothing(t *testing.T) {
+	d, seen := fleet(t, 9, 12)
+	for i := range 5 {
+		seen.Members[i] = roster.Member{ID: id(i), State: roster.Dead, For: time.Hour}
+	}
+	if _, reason, ok := roster.Plan(d, seen, "x"); ok {
+		t.Errorf("planned %q without a majority", reason)
+	}
+}
+
+// Guards against an empty platform list that removes hosts.
+func TestEmptyPlatformListChangesNothing(t *testing.T) {
+	d, seen := fleet(t, 9, 12)
+	seen.Platform = nil
+	if _, reason, ok := roster.Plan(d, seen, "x"); ok {
+		t.Errorf("planned %q", reason)
+	}
+}
+
+// Guards against a restarted host that uses its slots without a wait, and against an old start that takes them back.
+func TestRestartedHostWaits(t *testing.T) {
+	d, _ := fleet(t, 9, 12)
+	tenure := roster.NewTenure(id(0), 1)
+	tenure.Update(start, d)
+	next, ok, err := roster.Register(d, roster.Host{ID: id(0), Incarnation: 2}, "restart")
+	if err != nil || !ok {
+		t.Fatal(ok, err)
+	}
+	if slots := tenure.Update(start, next); len(slots) != 0 {
+		t.Errorf("the old incarnation has slots %v", slots)
+	}
+	slots := roster.NewTenure(id(0), 2).Update(start, next)
+	if len(slots) == 0 {
+		t.Error("the new incarnation has no slots")
+	}
+	for _, s := range slots {
+		if s.From.Sub(start) < roster.Freshness+limit.IdleLoanDuration {
+			t.Errorf("slot %d is usable after %v", s.Number, s.From.Sub(start))
+		}
+	}
+	if _, _, err := roster.Register(next, roster.Host{ID: id(0), Incarnation: 1}, "late"); err != roster.ErrOldIncarnation {
+		t.Errorf("registration of an old incarnation: %v", err)
+	}
+}
+
+// Guards against a slot whose wait begins anew with every version, or not at all when it left and came back unseen.
+func TestTenureFollowsVersionOfSlot(t *testing.T) {
+	d, _ := fleet(t, 3, 1)
+	holder := d.Slots[0].Holder
+	tenure := roster.NewTenure(holder, 1)
+	d.Slots[0].First, d.Slots[0].Since = false, 5
+	first := tenure.Update(start, d)[0].From
+	d.Version++
+	if again := tenure.Update(start.Add(time.Second), d)[0].From; !again.Equal(first) {
+		t.Errorf("the wait has changed from %v to %v", first, again)
+	}
+	d.Slots[0].Since = 7
+	if moved := tenure.Update(start.Add(time.Second), d)[0].From; !moved.After(first) {
+		t.Error("a slot that came back does not wait")
+	}
+}
+
+// Guards against a lost answer to a swap that is taken for a failure.
+func TestChangeIsFoundByID(t *testing.T) {
+	d, _ := fleet(t, 3, 12)
+	for i := range 60 {
+		d, _, _ = roster.Register(d, roster.Host{ID: id(0), Incarnation: model.Incarnation(i + 2)}, fmt.Sprint("restart ", i))
+	}
+	if !d.Applied("restart 0") || !d.Applied("restart 59") || d.Applied("restart 60") {
+		t.Error("wrong set of applied changes")
+	}
+	if len(d.Changes) > 64 {
+		t.Errorf("%d change ids are kept", len(d.Changes))
+	}
+}
