--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -22,7 +22,9 @@
 func (w *world) configuration() []failover.Member {
 	var list []failover.Member
 	for _, f := range w.members {
-		list = append(list, failover.Member{Target: model.TargetID(f.id), Address: f.id, Leaving: f.leaving})
+		if !f.removed {
+			list = append(list, failover.Member{Target: model.TargetID(f.id), Address: f.id, Leaving: f.leaving})
+		}
 	}
 	return list
 }
--- a/failover/sim_test.go
+++ b/failover/sim_test.go
@@ -66,11 +66,8 @@
 func newWorld(seed uint64, members, homes, clients int) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]string]int{}, dup: 0.01, slow: 0.01}
 	w.record = newRecord(w)
-	for i := range members {
-		id := string(rune('a' + i))
-		f := &fake{w: w, id: id, up: true, batch: 50, lag: 2 * ms}
-		w.members = append(w.members, f)
-		w.after(0, f.pull)
+	for range members {
+		w.addMember()
 	}
 	for i := range homes {
 		h := &home{w: w, id: fmt.Sprint("home", i)}
@@ -84,6 +81,13 @@
 	return w
 }
 
+func (w *world) addMember() {
+	id := string(rune('a' + len(w.members)))
+	f := &fake{w: w, id: id, up: true, batch: 50, lag: 2 * ms}
+	w.members = append(w.members, f)
+	w.after(0, f.pull)
+}
+
 func (w *world) after(d time.Duration, run func()) {
 	w.seq++
 	heap.Push(&w.queue, timer{w.now + d, w.seq, run})
@@ -186,6 +190,7 @@
 	batch   int
 	lag     time.Duration
 	leaving bool // in the configuration
+	removed bool // from the configuration
 }
 
 func (f *fake) position() model.Position {
