--- a/membership/membership.go
+++ b/membership/membership.go
@@ -249,6 +249,7 @@
 // Tick does what is due. Call it about every 50 ms.
 func (t *Table) Tick(now time.Time, rng *rand.Rand) []Action {
 	t.noticePause(now)
+	t.synced = t.Ready(now)
 	t.expireProbes(now, rng)
 	t.checkSuspects(now)
 	t.startProbe(now, rng)
--- a/membership/message.go
+++ b/membership/message.go
@@ -66,7 +66,8 @@
 	KindPingRequest
 	// KindSync carries digests of the sender's table and asks for the members that differ.
 	KindSync
-	// KindSyncReply answers a sync with members. More is set when there were more than fit into the datagram.
+	// KindSyncReply answers a sync with members. More is set when there were more than fit into the datagram, or when
+	// the sender's own table is not complete yet.
 	KindSyncReply
 )
 
@@ -80,7 +81,7 @@
 	Target      model.HostID      // the host that a ping or ack is about
 	Updates     []Update
 	Digests     []byte // in a sync: two bytes for each group of members
-	More        bool   // in a sync reply: members were left out
+	More        bool   // in a sync reply: there may be more members
 }
 
 // Update tells what the sender of a message believes about a member. Addresses are only filled in for StateAlive.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -270,31 +270,41 @@
 	if differ {
 		t.fillReply(rng, &reply, room, buckets)
 	}
+	reply.More = reply.More || !t.synced
 	reply.From = t.self.ID
 	reply.Incarnation = t.self.Incarnation
 	reply.Payload = t.self.Payload
 	t.actions = append(t.actions, Action{Send: &Send{Address: address, Message: reply}})
 }
 
+// fillReply adds whole groups, starting at a random one, so that groups become equal and drop out of the next sync.
 func (t *Table) fillReply(rng *rand.Rand, reply *Message, room int, buckets [digestBuckets]bool) {
-	var rows []Update
-	if own := t.ownHash(); buckets[own%digestBuckets] {
-		rows = append(rows, t.self.update())
-	}
+	var rows [digestBuckets][]Update
+	own := t.ownHash() % digestBuckets
+	rows[own] = append(rows[own], t.self.update())
 	for _, id := range t.order {
 		e := t.members[id]
-		if e != nil && buckets[e.bucket] && !e.listed && id != reply.Target {
-			rows = append(rows, e.update())
+		if e != nil && !e.listed && id != reply.Target {
+			rows[e.bucket] = append(rows[e.bucket], e.update())
 		}
 	}
-	rng.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
-	for _, row := range rows {
-		if row.size() > room {
-			reply.More = true
-			return
+	start := rng.IntN(digestBuckets)
+	for i := range digestBuckets {
+		bucket := (start + i) % digestBuckets
+		if !buckets[bucket] {
+			continue
+		}
+		rng.Shuffle(len(rows[bucket]), func(i, j int) {
+			rows[bucket][i], rows[bucket][j] = rows[bucket][j], rows[bucket][i]
+		})
+		for _, row := range rows[bucket] {
+			if row.size() > room {
+				reply.More = true
+				return
+			}
+			reply.Updates = append(reply.Updates, row)
+			room -= row.size()
 		}
-		reply.Updates = append(reply.Updates, row)
-		room -= row.size()
 	}
 }
 
