Serve the whole path with separate processes

Callers reach a daemon over HTTP, the daemon forwards to the home of the service, the home runs the statement on the stand-in database group, and limits, membership, roster and configuration are in force.

--- /dev/null
+++ b/server/changes.go
@@ -0,0 +1,311 @@
+package server
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/config"
+	"github.com/waxwingspindle/waxwingspindle/daemon"
+	genoperator "github.com/waxwingspindle/waxwingspindle/gen/operator"
+	"github.com/waxwingspindle/waxwingspindle/key"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/operator"
+	"github.com/waxwingspindle/waxwingspindle/platform"
+)
+
+const (
+	// changeTimeout bounds a change of the configuration with all its attempts.
+	changeTimeout = 12 * time.Second
+	// changePause is the time between two attempts of a change.
+	changePause = 100 * time.Millisecond
+	// announceTimeout bounds the announcement of a change to one host.
+	announceTimeout = time.Second
+	// confirmTimeout is the longest wait for the hosts to have a change in force. After it every host either has the
+	// change or has stopped serving keyed requests.
+	confirmTimeout = 7 * time.Second
+	// confirmPoll is the time between two looks at who has confirmed.
+	confirmPoll = 20 * time.Millisecond
+)
+
+// operations implements operator.Backend.
+type operations struct{ server *Server }
+
+// Document implements operator.Backend.
+func (o *operations) Document(ctx context.Context) *config.Document {
+	if d, _, err := o.server.readDocument(ctx); err == nil {
+		return d
+	}
+	if d := o.server.documentInForce(); d != nil {
+		return d
+	}
+	return &config.Document{}
+}
+
+// readDocument reads the newest document with its revision from the store.
+func (s *Server) readDocument(ctx context.Context) (*config.Document, uint64, error) {
+	e, err := s.options.Store.Get(ctx, platform.KeyConfiguration)
+	s.metrics.StoreCall("get", err)
+	if err != nil {
+		return nil, 0, err
+	}
+	if e.Revision == 0 {
+		return &config.Document{}, 0, nil
+	}
+	d, err := config.Decode(e.Value)
+	return d, e.Revision, err
+}
+
+// Change implements operator.Backend. A lost answer of the store is resolved by reading back the change id.
+func (o *operations) Change(ctx context.Context, id string, f operator.ChangeFunc) (operator.Change, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	before, after, err := o.server.change(ctx, id, f)
+	if err != nil {
+		o.server.log.Info("config: change not accepted", zap.String("change", id), zap.Error(err))
+		return operator.Change{}, err
+	}
+	o.server.log.Info("config: change accepted", zap.String("change", id), zap.Uint64("version", after.Version))
+	confirmed, unconfirmed := o.server.awaitConfirmed(after.Version)
+	return operator.Change{Before: before, After: after, Confirmed: confirmed, Unconfirmed: unconfirmed}, nil
+}
+
+// change swaps the document until the change is in the store, is refused, or the time is over.
+func (s *Server) change(ctx context.Context, id string, f operator.ChangeFunc) (before, after *config.Document, err error) {
+	sent := false // a swap was sent whose outcome is not known
+	for {
+		d, revision, err := s.readDocument(ctx)
+		switch {
+		case err != nil && sent:
+			err = &operator.UnresolvedError{Why: err.Error()}
+		case err != nil:
+			err = &operator.NotAcceptedError{Why: "the store cannot be read: " + err.Error()}
+		case d.HasChange(id):
+			return s.resolved(before, d), d, nil
+		default:
+			var done bool
+			if after, done, err = s.attempt(ctx, d, revision, f, &sent); done {
+				return d, after, nil
+			}
+			before = d
+		}
+		if err != nil && !errors.As(err, new(*operator.UnresolvedError)) {
+			return nil, nil, err
+		}
+		if !sleep(ctx, changePause) {
+			return nil, nil, s.outOfTime(err, sent)
+		}
+	}
+}
+
+// resolved returns the document before a change that turned out to be in the store.
+func (s *Server) resolved(before, d *config.Document) *config.Document {
+	if before != nil {
+		return before
+	}
+	return &config.Document{Version: d.Version - 1, Base: d.Base, Overlays: d.Overlays}
+}
+
+func (s *Server) outOfTime(err error, sent bool) error {
+	if err != nil {
+		return err
+	}
+	if sent {
+		return &operator.UnresolvedError{Why: "the time of the change ended"}
+	}
+	return &operator.NotAcceptedError{Why: "the time of the change ended"}
+}
+
+// attempt makes one swap. It reports whether the change is in the store. A lost answer leaves sent set and returns an
+// *operator.UnresolvedError; losing the race to another change returns no error.
+func (s *Server) attempt(ctx context.Context, d *config.Document, revision uint64, f operator.ChangeFunc,
+	sent *bool) (*config.Document, bool, error) {
+	next, err := f(d)
+	if err != nil {
+		return nil, false, err
+	}
+	if next == d {
+		return d, true, nil
+	}
+	data, err := next.Encode()
+	if err != nil {
+		return nil, false, err
+	}
+	if err := s.announce(ctx, platform.KeyConfiguration, next.Version); err != nil {
+		return nil, false, err
+	}
+	swapped, err := s.options.Store.Swap(ctx, platform.KeyConfiguration, revision, data)
+	s.metrics.StoreCall("swap", err)
+	if err != nil {
+		*sent = true
+		return nil, false, &operator.UnresolvedError{Why: err.Error()}
+	}
+	return next, swapped, nil
+}
+
+// announce tells the hosts of the roster that a version is about to exist, and needs a majority of them. Without it a
+// host that is cut off could prove by an outage that nothing changes.
+func (s *Server) announce(ctx context.Context, document string, version uint64) error {
+	hosts := s.rosterHosts()
+	if len(hosts) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	acknowledged := make(chan bool, len(hosts))
+	for _, h := range hosts {
+		go func() {
+			acknowledged <- s.announceTo(ctx, h, daemon.Announcement{Document: document, Version: version})
+		}()
+	}
+	count := 0
+	for range hosts {
+		if <-acknowledged {
+			count++
+		}
+		if count > len(hosts)/2 {
+			return nil
+		}
+	}
+	return &operator.NotAcceptedError{Why: fmt.Sprintf("cannot reach a majority of hosts: %d of %d acknowledged the change",
+		count, len(hosts))}
+}
+
+func (s *Server) announceTo(ctx context.Context, h model.HostID, a daemon.Announcement) bool {
+	if h == s.options.Daemon.Host {
+		return s.announced(a)
+	}
+	var reply daemon.Acknowledgement
+	return s.call(ctx, h, "Announce", a, &reply) == nil && reply.Acknowledged
+}
+
+// awaitConfirmed waits until all live hosts have a version in force, and returns who has and who has not.
+func (s *Server) awaitConfirmed(version uint64) (confirmed, unconfirmed []model.HostID) {
+	for end := time.Now().Add(confirmTimeout); ; time.Sleep(confirmPoll) {
+		confirmed, unconfirmed = s.confirmations(version)
+		if len(unconfirmed) == 0 || time.Now().After(end) {
+			return confirmed, unconfirmed
+		}
+	}
+}
+
+func (s *Server) confirmations(version uint64) (confirmed, unconfirmed []model.HostID) {
+	snap := s.snapshot.Load()
+	for _, m := range snap.members {
+		if !m.Live() {
+			continue
+		}
+		has := payloadVersion(m.Payload)
+		if m.ID == s.options.Daemon.Host {
+			has = snap.version
+		}
+		if has >= version {
+			confirmed = append(confirmed, m.ID)
+		} else {
+			unconfirmed = append(unconfirmed, m.ID)
+		}
+	}
+	slices.Sort(confirmed)
+	slices.Sort(unconfirmed)
+	return confirmed, unconfirmed
+}
+
+// NewKey implements operator.Backend.
+func (o *operations) NewKey(w model.Workspace) (key.Key, key.Record) {
+	id := model.KeyID(uuid.NewString())
+	k, err := key.New(id, rand.Reader)
+	if err != nil {
+		panic(fmt.Sprintf("a generated key id is not allowed: %v", err))
+	}
+	return k, k.Record(w)
+}
+
+// secretBytes is the length of the secret of session tokens and transaction handles in bytes.
+const secretBytes = 32
+
+// NewSecret implements operator.Backend.
+func (o *operations) NewSecret() []byte {
+	secret := make([]byte, secretBytes)
+	rand.Read(secret)
+	return secret
+}
+
+// Drain implements operator.Backend.
+func (o *operations) Drain() { o.server.startDrain() }
+
+// Status implements operator.Backend.
+func (o *operations) Status() *genoperator.StatusResult {
+	s, now := o.server, time.Now()
+	snap := s.snapshot.Load()
+	out := &genoperator.StatusResult{Host: string(s.options.Daemon.Host), DataCentre: string(s.options.Daemon.DataCentre),
+		Incarnation: uint64(s.incarnation), State: snap.state(now, s.draining.Load()),
+		ConfigurationVersion: snap.version, RosterVersion: snap.roster, Proof: snap.proofKind,
+		Members: []*genoperator.Member{}, Services: []*genoperator.ServiceStatus{}}
+	if !snap.proofAt.IsZero() {
+		out.ProofAgeMs = now.Sub(snap.proofAt).Milliseconds()
+	}
+	for _, m := range snap.members {
+		version := payloadVersion(m.Payload)
+		if m.ID == s.options.Daemon.Host {
+			version = snap.version
+		}
+		out.Members = append(out.Members, &genoperator.Member{Host: string(m.ID), Address: m.RPCAddress,
+			DataCentre: string(m.DataCentre), State: m.State.String(), ConfigurationVersion: version})
+	}
+	out.Services = s.serviceStatus(snap)
+	return out
+}
+
+// serviceStatus returns the state of all services. Targets are known only at the home of a service.
+func (s *Server) serviceStatus(snap *snapshot) []*genoperator.ServiceStatus {
+	out := []*genoperator.ServiceStatus{}
+	if snap.settings == nil {
+		return out
+	}
+	for _, name := range sortedKeys(snap.settings.Services) {
+		status := &genoperator.ServiceStatus{Service: string(name), Home: string(snap.homes[name]),
+			Targets: []*genoperator.TargetStatus{}}
+		var v *groupView
+		if h, ok := s.homes.Load(name); ok {
+			v = h.(*home).view.Load()
+		}
+		if v != nil {
+			status.Term, status.Primary = v.view.Term, string(v.view.Primary)
+		}
+		for _, t := range snap.settings.Services[name].Targets {
+			status.Targets = append(status.Targets, targetStatus(t, v))
+		}
+		out = append(out, status)
+	}
+	return out
+}
+
+func targetStatus(t config.Target, v *groupView) *genoperator.TargetStatus {
+	out := &genoperator.TargetStatus{Target: string(t.ID), Address: t.Address, State: "unknown", Role: "unknown"}
+	if v == nil {
+		return out
+	}
+	for _, m := range v.view.Members {
+		if m.Target != t.ID || !m.Known {
+			continue
+		}
+		out.State, out.Role = "down", "replica"
+		if m.Alive {
+			out.State = "up"
+		}
+		if m.Leaving {
+			out.State = "leaving"
+		}
+		if m.Target == v.view.Primary {
+			out.Role = "primary"
+		}
+		out.LogTerm, out.LogOffset = m.Position.Term, m.Position.Offset
+	}
+	return out
+}
--- /dev/null
+++ b/server/follow.go
@@ -0,0 +1,228 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/config"
+	"github.com/waxwingspindle/waxwingspindle/daemon"
+	"github.com/waxwingspindle/waxwingspindle/membership"
+	"github.com/waxwingspindle/waxwingspindle/platform"
+	"github.com/waxwingspindle/waxwingspindle/roster"
+)
+
+const (
+	// watchWait is the longest time that a watch of the store waits. It bounds the age of the proof that it renews.
+	watchWait = time.Second
+	// followPause is the pause after a failed call of the store.
+	followPause = 200 * time.Millisecond
+	// hostListInterval is the time between two reads of the platform's list of hosts.
+	hostListInterval = 5 * time.Second
+	// planInterval is the time between two looks at whether the roster needs a change.
+	planInterval = time.Second
+	// registerInterval is the same while this host is not registered or a share slot is free.
+	registerInterval = 100 * time.Millisecond
+)
+
+// follow keeps the documents of this host up to date until the context ends.
+func (s *Server) follow(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.watch(ctx, platform.KeyConfiguration, s.takeConfiguration) })
+	wg.Go(func() { s.watch(ctx, platform.KeyRoster, s.takeRoster) })
+	wg.Go(func() { s.readHostList(ctx) })
+	wg.Go(func() { s.maintainRoster(ctx) })
+	wg.Wait()
+}
+
+// watch follows one document in the store.
+func (s *Server) watch(ctx context.Context, document string, take func(now time.Time, value []byte) error) {
+	var known uint64
+	for first := true; ctx.Err() == nil; first = false {
+		wait := watchWait
+		if first {
+			wait = 0
+		}
+		sentAt := time.Now()
+		e, err := s.options.Store.Watch(ctx, document, known, wait)
+		s.metrics.StoreCall("watch", err)
+		if err != nil {
+			sleep(ctx, followPause)
+			continue
+		}
+		known = e.Revision
+		s.control.post(func(now time.Time) {
+			if err := take(now, e.Value); err != nil {
+				s.log.Error("config: document in the store cannot be used", zap.String("document", document), zap.Error(err))
+				return
+			}
+			s.state.proofs.storeRead(document, sentAt)
+			s.state.publish(now)
+		})
+	}
+}
+
+// takeConfiguration puts a configuration from the store in force. A missing one is version 0.
+func (s *Server) takeConfiguration(now time.Time, value []byte) error {
+	if len(value) == 0 {
+		return nil
+	}
+	d, err := config.Decode(value)
+	if err != nil {
+		return err
+	}
+	return s.state.setDocument(now, d)
+}
+
+// takeRoster puts a roster from the store in force. A missing one is version 0.
+func (s *Server) takeRoster(now time.Time, value []byte) error {
+	if len(value) == 0 {
+		return nil
+	}
+	d, err := roster.Parse(value)
+	if err != nil {
+		return err
+	}
+	s.state.setRoster(now, d)
+	return nil
+}
+
+// readHostList follows the platform's list of hosts.
+func (s *Server) readHostList(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := s.options.Hosts.Hosts(ctx)
+		s.metrics.StoreCall("hosts", err)
+		if err != nil {
+			sleep(ctx, followPause)
+			continue
+		}
+		listed := make([]membership.ListedHost, len(list))
+		for i, h := range list {
+			listed[i] = membership.ListedHost{ID: h.ID, DataCentre: h.DataCentre, RPCAddress: h.Address,
+				GossipAddress: h.Address, Leaving: h.State == platform.HostLeaving}
+		}
+		s.control.post(func(now time.Time) { s.state.hostList(now, listed) })
+		sleep(ctx, hostListInterval)
+	}
+}
+
+// maintainRoster registers this host, and makes the changes of the roster that the members call for.
+func (s *Server) maintainRoster(ctx context.Context) {
+	for sleep(ctx, s.planPause()) {
+		var next roster.Document
+		var reason string
+		changed := false
+		planned := make(chan struct{})
+		posted := s.control.post(func(now time.Time) {
+			next, reason, changed = s.state.planRoster(now)
+			close(planned)
+		})
+		if !posted {
+			return
+		}
+		<-planned
+		if changed {
+			s.swapRoster(ctx, next, reason)
+		}
+	}
+}
+
+// planPause returns the time to the next look at the roster.
+func (s *Server) planPause() time.Duration {
+	snap := s.snapshot.Load()
+	if slices.Contains(snap.registered, s.options.Daemon.Host) && snap.freeSlots == 0 {
+		return planInterval
+	}
+	return registerInterval
+}
+
+// planRoster returns the next roster, when one is called for. A host registers itself; other changes are planned by the
+// first live member only, so that hosts seldom race. Races are harmless, because compare-and-swap decides them.
+func (c *controlState) planRoster(now time.Time) (roster.Document, string, bool) {
+	d, id := c.server.options.Daemon, uuid.NewString()
+	if c.leaving || !c.table.Ready(now) || !c.proofs.known(platform.KeyRoster) {
+		return roster.Document{}, "", false
+	}
+	old := c.roster
+	if old.Version == 0 {
+		old = roster.New(c.shareSlots())
+	}
+	self := roster.Host{ID: d.Host, Incarnation: c.server.incarnation, DataCentre: d.DataCentre}
+	if next, changed, err := roster.Register(old, self, id); err != nil || changed {
+		return next, "this host registers", err == nil
+	}
+	if live := c.table.Live(); len(live) == 0 || live[0].ID != d.Host {
+		return roster.Document{}, "", false
+	}
+	return roster.Plan(old, c.observe(now), id)
+}
+
+func (c *controlState) shareSlots() int {
+	if c.settings != nil {
+		return c.settings.Limits.ShareSlots
+	}
+	return config.DefaultShareSlots
+}
+
+// rosterStates maps the states of members to those of the roster.
+var rosterStates = map[membership.State]roster.State{
+	membership.StateAlive:   roster.Alive,
+	membership.StateSuspect: roster.Suspect,
+	membership.StateDead:    roster.Dead,
+	membership.StateLeft:    roster.Left,
+}
+
+func (c *controlState) observe(now time.Time) roster.Observation {
+	o := roster.Observation{Unchanged: now.Sub(c.rosterAt), Platform: c.listed}
+	for _, m := range c.table.Members() {
+		if state, ok := rosterStates[m.State]; ok {
+			o.Members = append(o.Members, roster.Member{ID: m.ID, State: state, For: now.Sub(m.Since)})
+		}
+	}
+	return o
+}
+
+// swapRoster puts a new version of the roster into the store. A lost answer needs no care: the next look at the store
+// shows which version won.
+func (s *Server) swapRoster(ctx context.Context, next roster.Document, reason string) {
+	data, err := next.Encode()
+	if err != nil {
+		s.log.Error("roster: version cannot be encoded", zap.Error(err))
+		return
+	}
+	e, err := s.options.Store.Get(ctx, platform.KeyRoster)
+	s.metrics.StoreCall("get", err)
+	if err != nil || !precedes(e.Value, next) {
+		return
+	}
+	if err := s.announce(ctx, platform.KeyRoster, next.Version); err != nil {
+		s.log.Warn("roster: change not made", zap.String("reason", reason), zap.Error(err))
+		return
+	}
+	swapped, err := s.options.Store.Swap(ctx, platform.KeyRoster, e.Revision, data)
+	s.metrics.StoreCall("swap", err)
+	s.log.Info("roster: change sent to the store", zap.Uint64("version", next.Version), zap.String("reason", reason),
+		zap.Bool("swapped", swapped), zap.Error(err))
+}
+
+// precedes reports whether the stored roster is the one that the next version was computed from.
+func precedes(stored []byte, next roster.Document) bool {
+	if len(stored) == 0 {
+		return next.Version == 1
+	}
+	d, err := roster.Parse(stored)
+	return err == nil && d.Version+1 == next.Version
+}
+
+// announced takes note of an announcement.
+func (s *Server) announced(a daemon.Announcement) bool {
+	noted := make(chan bool, 1)
+	if !s.control.post(func(now time.Time) { noted <- s.state.proofs.announce(now, a) }) {
+		return false
+	}
+	return <-noted
+}
--- /dev/null
+++ b/server/rpc.go
@@ -0,0 +1,168 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/waxwingspindle/waxwingspindle/daemon"
+	"github.com/waxwingspindle/waxwingspindle/limit"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// longestRemote bounds the time that another host may state for a request.
+const longestRemote = 10 * time.Minute
+
+// rpcService answers other daemons. The methods have the form that net/rpc requires.
+type rpcService struct{ server *Server }
+
+// Execute implements daemon.Service.
+func (r *rpcService) Execute(q daemon.ExecuteRequest, reply *daemon.ExecuteReply) error {
+	defer r.enter()()
+	ctx, cancel := remoteContext(q.Remaining)
+	defer cancel()
+	*reply = r.server.executeHere(ctx, q)
+	return nil
+}
+
+// Begin implements daemon.Service.
+func (r *rpcService) Begin(q daemon.BeginRequest, reply *daemon.BeginReply) error {
+	defer r.enter()()
+	ctx, cancel := remoteContext(q.Remaining)
+	defer cancel()
+	*reply = r.server.beginHere(ctx, q)
+	return nil
+}
+
+// End implements daemon.Service.
+func (r *rpcService) End(q daemon.EndRequest, reply *daemon.EndReply) error {
+	defer r.enter()()
+	ctx, cancel := remoteContext(q.Remaining)
+	defer cancel()
+	*reply = r.server.endHere(ctx, q)
+	return nil
+}
+
+// Ping implements daemon.Service.
+func (r *rpcService) Ping(daemon.Empty, *daemon.Empty) error { return nil }
+
+// Lend takes the loans of a holder.
+func (r *rpcService) Lend(batch limit.LoanBatch, reply *limit.LoanReply) error {
+	*reply = r.server.limiter.handleLoans(batch)
+	return nil
+}
+
+// Tokens grants tokens to a spender.
+func (r *rpcService) Tokens(request limit.TokenRequest, reply *limit.TokenReply) error {
+	*reply = r.server.limiter.handleTokens(request)
+	return nil
+}
+
+// Announce takes note that a version of a document is about to exist.
+func (r *rpcService) Announce(a daemon.Announcement, reply *daemon.Acknowledgement) error {
+	reply.Acknowledged = r.server.announced(a)
+	return nil
+}
+
+// enter counts a request of another host, so that a planned stop waits for it.
+func (r *rpcService) enter() func() {
+	r.server.remote.Add(1)
+	return func() { r.server.remote.Add(-1) }
+}
+
+// remoteContext bounds a request by the time that the entry host states. A duration is used because the clocks of hosts
+// may differ.
+func remoteContext(remaining time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), min(remaining, longestRemote))
+}
+
+// addressOf returns the address of a host, or an error that proves that nothing was sent.
+func (s *Server) addressOf(host model.HostID) (string, error) {
+	address, ok := s.snapshot.Load().addresses[host]
+	if !ok {
+		return "", &daemon.NotSentError{Err: trace.NotFound("host %q is not live", host)}
+	}
+	return address, nil
+}
+
+// call calls a method of another host.
+func (s *Server) call(ctx context.Context, host model.HostID, method string, args, reply any) error {
+	address, err := s.addressOf(host)
+	if err != nil {
+		return err
+	}
+	return s.peers.Call(ctx, address, method, args, reply)
+}
+
+func (s *Server) callExecute(ctx context.Context, host model.HostID, q daemon.ExecuteRequest, reply *daemon.ExecuteReply) error {
+	if host == s.options.Daemon.Host {
+		*reply = s.executeHere(ctx, q)
+		return nil
+	}
+	return s.call(ctx, host, "Execute", q, reply)
+}
+
+func (s *Server) callBegin(ctx context.Context, host model.HostID, q daemon.BeginRequest, reply *daemon.BeginReply) error {
+	if host == s.options.Daemon.Host {
+		*reply = s.beginHere(ctx, q)
+		return nil
+	}
+	return s.call(ctx, host, "Begin", q, reply)
+}
+
+func (s *Server) callEnd(ctx context.Context, host model.HostID, q daemon.EndRequest, reply *daemon.EndReply) error {
+	if host == s.options.Daemon.Host {
+		*reply = s.endHere(ctx, q)
+		return nil
+	}
+	return s.call(ctx, host, "End", q, reply)
+}
+
+// lend implements limitTransport.
+func (s *Server) lend(ctx context.Context, to model.HostID, batch limit.LoanBatch) (reply limit.LoanReply, err error) {
+	err = s.call(ctx, to, "Lend", batch, &reply)
+	return reply, err
+}
+
+// tokens implements limitTransport.
+func (s *Server) tokens(ctx context.Context, to model.HostID, request limit.TokenRequest) (reply limit.TokenReply, err error) {
+	err = s.call(ctx, to, "Tokens", request, &reply)
+	return reply, err
+}
+
+// homeOf returns the home of a service on this host. A host that is not home refuses, so that the entry host asks the
+// right one.
+func (s *Server) homeOf(service model.Service) (*home, model.Result) {
+	h, ok := s.homes.Load(service)
+	if !ok || h.(*home).retiring.Load() {
+		return nil, model.NotRun(model.ReasonHomeUnreachable,
+			fmt.Sprintf("host %q is not the home of service %q", s.options.Daemon.Host, service))
+	}
+	return h.(*home), model.Result{}
+}
+
+// executeHere runs a statement on this host as the home of its service or of its transaction.
+func (s *Server) executeHere(ctx context.Context, q daemon.ExecuteRequest) daemon.ExecuteReply {
+	if q.Transaction != "" {
+		return s.transaction.execute(ctx, q)
+	}
+	h, refused := s.homeOf(q.Service)
+	if refused.Outcome != 0 {
+		return daemon.ExecuteReply{Result: refused}
+	}
+	return h.execute(ctx, q)
+}
+
+func (s *Server) beginHere(ctx context.Context, q daemon.BeginRequest) daemon.BeginReply {
+	h, refused := s.homeOf(q.Service)
+	if refused.Outcome != 0 {
+		return daemon.BeginReply{Result: refused}
+	}
+	return s.transaction.begin(ctx, h, q)
+}
+
+func (s *Server) endHere(ctx context.Context, q daemon.EndRequest) daemon.EndReply {
+	return s.transaction.end(ctx, q)
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,214 @@
+// Package server puts the parts of a daemon together: the control goroutine that owns all control state, the traffic
+// path from callers to targets, the messages between daemons, and the planned stop.
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/caller"
+	"github.com/waxwingspindle/waxwingspindle/config"
+	"github.com/waxwingspindle/waxwingspindle/daemon"
+	"github.com/waxwingspindle/waxwingspindle/metrics"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/operator"
+	"github.com/waxwingspindle/waxwingspindle/platform"
+)
+
+// Timeouts of the HTTP listeners.
+const (
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 30 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// Options are what a server needs to start.
+type Options struct {
+	Daemon   config.Daemon
+	Log      *zap.Logger
+	Registry *prometheus.Registry // a new one when nil
+	Store    platform.Store       // a client of Daemon.PlatformURL when nil
+	Hosts    platform.HostLister  // a client of Daemon.PlatformURL when nil
+}
+
+// Server is a daemon.
+type Server struct {
+	options     Options
+	incarnation model.Incarnation
+	log         *zap.Logger
+	decisions   *decisionLog
+	metrics     *metrics.Metrics
+	peers       *daemon.Peers
+	gossip      *daemon.Gossip
+	control     *control
+	state       *controlState // owned by the control goroutine
+	limiter     *limiter
+	retry       *retrier
+	transaction *transactions
+
+	snapshot atomic.Pointer[snapshot]
+	homes    sync.Map     // model.Service to *home; written by the control goroutine
+	running  atomic.Int64 // requests of callers that run
+	remote   atomic.Int64 // requests of other hosts that run
+	draining atomic.Bool  // a planned stop has begun
+	refusing atomic.Bool  // new requests of callers are refused
+	drain    chan struct{}
+	drainNow sync.Once
+}
+
+// New returns a server that Run starts.
+func New(o Options) (*Server, error) {
+	if err := o.fill(); err != nil {
+		return nil, err
+	}
+	s := &Server{
+		options:     o,
+		incarnation: model.Incarnation(time.Now().UnixNano()),
+		log:         o.Log,
+		decisions:   newDecisionLog(o.Log),
+		metrics:     metrics.New(o.Registry),
+		peers:       daemon.NewPeers(o.Daemon.PeerSecret),
+		control:     newControl(),
+		drain:       make(chan struct{}),
+	}
+	s.retry = newRetrier(s.metrics, s.decisions)
+	s.limiter = newLimiter(o.Daemon.Host, s.incarnation, config.DefaultShareSlots, s)
+	s.transaction = newTransactions(s)
+	s.snapshot.Store(&snapshot{})
+	s.state = newControlState(s, time.Now())
+	return s, nil
+}
+
+func (o *Options) fill() error {
+	if o.Registry == nil {
+		o.Registry = prometheus.NewRegistry()
+	}
+	if o.Store != nil && o.Hosts != nil {
+		return nil
+	}
+	client, err := platform.NewClient(o.Daemon.PlatformURL)
+	if err != nil {
+		return err
+	}
+	if o.Store == nil {
+		o.Store = client
+	}
+	if o.Hosts == nil {
+		o.Hosts = client
+	}
+	return nil
+}
+
+// listeners are the sockets of a daemon.
+type listeners struct {
+	callers, operators, peers net.Listener
+	gossip                    net.PacketConn
+}
+
+func (s *Server) listen() (l listeners, err error) {
+	defer func() {
+		if err != nil {
+			l.close()
+		}
+	}()
+	d := s.options.Daemon
+	if l.callers, err = net.Listen("tcp", d.CallerListen); err != nil {
+		return l, trace.ConvertSystemError(err)
+	}
+	if l.operators, err = net.Listen("tcp", d.OperatorListen); err != nil {
+		return l, trace.ConvertSystemError(err)
+	}
+	if l.peers, err = net.Listen("tcp", d.PeerListen); err != nil {
+		return l, trace.ConvertSystemError(err)
+	}
+	l.gossip, err = net.ListenPacket("udp", d.PeerListen)
+	return l, trace.ConvertSystemError(err)
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.operators, l.peers} {
+		if one != nil {
+			one.Close()
+		}
+	}
+	if l.gossip != nil {
+		l.gossip.Close()
+	}
+}
+
+// Run runs the daemon until the context ends or an operator drains it, and then stops it gracefully. It returns nil
+// after a graceful stop.
+func (s *Server) Run(ctx context.Context) error {
+	sockets, err := s.listen()
+	if err != nil {
+		return err
+	}
+	defer sockets.close()
+	rpcListener, err := daemon.NewListener(&rpcService{server: s}, s.options.Daemon.PeerSecret, s.log)
+	if err != nil {
+		return err
+	}
+	s.gossip = daemon.NewGossip(sockets.gossip, s.options.Daemon.PeerSecret)
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var background sync.WaitGroup
+	background.Go(func() { s.control.run(inner, s.state.tick) })
+	background.Go(func() { s.limiter.run(inner) })
+	background.Go(func() { s.gossip.Run(inner, s.receiveGossip) })
+	background.Go(func() { s.follow(inner) })
+	background.Go(func() { s.transaction.run(inner) })
+	background.Go(func() { rpcListener.Serve(inner, sockets.peers) })
+	callers := s.serveHTTP(sockets.callers, caller.NewHandler(s))
+	operators := s.serveHTTP(sockets.operators, s.operatorHandler())
+	s.log.Info("server: started", zap.String("data_centre", string(s.options.Daemon.DataCentre)),
+		zap.String("callers", s.options.Daemon.CallerListen))
+	select {
+	case <-ctx.Done():
+	case <-s.drain:
+	}
+	err = s.shutdown(callers)
+	operators.Close()
+	stop()
+	s.peers.Close()
+	background.Wait()
+	s.log.Info("server: stopped", zap.Error(err))
+	return err
+}
+
+func (s *Server) serveHTTP(l net.Listener, h http.Handler) *http.Server {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		IdleTimeout: idleTimeout}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("server: listener failed", zap.Stringer("address", l.Addr()), zap.Error(err))
+		}
+	}()
+	return server
+}
+
+// operatorHandler serves operators, metrics and the log level.
+func (s *Server) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.options.Registry, promhttp.HandlerOpts{}))
+	mux.Handle("/", operator.NewHandler(&operations{server: s}, s.operatorToken))
+	return mux
+}
+
+// operatorToken returns the operator token in force: the one in the configuration, or the one that the daemon started
+// with while there is none.
+func (s *Server) operatorToken() string {
+	if snap := s.snapshot.Load(); snap.settings != nil && snap.settings.Daemon.OperatorToken != "" {
+		return snap.settings.Daemon.OperatorToken
+	}
+	return s.options.Daemon.OperatorToken
+}
--- /dev/null
+++ b/test/e2e/harness_test.go
@@ -0,0 +1,393 @@
+// Package e2e tests the whole path with real processes: daemons, the stand-in of the platform and a stand-in database
+// group, all started by the tests on loopback.
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	operatorToken = "operator-token-of-the-tests"
+	peerSecret    = "peer-secret-of-the-tests"
+	// patience bounds each wait of the tests. It is far above what is needed, so that a busy machine changes no verdict.
+	patience = 60 * time.Second
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "waxwingspindle-e2e")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is a process that a test started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+	once sync.Once
+}
+
+func startProcess(t *testing.T, name, binary string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, cmd: exec.Command(filepath.Join(binaries, binary), args...),
+		log: filepath.Join(t.TempDir(), name+".log"), done: make(chan struct{})}
+	out, err := os.Create(p.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.cmd.Wait()
+		out.Close()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("last lines of %s:\n%s", name, p.tail())
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.once.Do(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
+	})
+}
+
+// stop sends SIGTERM and returns the exit code.
+func (p *process) stop(t *testing.T) int {
+	t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		t.Fatalf("%s did not stop", p.name)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *process) tail() string {
+	text, _ := os.ReadFile(p.log)
+	const most = 6000
+	if len(text) > most {
+		text = text[len(text)-most:]
+	}
+	return string(text)
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// daemonProcess is a daemon with its addresses.
+type daemonProcess struct {
+	*process
+	id, caller, operator, peer string
+}
+
+// system is a platform, a database group of three and some daemons, each a process of its own.
+type system struct {
+	t             *testing.T
+	dir           string
+	platform      *process
+	platformURL   string
+	platformAdmin string
+	group         *process
+	targets       []string
+	groupAdmin    string
+	daemons       []*daemonProcess
+	base          string // base file
+	key           string
+	keyID         string
+}
+
+// startSystem starts a system, applies a configuration and creates a key.
+func startSystem(t *testing.T, daemons int, groupArgs ...string) *system {
+	t.Helper()
+	s := &system{t: t, dir: t.TempDir()}
+	platform, admin := address(freePort(t)), address(freePort(t))
+	s.platformURL, s.platformAdmin = "http://"+platform, "http://"+admin
+	s.platform = startProcess(t, "platform", "standin-platform", "--listen", platform, "--admin", admin)
+	for range 3 {
+		s.targets = append(s.targets, address(freePort(t)))
+	}
+	groupAdmin := address(freePort(t))
+	s.groupAdmin = "http://" + groupAdmin
+	s.group = startProcess(t, "group", "standin-target",
+		append([]string{"--listen", strings.Join(s.targets, ","), "--admin", groupAdmin}, groupArgs...)...)
+	s.writeBase()
+	for i := range daemons {
+		s.daemons = append(s.daemons, s.startDaemon(fmt.Sprintf("host-%d", i+1)))
+	}
+	s.configure()
+	for _, d := range s.daemons {
+		s.awaitServing(d)
+	}
+	return s
+}
+
+// awaitServing waits until a daemon tells the balancer that it accepts requests.
+func (s *system) awaitServing(d *daemonProcess) {
+	s.t.Helper()
+	s.eventually(d.id+" serves", func() error {
+		r, err := client.Get("http://" + d.caller + "/healthz")
+		if err != nil {
+			return err
+		}
+		r.Body.Close()
+		if r.StatusCode != http.StatusNoContent {
+			return fmt.Errorf("health: %s", r.Status)
+		}
+		return nil
+	})
+}
+
+func (s *system) writeBase() {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[daemon]\ndata_centre = brest\nplatform_url = %s\noperator_token = %s\npeer_secret = %s\n",
+		s.platformURL, operatorToken, peerSecret)
+	b.WriteString("\n[timing]\ndrain_grace = 200ms\ndrain_limit = 20s\n")
+	b.WriteString("\n[service stock]\nslots = 3\nconnections = 20\n")
+	for i, a := range s.targets {
+		fmt.Fprintf(&b, "\n[target stock/db%d]\naddress = %s\ndata_centre = brest\n", i+1, a)
+	}
+	b.WriteString("\n[workspace workshop]\nrate = 1000\nburst = 1000\nservices = stock\n")
+	b.WriteString("\n[workspace school]\nrate = 50\nburst = 20\nservices = stock\n")
+	s.base = filepath.Join(s.dir, "base.ini")
+	if err := os.WriteFile(s.base, []byte(b.String()), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *system) startDaemon(id string) *daemonProcess {
+	s.t.Helper()
+	d := &daemonProcess{id: id, caller: address(freePort(s.t)), operator: address(freePort(s.t)),
+		peer: address(freePort(s.t))}
+	s.listHosts(append(s.daemons, d)...)
+	d.process = startProcess(s.t, id, "waxwingspindle", "serve", "--config", s.base, "--host", id,
+		"--caller-listen", d.caller, "--operator-listen", d.operator, "--peer-listen", d.peer)
+	return d
+}
+
+// listHosts sets the platform's list of hosts.
+func (s *system) listHosts(daemons ...*daemonProcess) {
+	s.t.Helper()
+	list := []map[string]string{}
+	for _, d := range daemons {
+		list = append(list, map[string]string{"ID": d.id, "Address": d.peer, "DataCentre": "brest", "State": "live"})
+	}
+	s.eventually("the platform takes the list of hosts", func() error {
+		return send(http.MethodPut, s.platformAdmin+"/hosts", list)
+	})
+}
+
+// configure applies the base file and creates a key, with the command line of the product.
+func (s *system) configure() {
+	s.t.Helper()
+	s.eventually("the configuration is applied", func() error {
+		return s.command(nil, "config", "apply", s.base, "--expect-version", "0")
+	})
+	var created struct {
+		Key    string
+		KeyID  string
+		Change struct{ Unconfirmed []string }
+	}
+	s.eventually("a key is created", func() error { return s.command(&created, "key", "create", "workshop") })
+	s.key, s.keyID = created.Key, created.KeyID
+	if len(created.Change.Unconfirmed) > 0 {
+		s.t.Fatalf("the key is not in force on %v", created.Change.Unconfirmed)
+	}
+}
+
+// command runs the command line against the first daemon and decodes its JSON output.
+func (s *system) command(to any, args ...string) error {
+	args = append(args, "--operator", "http://"+s.daemons[0].operator, "--token", operatorToken, "--output", "json")
+	cmd := exec.Command(filepath.Join(binaries, "waxwingspindle"), args...)
+	var stdout, stderr bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	if err := cmd.Run(); err != nil {
+		return fmt.Errorf("%s: %w: %s", strings.Join(args, " "), err, stderr.String())
+	}
+	if to == nil {
+		return nil
+	}
+	return json.Unmarshal(stdout.Bytes(), to)
+}
+
+// eventually repeats a step until it succeeds.
+func (s *system) eventually(what string, step func() error) {
+	s.t.Helper()
+	eventually(s.t, what, step)
+}
+
+func eventually(t *testing.T, what string, step func() error) {
+	t.Helper()
+	var err error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if err = step(); err == nil {
+			return
+		}
+	}
+	t.Fatalf("%s: %v", what, err)
+}
+
+func send(method, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(method, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	r, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode >= http.StatusMultipleChoices {
+		text, _ := io.ReadAll(r.Body)
+		return fmt.Errorf("%s %s: %s: %s", method, url, r.Status, text)
+	}
+	return nil
+}
+
+// platformFaults sets the faults of the platform.
+func (s *system) platformFaults(faults map[string]any) {
+	s.t.Helper()
+	if err := send(http.MethodPut, s.platformAdmin+"/faults", faults); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// memberFaults sets the faults of a member of the group, counted from 1.
+func (s *system) memberFaults(member string, faults map[string]any) {
+	s.t.Helper()
+	if err := send(http.MethodPost, s.groupAdmin+"/members/"+member+"/faults", faults); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// answer is the answer to a caller's request.
+type answer struct {
+	Status       int     `json:"-"`
+	Outcome      string  `json:"outcome"`
+	Reason       string  `json:"reason"`
+	Detail       string  `json:"detail"`
+	Rows         [][]any `json:"rows"`
+	RowsAffected int64   `json:"rows_affected"`
+	Duplicate    bool    `json:"duplicate"`
+	Target       string  `json:"target"`
+	RequestID    string  `json:"request_id"`
+	Transaction  string  `json:"transaction"`
+	Session      string  `json:"-"`
+}
+
+// request is a caller's request.
+type request struct {
+	daemon  *daemonProcess
+	key     string
+	session string
+	id      string
+	timeout time.Duration
+	path    string // below /v1/services/stock
+	body    map[string]any
+}
+
+// client gives up long after any request's own time, so that a lost answer shows as a failure.
+var client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+func (r request) do() (answer, error) {
+	data, err := json.Marshal(r.body)
+	if err != nil {
+		return answer{}, err
+	}
+	q, err := http.NewRequest(http.MethodPost, "http://"+r.daemon.caller+"/v1/services/stock"+r.path, bytes.NewReader(data))
+	if err != nil {
+		return answer{}, err
+	}
+	q.Header.Set("Authorization", "Bearer "+r.key)
+	if r.session != "" {
+		q.Header.Set("X-Session-Token", r.session)
+	}
+	if r.id != "" {
+		q.Header.Set("X-Request-Id", r.id)
+	}
+	if r.timeout > 0 {
+		q.Header.Set("X-Timeout-Ms", fmt.Sprint(r.timeout.Milliseconds()))
+	}
+	response, err := client.Do(q)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	a := answer{Status: response.StatusCode, Session: response.Header.Get("X-Session-Token")}
+	return a, json.NewDecoder(response.Body).Decode(&a)
+}
+
+// statement returns the request for an autocommit statement.
+func (s *system) statement(d *daemonProcess, session, sql string, args ...any) request {
+	return request{daemon: d, key: s.key, session: session, path: "/statements",
+		body: map[string]any{"sql": sql, "args": args}}
+}
+
+// must runs a request that has to be done.
+func (s *system) must(r request) answer {
+	s.t.Helper()
+	a, err := r.do()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if a.Outcome != "done" {
+		s.t.Fatalf("%v: %+v", r.body, a)
+	}
+	return a
+}
+
+const (
+	insertSQL = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = excluded.value"
+	selectSQL = "SELECT value FROM kv WHERE key = $1"
+)
