--- a/cli/dev.go
+++ b/cli/dev.go
@@ -136,6 +136,9 @@
 		if err == nil {
 			break
 		}
+		if err := s.failed(); err != nil {
+			return "", err
+		}
 		if ctx.Err() != nil {
 			return "", fmt.Errorf("the daemons did not accept the configuration: %w", err)
 		}
@@ -148,6 +151,18 @@
 	return r.Key, nil
 }
 
+// failed returns the error of a daemon that has stopped.
+func (s *devSystem) failed() error {
+	for _, d := range s.daemons {
+		select {
+		case err := <-d.done:
+			return fmt.Errorf("daemon %s stopped: %w", d.settings.Host, err)
+		default:
+		}
+	}
+	return nil
+}
+
 // explain prints lines that a reader can run.
 func (s *devSystem) explain(e *environment, key string) {
 	first, last := s.daemons[0].settings, s.daemons[len(s.daemons)-1].settings
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -110,3 +110,21 @@
 
 // Acknowledgement answers an announcement. A host that acknowledged states no outage until it has seen the version.
 type Acknowledgement struct{ Acknowledged bool }
+
+// GroupRequest asks the home of a service for the state of its group.
+type GroupRequest struct{ Service model.Service }
+
+// GroupStatus is the state of a group as its home knows it.
+type GroupStatus struct {
+	Known   bool // the host is home and has seen the group
+	Term    uint64
+	Primary model.TargetID
+	Targets map[model.TargetID]TargetStatus
+}
+
+// TargetStatus is the state of a target as the home of its service knows it.
+type TargetStatus struct {
+	Alive    bool
+	Leaving  bool
+	Position model.Position
+}
--- a/server/changes.go
+++ b/server/changes.go
@@ -239,7 +239,7 @@
 // Drain implements operator.Backend.
 func (o *operations) Drain() { o.server.startDrain() }
 
-// Status implements operator.Backend.
+// Status implements operator.Backend. The state of targets comes from the homes of their services.
 func (o *operations) Status() *genoperator.StatusResult {
 	s, now := o.server, time.Now()
 	snap := s.snapshot.Load()
@@ -261,51 +261,3 @@
 	out.Services = s.serviceStatus(snap)
 	return out
 }
-
-// serviceStatus returns the state of all services. Targets are known only at the home of a service.
-func (s *Server) serviceStatus(snap *snapshot) []*genoperator.ServiceStatus {
-	out := []*genoperator.ServiceStatus{}
-	if snap.settings == nil {
-		return out
-	}
-	for _, name := range sortedKeys(snap.settings.Services) {
-		status := &genoperator.ServiceStatus{Service: string(name), Home: string(snap.homes[name]),
-			Targets: []*genoperator.TargetStatus{}}
-		var v *groupView
-		if h, ok := s.homes.Load(name); ok {
-			v = h.(*home).view.Load()
-		}
-		if v != nil {
-			status.Term, status.Primary = v.view.Term, string(v.view.Primary)
-		}
-		for _, t := range snap.settings.Services[name].Targets {
-			status.Targets = append(status.Targets, targetStatus(t, v))
-		}
-		out = append(out, status)
-	}
-	return out
-}
-
-func targetStatus(t config.Target, v *groupView) *genoperator.TargetStatus {
-	out := &genoperator.TargetStatus{Target: string(t.ID), Address: t.Address, State: "unknown", Role: "unknown"}
-	if v == nil {
-		return out
-	}
-	for _, m := range v.view.Members {
-		if m.Target != t.ID || !m.Known {
-			continue
-		}
-		out.State, out.Role = "down", "replica"
-		if m.Alive {
-			out.State = "up"
-		}
-		if m.Leaving {
-			out.State = "leaving"
-		}
-		if m.Target == v.view.Primary {
-			out.Role = "primary"
-		}
-		out.LogTerm, out.LogOffset = m.Position.Term, m.Position.Offset
-	}
-	return out
-}
--- a/server/home.go
+++ b/server/home.go
@@ -51,7 +51,8 @@
 	log      *decisionLog
 	view     atomic.Pointer[groupView]
 	rotation atomic.Uint32
-	retiring atomic.Bool // another host is home now; what runs here is finished
+	stop     context.CancelFunc // ends the background work of the home
+	retiring atomic.Bool        // another host is home now; what runs here is finished
 	dial     func(address string) target.Traffic
 	recheck  func(daemon.Caller, model.Service) model.Result
 
@@ -146,6 +147,7 @@
 
 // close ends all connections.
 func (h *home) close() {
+	h.stop()
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	for _, t := range h.targets {
@@ -178,7 +180,7 @@
 		}
 		s := t.queue.stats()
 		out.Targets = append(out.Targets, routing.Target{ID: m.Target, Alive: m.Known && m.Alive, Leaving: m.Leaving,
-			AdoptedTerm: m.AdoptedTerm, Position: m.Position, Running: s.Running + s.Queued, Slots: t.slots})
+			Replicated: m.Replicated, AdoptedTerm: m.AdoptedTerm, Position: m.Position, Running: s.Running + s.Queued, Slots: t.slots})
 	}
 	return out, g.changed
 }
@@ -417,3 +419,33 @@
 	}
 	return deadline
 }
+
+const (
+	ledgerInterval = time.Minute    // time between two cleanings of the request ledger
+	ledgerAge      = 24 * time.Hour // time for which request ids are remembered
+	ledgerBatch    = 1000           // entries that one statement deletes
+	ledgerTimeout  = 5 * time.Second
+)
+
+// cleanLedger deletes old entries of the request ledger in batches, until the context ends.
+func (h *home) cleanLedger(ctx context.Context) {
+	for sleep(ctx, ledgerInterval) {
+		g := h.view.Load()
+		if g == nil || !g.view.Writable {
+			continue
+		}
+		if t := h.target(g.view.Primary); t != nil {
+			h.cleanBatch(ctx, t)
+		}
+	}
+}
+
+func (h *home) cleanBatch(ctx context.Context, t *homeTarget) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	answer := t.traffic.Load().CleanLedger(ctx, ledgerAge, ledgerBatch)
+	if answer.Rows.Affected > 0 {
+		h.log.log.Info("target: old ledger entries deleted", zap.String("service", string(h.service)),
+			zap.Int64("entries", answer.Rows.Affected))
+	}
+}
--- a/server/rpc.go
+++ b/server/rpc.go
@@ -60,6 +60,12 @@
 	return nil
 }
 
+// Group tells the state of a group whose home this host is.
+func (r *rpcService) Group(q daemon.GroupRequest, reply *daemon.GroupStatus) error {
+	*reply = r.server.groupStatus(q.Service)
+	return nil
+}
+
 // Announce takes note that a version of a document is about to exist.
 func (r *rpcService) Announce(a daemon.Announcement, reply *daemon.Acknowledgement) error {
 	reply.Acknowledged = r.server.announced(a)
--- a/server/state.go
+++ b/server/state.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"cmp"
+	"context"
 	"encoding/binary"
 	"fmt"
 	"maps"
@@ -8,8 +10,6 @@
 	"slices"
 	"time"
 
-	"cmp"
-
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/config"
@@ -255,6 +255,9 @@
 	}
 	h.group = newGroupControl(service, orderer, s.control, dial, s.metrics, s.log.With(zap.String("service", string(name))))
 	h.group.publish, h.group.replace = h.publish, h.replaceConnections
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	go h.cleanLedger(ctx)
 	c.owned[name] = &ownedHome{home: h, group: h.group}
 	s.homes.Store(name, h)
 	s.log.Info("placement: this host is home", zap.String("service", string(name)), zap.String("orderer", orderer))
--- /dev/null
+++ b/server/status.go
@@ -0,0 +1,97 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/config"
+	"github.com/waxwingspindle/waxwingspindle/daemon"
+	genoperator "github.com/waxwingspindle/waxwingspindle/gen/operator"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// statusTimeout bounds the question to a home.
+const statusTimeout = 500 * time.Millisecond
+
+// groupStatus returns the state of a group, if this host is its home.
+func (s *Server) groupStatus(service model.Service) daemon.GroupStatus {
+	h, ok := s.homes.Load(service)
+	if !ok {
+		return daemon.GroupStatus{}
+	}
+	v := h.(*home).view.Load()
+	if v == nil {
+		return daemon.GroupStatus{}
+	}
+	out := daemon.GroupStatus{Known: true, Term: v.view.Term, Primary: v.view.Primary,
+		Targets: map[model.TargetID]daemon.TargetStatus{}}
+	for _, m := range v.view.Members {
+		if m.Known {
+			out.Targets[m.Target] = daemon.TargetStatus{Alive: m.Alive, Leaving: m.Leaving, Position: m.Position}
+		}
+	}
+	return out
+}
+
+// askGroupStatus asks the home of a service for the state of its group.
+func (s *Server) askGroupStatus(service model.Service, host model.HostID) daemon.GroupStatus {
+	if host == s.options.Daemon.Host || host == "" {
+		return s.groupStatus(service)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	var reply daemon.GroupStatus
+	if err := s.call(ctx, host, "Group", daemon.GroupRequest{Service: service}, &reply); err != nil {
+		return daemon.GroupStatus{}
+	}
+	return reply
+}
+
+// serviceStatus returns the state of all services.
+func (s *Server) serviceStatus(snap *snapshot) []*genoperator.ServiceStatus {
+	out := []*genoperator.ServiceStatus{}
+	if snap.settings == nil {
+		return out
+	}
+	var wg sync.WaitGroup
+	for _, name := range sortedKeys(snap.settings.Services) {
+		status := &genoperator.ServiceStatus{Service: string(name), Home: string(snap.homes[name])}
+		out = append(out, status)
+		wg.Go(func() {
+			g := s.askGroupStatus(name, snap.homes[name])
+			status.Term, status.Primary = g.Term, string(g.Primary)
+			status.Targets = targetStatuses(snap.settings.Services[name], g)
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+func targetStatuses(service config.Service, g daemon.GroupStatus) []*genoperator.TargetStatus {
+	out := make([]*genoperator.TargetStatus, len(service.Targets))
+	for i, t := range service.Targets {
+		out[i] = targetStatus(t, g)
+	}
+	return out
+}
+
+func targetStatus(t config.Target, g daemon.GroupStatus) *genoperator.TargetStatus {
+	out := &genoperator.TargetStatus{Target: string(t.ID), Address: t.Address, State: "unknown", Role: "unknown"}
+	m, ok := g.Targets[t.ID]
+	if !ok {
+		return out
+	}
+	out.State, out.Role = "down", "replica"
+	if m.Alive {
+		out.State = "up"
+	}
+	if m.Leaving {
+		out.State = "leaving"
+	}
+	if t.ID == g.Primary {
+		out.Role = "primary"
+	}
+	out.LogTerm, out.LogOffset = m.Position.Term, m.Position.Offset
+	return out
+}
