--- a/failover/client_test.go
+++ b/failover/client_test.go
@@ -81,14 +81,16 @@
 }
 
 func (r *request) write() {
-	h, target := r.home, r.home.view.Primary
+	h := r.home
 	if r.done {
 		return
 	}
-	if !h.view.Writable {
+	decision := routing.ChooseWrite(r.w.clock(), h.group(), r.mark, r.w.clock().Add(r.deadline-r.w.now))
+	if decision.Kind != routing.KindPrimary {
 		r.again(r.write)
 		return
 	}
+	target := decision.Target
 	var position model.Position
 	var ran bool
 	h.running++
--- a/failover/failover.go
+++ b/failover/failover.go
@@ -316,6 +316,17 @@
 	Reason    string // of the last change of the primary or of Writable
 }
 
+// Sample returns a position of the primary with a time at which the primary had not passed it, for proofs of the lag of
+// replicas. It reports false when no status of the primary is known.
+func (v View) Sample() (time.Time, model.Position, bool) {
+	for _, m := range v.Members {
+		if m.Target == v.Primary && m.Role == RolePrimary && m.AdoptedTerm == v.Term {
+			return m.Asked, m.Position, true
+		}
+	}
+	return time.Time{}, model.Position{}, false
+}
+
 // MemberView is the state of one member in a View.
 type MemberView struct {
 	Target      model.TargetID
--- a/failover/sim_test.go
+++ b/failover/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/failover"
@@ -282,7 +283,10 @@
 		same--
 	}
 	end := min(len(log), same+f.batch)
-	f.log = append(f.log[:same:same], log[same:end]...)
+	if same < len(f.log) {
+		f.log = slices.Clip(f.log[:same]) // copies of the dropped part may be under way
+	}
+	f.log = append(f.log, log[same:end]...)
 }
 
 func (f *fake) crash(d time.Duration) {
@@ -520,10 +524,8 @@
 func (h *home) publish(view failover.View) {
 	held := view.Held && !h.view.Held
 	h.view = view
-	for _, m := range view.Members {
-		if m.Target == view.Primary && m.Role == failover.RolePrimary {
-			h.samples.Add(m.Asked, m.Position)
-		}
+	if at, position, ok := view.Sample(); ok {
+		h.samples.Add(at, position)
 	}
 	if held {
 		h.reportIdle(view.Term)
@@ -540,7 +542,9 @@
 
 func (h *home) group() routing.Group {
 	v := h.view
-	g := routing.Group{Term: v.Term, Primary: v.Primary, Held: v.Held, Confirmed: v.Confirmed, Samples: h.samples}
+	g := routing.Group{
+		Term: v.Term, Primary: v.Primary, Writable: v.Writable, Held: v.Held, Confirmed: v.Confirmed, Samples: h.samples,
+	}
 	for _, m := range v.Members {
 		g.Targets = append(g.Targets, routing.Target{
 			ID: m.Target, Alive: m.Alive, Leaving: m.Leaving, AdoptedTerm: m.AdoptedTerm, Position: m.Position, Slots: 3,
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -33,6 +33,7 @@
 type Group struct {
 	Term      uint64         // term of the primary
 	Primary   model.TargetID // empty when no primary is known
+	Writable  bool           // a write can be acknowledged
 	Held      bool           // the primary takes no new work, because another member is about to replace it
 	Confirmed time.Time      // a majority had adopted Term at this time or later, so no later primary existed then
 	Targets   []Target
@@ -118,9 +119,13 @@
 }
 
 // ChooseWrite decides where a statement that needs the primary runs. It must not run on a primary of a lower term than
-// the session's mark.
+// the session's mark, and waits while a write could not be acknowledged.
 func ChooseWrite(now time.Time, group Group, mark model.Position, deadline time.Time) Decision {
-	return choosePrimary(now, group, Read{Mark: mark, Deadline: deadline}, "needs the primary")
+	read := Read{Mark: mark, Deadline: deadline}
+	if group.Term >= mark.Term && !group.Writable {
+		return waitForPrimary(now, read)
+	}
+	return choosePrimary(now, group, read, "needs the primary")
 }
 
 // bestReplica returns the least loaded replica that may serve the read.
@@ -163,7 +168,7 @@
 
 // choosePrimary decides about a read or a write that no replica runs.
 func choosePrimary(now time.Time, group Group, read Read, reason string) Decision {
-	if group.Primary == "" || group.Held {
+	if group.Primary == "" || group.Held || !primaryAnswers(group) {
 		return waitForPrimary(now, read)
 	}
 	if group.Term < read.Mark.Term {
@@ -187,6 +192,10 @@
 	return Decision{Kind: KindPrimary, Target: group.Primary, Reason: reason}
 }
 
+func primaryAnswers(group Group) bool {
+	return slices.ContainsFunc(group.Targets, func(t Target) bool { return t.ID == group.Primary && t.Alive })
+}
+
 func waitForPrimary(now time.Time, read Read) Decision {
 	if now.Before(read.Deadline) {
 		return Decision{Kind: KindWait, Until: read.Deadline, Reason: "no primary takes work"}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -127,6 +127,7 @@
 		{"no primary until the deadline", behind, behind, func(g *Group, r *Read) {
 			g.Primary, r.MarkUnknown, r.Deadline = "", true, now
 		}, KindRefused, ""},
+		{"dead primary", behind, behind, func(g *Group, r *Read) { g.Targets[0].Alive, r.MarkUnknown = false, true }, KindWait, ""},
 		{"held primary", behind, behind, func(g *Group, r *Read) { g.Held, r.MarkUnknown = true, true }, KindWait, ""},
 		{"proven age", position(2, 85), behind, func(_ *Group, r *Read) { r.MaxStaleness = 600 * time.Millisecond }, KindReplica, "b"},
 		{"age proven by an older sample", position(2, 85), behind, func(_ *Group, r *Read) { r.MaxStaleness = 1100 * time.Millisecond }, KindReplica, "c"},
@@ -152,6 +153,22 @@
 	}
 }
 
+// Guards against writes on a replaced primary and against writes that could not be acknowledged.
+func TestChooseWrite(t *testing.T) {
+	group, now := testGroup(position(2, 1), position(2, 1)), at(1010)
+	for _, c := range []struct {
+		writable bool
+		mark     uint64
+		deadline int
+		want     Kind
+	}{{true, 2, 2000, KindPrimary}, {false, 2, 2000, KindWait}, {false, 2, 1000, KindRefused}, {true, 3, 2000, KindRefused}} {
+		group.Writable = c.writable
+		if got := ChooseWrite(now, group, position(c.mark, 1), at(c.deadline)); got.Kind != c.want {
+			t.Errorf("%+v: got %v", c, got)
+		}
+	}
+}
+
 // Guards against all reads on one of several equally loaded replicas.
 func TestRotation(t *testing.T) {
 	group, seen := testGroup(position(2, 100), position(2, 100)), map[model.TargetID]int{}
--- a/routing/samples.go
+++ b/routing/samples.go
@@ -23,10 +23,10 @@
 }
 
 // Add records that the primary answered position to a question that was sent at time at. The time of sending is used
-// because the position may date from any moment between the question and the answer. Times must not decrease; an older
-// sample is ignored.
+// because the position may date from any moment between the question and the answer. A sample that is not later than the
+// last one is ignored.
 func (s *Samples) Add(at time.Time, position model.Position) {
-	if n := len(s.list); n > 0 && at.Before(s.list[n-1].at) {
+	if n := len(s.list); n > 0 && !at.After(s.list[n-1].at) {
 		return
 	}
 	s.list = append(s.list, sample{at, position})
