--- /dev/null
+++ b/freshness/announce.go
@@ -0,0 +1,101 @@
+package freshness
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// Announcement tells the hosts of the roster that a change may be about to take effect.
+type Announcement struct {
+	Document Document
+	Version  uint64 // the version that the change would make
+	Roster   uint64 // version of the roster that the majority is counted over
+}
+
+// Reasons for refusing an announcement.
+var (
+	ErrOtherRoster  = errors.New("the host holds another version of the roster")
+	ErrOtherPending = errors.New("a change of the other document may be pending")
+	ErrNotInRoster  = errors.New("the host is not in the roster")
+)
+
+// Announce handles an announcement. A nil error is the acknowledgement; any other result must not be counted.
+func (h *Host) Announce(now time.Time, a Announcement) error {
+	if a.Document >= documents || a.Version == 0 {
+		return fmt.Errorf("announcement of version %d of document %d is malformed", a.Version, a.Document)
+	}
+	if h.place < 0 {
+		return ErrNotInRoster
+	}
+	if a.Roster != h.held[Roster] {
+		return ErrOtherRoster
+	}
+	other := Configuration + Roster - a.Document
+	if h.pending[other].active && !h.without.serial {
+		return ErrOtherPending
+	}
+	if a.Version <= h.held[a.Document] {
+		return nil // the store already has this version, so the swap fails
+	}
+	p := &h.pending[a.Document]
+	p.active = true
+	p.version = max(p.version, a.Version)
+	p.at = now
+	return nil
+}
+
+// Reasons for not sending a swap.
+var (
+	ErrNoMajority = errors.New("cannot reach a majority of hosts")
+	ErrTooLate    = errors.New("the announcement is too old")
+	ErrNoRoster   = errors.New("the configuration cannot change before there is a roster")
+)
+
+// Change collects the acknowledgements that a host needs before it may send a swap to the store.
+type Change struct {
+	announcement Announcement
+	hosts        Hosts
+	started      time.Time
+	acknowledged bitmap
+}
+
+// NewChange begins a change of a document that makes the version. Call it before the first announcement is sent, and
+// make a new one for every try. The first roster needs no acknowledgements, since nobody can state an outage without
+// one; the configuration can only be changed when there is a roster.
+func NewChange(now time.Time, document Document, version uint64, hosts Hosts) (*Change, error) {
+	if document == Configuration && hosts.Version == 0 {
+		return nil, ErrNoRoster
+	}
+	return &Change{
+		announcement: Announcement{Document: document, Version: version, Roster: hosts.Version},
+		hosts:        hosts,
+		started:      now,
+		acknowledged: newBitmap(len(hosts.IDs)),
+	}, nil
+}
+
+// Announcement returns what has to be sent to every host of the roster, this host included.
+func (c *Change) Announcement() Announcement { return c.announcement }
+
+// Acknowledged records that a host acknowledged the announcement.
+func (c *Change) Acknowledged(host model.HostID) {
+	for i, id := range c.hosts.IDs {
+		if id == host {
+			c.acknowledged.set(i)
+		}
+	}
+}
+
+// MaySwap returns nil when the swap may be sent. Ask right before sending it, with the time of that moment.
+func (c *Change) MaySwap(now time.Time) error {
+	if now.Sub(c.started) > SwapWithin {
+		return ErrTooLate
+	}
+	if c.hosts.Version > 0 && c.acknowledged.count() < c.hosts.Majority() {
+		return fmt.Errorf("%w: %d of %d hosts acknowledged", ErrNoMajority, c.acknowledged.count(), len(c.hosts.IDs))
+	}
+	return nil
+}
