Relay documents and proofs of freshness between daemons

A host serves keyed requests only with a proof of freshness. Roots of the relay tree watch the store, the others poll their parents. A change is announced to a majority of the roster before it is swapped.

The end-to-end test with the race detector found two races: a late answer of another daemon was decoded into a value that the caller still used, and the member table reused the memory of payloads.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	applied, err := withdrawn.Apply(Declaration{Base: validBase + "\n[limits]\nshare_slots = 9\n"}, withdrawn.Version, "more", nil)
+	applied, err := withdrawn.Apply(Declaration{Base: validBase + "\n[limits]\nmax_concurrent = 9\n"}, withdrawn.Version, "more", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/config/parse.go
+++ b/config/parse.go
@@ -336,11 +336,10 @@
 }
 
 func limitFields(l *Limits) []field {
-	*l = Limits{MaxConcurrent: DefaultMaxConcurrent, MaxAnswerBytes: DefaultMaxAnswerBytes, ShareSlots: DefaultShareSlots}
+	*l = Limits{MaxConcurrent: DefaultMaxConcurrent, MaxAnswerBytes: DefaultMaxAnswerBytes}
 	return []field{
 		{"max_concurrent", "a number from 1 to 1000000", false, setInt(&l.MaxConcurrent, 1, 1000000)},
 		{"max_answer_bytes", "a number from 1024 to 67108864", false, setInt(&l.MaxAnswerBytes, 1024, 64<<20)},
-		{"share_slots", "a number from 1 to 128", false, setInt(&l.ShareSlots, 1, 128)},
 	}
 }
 
--- a/config/settings.go
+++ b/config/settings.go
@@ -17,7 +17,6 @@
 	DefaultReplicaWait      = 20 * time.Millisecond
 	DefaultMaxConcurrent    = 10000
 	DefaultMaxAnswerBytes   = 8 << 20
-	DefaultShareSlots       = 12
 	DefaultDecisionSample   = 1
 
 	// MaxNameLength is the greatest length of the name of a workspace, service, target, host or data centre in bytes.
@@ -62,7 +61,6 @@
 type Limits struct {
 	MaxConcurrent  int // requests of callers at a time on one host
 	MaxAnswerBytes int // size of an answer in bytes
-	ShareSlots     int // share slots that the rates are divided into
 }
 
 // Log holds the settings of logs.
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/waxwingspindle/waxwingspindle/freshness"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -102,12 +103,6 @@
 // Empty is a message without content.
 type Empty struct{}
 
-// Announcement tells a host that a version of a document is about to exist.
-type Announcement struct {
-	Document string // key of the document in the store
-	Version  uint64
-}
-
 // Acknowledgement answers an announcement. A host that acknowledged states no outage until it has seen the version.
 type Acknowledgement struct{ Acknowledged bool }
 
@@ -128,3 +123,16 @@
 	Leaving  bool
 	Position model.Position
 }
+
+// RelayRequest is the poll of a host for documents and proofs of their freshness.
+type RelayRequest struct {
+	From   model.HostID
+	Report freshness.Report
+}
+
+// RelayReply has the documents that the asking host does not have.
+type RelayReply struct {
+	Answer        freshness.Answer
+	Configuration []byte // empty when the asking host has the newest known one
+	Roster        []byte
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -52,9 +52,14 @@
 }
 
 // Call calls a method of the daemon at an address. When the context ends first, the call may still run there. A
-// *NotSentError reports that it did not run.
-func (p *Peers) Call(ctx context.Context, address, method string, args, reply any) error {
-	return p.peer(address).call(ctx, "Daemon."+method, args, reply)
+// *NotSentError reports that it did not run. A late answer is dropped: it is decoded into a value that nobody has.
+func Call[Reply any](ctx context.Context, p *Peers, address, method string, args any) (Reply, error) {
+	reply := new(Reply)
+	if err := p.peer(address).call(ctx, "Daemon."+method, args, reply); err != nil {
+		var none Reply
+		return none, err
+	}
+	return *reply, nil
 }
 
 // Forget closes the connection to an address.
--- a/daemon/rpc_test.go
+++ b/daemon/rpc_test.go
@@ -71,8 +71,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	var r ExecuteReply
-	return r, p.Call(ctx, address, "Execute", q, &r)
+	return Call[ExecuteReply](ctx, p, address, "Execute", q)
 }
 
 // TestCallsCarryNulls guards against null arguments that gob drops, and against answers that reach another call.
@@ -90,8 +89,8 @@
 	var wg sync.WaitGroup
 	for range 20 {
 		wg.Go(func() {
-			var r ExecuteReply
-			if err := p.Call(context.Background(), address, "Execute", q, &r); err != nil || r.Columns[0] != q.SQL {
+			r, err := Call[ExecuteReply](context.Background(), p, address, "Execute", q)
+			if err != nil || r.Columns[0] != q.SQL {
 				t.Errorf("%v, %v", r, err)
 			}
 		})
@@ -210,7 +209,8 @@
 	}
 }
 
-// TestLateAnswerReachesNobody guards against an answer of a call that was given up and then reaches the next call.
+// TestLateAnswerReachesNobody guards against an answer of a call that was given up and then reaches the next call, or is
+// written into a value that the caller still uses, which the race detector sees.
 func TestLateAnswerReachesNobody(t *testing.T) {
 	f := &fakeService{blocked: make(chan struct{})}
 	address := serve(t, f)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -68,7 +68,7 @@
 func NewHandler(b Backend, token func() string) http.Handler {
 	mux := goahttp.NewMuxer()
 	s := server.New(genoperator.NewEndpoints(&service{backend: b, token: token}), mux, goahttp.RequestDecoder,
-		goahttp.ResponseEncoder, nil, nil)
+		goahttp.ResponseEncoder, nil, goahttp.NewErrorResponse)
 	s.Mount(mux)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
--- a/server/changes.go
+++ b/server/changes.go
@@ -13,6 +13,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/config"
 	"github.com/waxwingspindle/waxwingspindle/daemon"
+	"github.com/waxwingspindle/waxwingspindle/freshness"
 	genoperator "github.com/waxwingspindle/waxwingspindle/gen/operator"
 	"github.com/waxwingspindle/waxwingspindle/key"
 	"github.com/waxwingspindle/waxwingspindle/model"
@@ -137,8 +138,12 @@
 	if err != nil {
 		return nil, false, err
 	}
-	if err := s.announce(ctx, platform.KeyConfiguration, next.Version); err != nil {
-		return nil, false, err
+	change, err := s.announce(ctx, freshness.Configuration, next.Version)
+	if err != nil {
+		return nil, false, &operator.NotAcceptedError{Why: err.Error()}
+	}
+	if err := change.MaySwap(time.Now()); err != nil {
+		return nil, false, &operator.NotAcceptedError{Why: err.Error()}
 	}
 	swapped, err := s.options.Store.Swap(ctx, platform.KeyConfiguration, revision, data)
 	s.metrics.StoreCall("swap", err)
@@ -149,40 +154,43 @@
 	return next, swapped, nil
 }
 
-// announce tells the hosts of the roster that a version is about to exist, and needs a majority of them. Without it a
-// host that is cut off could prove by an outage that nothing changes.
-func (s *Server) announce(ctx context.Context, document string, version uint64) error {
-	hosts := s.rosterHosts()
-	if len(hosts) == 0 {
-		return nil
+// announce tells the hosts of the roster that a version is about to exist, and waits until a majority of them has
+// acknowledged it or all have answered. Without a majority a host that is cut off could prove by an outage that nothing
+// changes.
+func (s *Server) announce(ctx context.Context, d freshness.Document, version uint64) (*freshness.Change, error) {
+	hosts := s.snapshot.Load().hosts
+	change, err := freshness.NewChange(time.Now(), d, version, hosts)
+	if err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	acknowledged := make(chan bool, len(hosts))
-	for _, h := range hosts {
+	acknowledged := make(chan model.HostID, len(hosts.IDs))
+	for _, h := range hosts.IDs {
 		go func() {
-			acknowledged <- s.announceTo(ctx, h, daemon.Announcement{Document: document, Version: version})
+			if !s.announceTo(ctx, h, change.Announcement()) {
+				h = ""
+			}
+			acknowledged <- h
 		}()
 	}
-	count := 0
-	for range hosts {
-		if <-acknowledged {
-			count++
+	for range hosts.IDs {
+		if h := <-acknowledged; h != "" {
+			change.Acknowledged(h)
 		}
-		if count > len(hosts)/2 {
-			return nil
+		if change.MaySwap(time.Now()) == nil {
+			break
 		}
 	}
-	return &operator.NotAcceptedError{Why: fmt.Sprintf("cannot reach a majority of hosts: %d of %d acknowledged the change",
-		count, len(hosts))}
+	return change, nil
 }
 
-func (s *Server) announceTo(ctx context.Context, h model.HostID, a daemon.Announcement) bool {
+func (s *Server) announceTo(ctx context.Context, h model.HostID, a freshness.Announcement) bool {
 	if h == s.options.Daemon.Host {
 		return s.announced(a)
 	}
-	var reply daemon.Acknowledgement
-	return s.call(ctx, h, "Announce", a, &reply) == nil && reply.Acknowledged
+	reply, err := call[daemon.Acknowledgement](ctx, s, h, "Announce", a)
+	return err == nil && reply.Acknowledged
 }
 
 // awaitConfirmed waits until all live hosts have a version in force, and returns who has and who has not.
@@ -205,7 +213,7 @@
 		if m.ID == s.options.Daemon.Host {
 			has = snap.version
 		}
-		if has >= version {
+		if has >= version || slices.Contains(snap.confirmed, m.ID) && snap.version >= version {
 			confirmed = append(confirmed, m.ID)
 		} else {
 			unconfirmed = append(unconfirmed, m.ID)
--- a/server/entry.go
+++ b/server/entry.go
@@ -52,9 +52,9 @@
 		q := daemon.BeginRequest{Caller: a.caller, Service: a.service, Mark: mark, RequestID: r.RequestID}
 		var reply daemon.BeginReply
 		reply.Result = s.atHome(ctx, a, retry.KindBegin, func(host model.HostID) model.Result {
-			reply = daemon.BeginReply{}
 			q.Remaining = remaining(ctx)
-			if err := s.callBegin(ctx, host, q, &reply); err != nil {
+			var err error
+			if reply, err = s.callBegin(ctx, host, q); err != nil {
 				return hopFailure(ctx, err)
 			}
 			return reply.Result
@@ -77,8 +77,8 @@
 		}
 		q := daemon.EndRequest{Caller: a.caller, Service: a.service, Handle: handle, Commit: commit,
 			RequestID: r.RequestID, Remaining: remaining(ctx)}
-		var reply daemon.EndReply
-		if err := s.callEnd(ctx, h.Host, q, &reply); err != nil {
+		reply, err := s.callEnd(ctx, h.Host, q)
+		if err != nil {
 			reply.Result = transactionFailure(ctx, err)
 		}
 		token := a.session.Advance(a.service, reply.Position)
@@ -280,9 +280,9 @@
 	}
 	var reply daemon.ExecuteReply
 	reply.Result = s.atHome(ctx, a, kind, func(host model.HostID) model.Result {
-		reply = daemon.ExecuteReply{}
 		q.Remaining = remaining(ctx)
-		if err := s.callExecute(ctx, host, q, &reply); err != nil {
+		var err error
+		if reply, err = s.callExecute(ctx, host, q); err != nil {
 			return hopFailure(ctx, err)
 		}
 		return reply.Result
@@ -297,8 +297,8 @@
 		return daemon.ExecuteReply{Result: refused}
 	}
 	q.Remaining = remaining(ctx)
-	var reply daemon.ExecuteReply
-	if err := s.callExecute(ctx, h.Host, q, &reply); err != nil {
+	reply, err := s.callExecute(ctx, h.Host, q)
+	if err != nil {
 		reply.Result = transactionFailure(ctx, err)
 	}
 	return reply
--- a/server/follow.go
+++ b/server/follow.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/config"
-	"github.com/waxwingspindle/waxwingspindle/daemon"
+	"github.com/waxwingspindle/waxwingspindle/freshness"
 	"github.com/waxwingspindle/waxwingspindle/membership"
 	"github.com/waxwingspindle/waxwingspindle/platform"
 	"github.com/waxwingspindle/waxwingspindle/roster"
@@ -29,66 +29,98 @@
 	registerInterval = 100 * time.Millisecond
 )
 
-// follow keeps the documents of this host up to date until the context ends.
+// follow keeps the documents of this host up to date until the context ends. The roots of the relay tree watch the
+// store; the other hosts poll their parents and read the store only when these bring no proof.
 func (s *Server) follow(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { s.watch(ctx, platform.KeyConfiguration, s.takeConfiguration) })
-	wg.Go(func() { s.watch(ctx, platform.KeyRoster, s.takeRoster) })
+	wg.Go(func() { s.watch(ctx, freshness.Configuration) })
+	wg.Go(func() { s.watch(ctx, freshness.Roster) })
 	wg.Go(func() { s.readHostList(ctx) })
 	wg.Go(func() { s.maintainRoster(ctx) })
 	wg.Wait()
 }
 
 // watch follows one document in the store.
-func (s *Server) watch(ctx context.Context, document string, take func(now time.Time, value []byte) error) {
-	var known uint64
-	for first := true; ctx.Err() == nil; first = false {
-		wait := watchWait
-		if first {
-			wait = 0
+func (s *Server) watch(ctx context.Context, d freshness.Document) {
+	var known uint64 // revision that this host has
+	for first := true; ctx.Err() == nil; {
+		wait, ok := s.watchWait(d, first)
+		if !ok {
+			sleep(ctx, followPause)
+			continue
 		}
-		sentAt := time.Now()
-		e, err := s.options.Store.Watch(ctx, document, known, wait)
+		sent := time.Now()
+		e, err := s.options.Store.Watch(ctx, documents[d], known, wait)
 		s.metrics.StoreCall("watch", err)
 		if err != nil {
 			sleep(ctx, followPause)
 			continue
 		}
-		known = e.Revision
-		s.control.post(func(now time.Time) {
-			if err := take(now, e.Value); err != nil {
-				s.log.Error("config: document in the store cannot be used", zap.String("document", document), zap.Error(err))
-				return
-			}
-			s.state.proofs.storeRead(document, sentAt)
-			s.state.publish(now)
-		})
+		known, first = e.Revision, false
+		s.control.post(func(now time.Time) { s.state.takeRead(now, d, sent, e.Value) })
+	}
+}
+
+// watchWait returns how long the next watch of a document waits, and whether this host should make one. The first one
+// does not wait.
+func (s *Server) watchWait(d freshness.Document, first bool) (time.Duration, bool) {
+	answer := make(chan time.Duration, 1)
+	posted := s.control.post(func(now time.Time) {
+		p := s.state.proofs
+		switch {
+		case first, p.readStore(now, s.state.rng):
+			answer <- 0
+		case p.upstream.Root():
+			answer <- watchWait
+		default:
+			answer <- -1
+		}
+	})
+	if !posted {
+		return 0, false
+	}
+	wait := <-answer
+	return max(wait, 0), wait >= 0
+}
+
+// takeRead takes over what a call of the store returned. A document that is missing in the store is version 0.
+func (c *controlState) takeRead(now time.Time, d freshness.Document, sent time.Time, value []byte) {
+	take := c.takeConfiguration
+	if d == freshness.Roster {
+		take = c.takeRoster
 	}
+	version, err := take(now, value)
+	if err != nil {
+		c.server.log.Error("config: document in the store cannot be used", zap.String("document", documents[d]), zap.Error(err))
+		return
+	}
+	c.proofs.storeRead(now, d, sent, version)
+	c.publish(now)
 }
 
-// takeConfiguration puts a configuration from the store in force. A missing one is version 0.
-func (s *Server) takeConfiguration(now time.Time, value []byte) error {
-	if len(value) == 0 {
-		return nil
+// takeConfiguration puts a newer configuration in force and returns the version of the data. Empty data is version 0.
+func (c *controlState) takeConfiguration(now time.Time, data []byte) (uint64, error) {
+	if len(data) == 0 {
+		return 0, nil
 	}
-	d, err := config.Decode(value)
+	d, err := config.Decode(data)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return s.state.setDocument(now, d)
+	return d.Version, c.setDocument(now, d)
 }
 
-// takeRoster puts a roster from the store in force. A missing one is version 0.
-func (s *Server) takeRoster(now time.Time, value []byte) error {
-	if len(value) == 0 {
-		return nil
+// takeRoster puts a newer roster in force and returns the version of the data. Empty data is version 0.
+func (c *controlState) takeRoster(now time.Time, data []byte) (uint64, error) {
+	if len(data) == 0 {
+		return 0, nil
 	}
-	d, err := roster.Parse(value)
+	d, err := roster.Parse(data)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	s.state.setRoster(now, d)
-	return nil
+	c.setRoster(now, d)
+	return d.Version, nil
 }
 
 // readHostList follows the platform's list of hosts.
@@ -134,7 +166,7 @@
 // planPause returns the time to the next look at the roster.
 func (s *Server) planPause() time.Duration {
 	snap := s.snapshot.Load()
-	if slices.Contains(snap.registered, s.options.Daemon.Host) && snap.freeSlots == 0 {
+	if slices.Contains(snap.hosts.IDs, s.options.Daemon.Host) && snap.freeSlots == 0 {
 		return planInterval
 	}
 	return registerInterval
@@ -144,12 +176,12 @@
 // first live member only, so that hosts seldom race. Races are harmless, because compare-and-swap decides them.
 func (c *controlState) planRoster(now time.Time) (roster.Document, string, bool) {
 	d, id := c.server.options.Daemon, uuid.NewString()
-	if c.leaving || !c.table.Ready(now) || !c.proofs.known(platform.KeyRoster) {
+	if c.leaving || !c.table.Ready(now) || !c.proofs.known(freshness.Roster) {
 		return roster.Document{}, "", false
 	}
 	old := c.roster
 	if old.Version == 0 {
-		old = roster.New(c.shareSlots())
+		old = roster.New(roster.DefaultSlots)
 	}
 	self := roster.Host{ID: d.Host, Incarnation: c.server.incarnation, DataCentre: d.DataCentre}
 	if next, changed, err := roster.Register(old, self, id); err != nil || changed {
@@ -161,13 +193,6 @@
 	return roster.Plan(old, c.observe(now), id)
 }
 
-func (c *controlState) shareSlots() int {
-	if c.settings != nil {
-		return c.settings.Limits.ShareSlots
-	}
-	return config.DefaultShareSlots
-}
-
 // rosterStates maps the states of members to those of the roster.
 var rosterStates = map[membership.State]roster.State{
 	membership.StateAlive:   roster.Alive,
@@ -199,7 +224,11 @@
 	if err != nil || !precedes(e.Value, next) {
 		return
 	}
-	if err := s.announce(ctx, platform.KeyRoster, next.Version); err != nil {
+	change, err := s.announce(ctx, freshness.Roster, next.Version)
+	if err == nil {
+		err = change.MaySwap(time.Now())
+	}
+	if err != nil {
 		s.log.Warn("roster: change not made", zap.String("reason", reason), zap.Error(err))
 		return
 	}
@@ -219,7 +248,7 @@
 }
 
 // announced takes note of an announcement.
-func (s *Server) announced(a daemon.Announcement) bool {
+func (s *Server) announced(a freshness.Announcement) bool {
 	noted := make(chan bool, 1)
 	if !s.control.post(func(now time.Time) { noted <- s.state.proofs.announce(now, a) }) {
 		return false
--- a/server/home.go
+++ b/server/home.go
@@ -171,8 +171,8 @@
 	if g == nil {
 		return routing.Group{}, nil
 	}
-	out := routing.Group{Term: g.view.Term, Primary: g.view.Primary, Held: g.view.Held, Confirmed: g.view.Confirmed,
-		Samples: g.samples, Targets: make([]routing.Target, 0, len(g.view.Members))}
+	out := routing.Group{Term: g.view.Term, Primary: g.view.Primary, Writable: g.view.Writable, Held: g.view.Held,
+		Confirmed: g.view.Confirmed, Samples: g.samples, Targets: make([]routing.Target, 0, len(g.view.Members))}
 	for _, m := range g.view.Members {
 		t := h.target(m.Target)
 		if t == nil {
--- a/server/rpc.go
+++ b/server/rpc.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/waxwingspindle/waxwingspindle/daemon"
+	"github.com/waxwingspindle/waxwingspindle/freshness"
 	"github.com/waxwingspindle/waxwingspindle/limit"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
@@ -60,6 +62,24 @@
 	return nil
 }
 
+// Relay answers a poll for documents and proofs.
+func (r *rpcService) Relay(q daemon.RelayRequest, reply *daemon.RelayReply) error {
+	held := make(chan (<-chan daemon.RelayReply), 1)
+	if !r.server.control.post(func(now time.Time) { held <- r.server.state.proofs.hold(now, q) }) {
+		return errStopping
+	}
+	answer := <-held
+	select {
+	case *reply = <-answer:
+		return nil
+	case <-r.server.control.done:
+		return errStopping
+	}
+}
+
+// errStopping answers a poll that arrives while the daemon stops.
+var errStopping = errors.New("the daemon is stopping")
+
 // Group tells the state of a group whose home this host is.
 func (r *rpcService) Group(q daemon.GroupRequest, reply *daemon.GroupStatus) error {
 	*reply = r.server.groupStatus(q.Service)
@@ -67,7 +87,7 @@
 }
 
 // Announce takes note that a version of a document is about to exist.
-func (r *rpcService) Announce(a daemon.Announcement, reply *daemon.Acknowledgement) error {
+func (r *rpcService) Announce(a freshness.Announcement, reply *daemon.Acknowledgement) error {
 	reply.Acknowledged = r.server.announced(a)
 	return nil
 }
@@ -94,48 +114,44 @@
 }
 
 // call calls a method of another host.
-func (s *Server) call(ctx context.Context, host model.HostID, method string, args, reply any) error {
+func call[Reply any](ctx context.Context, s *Server, host model.HostID, method string, args any) (Reply, error) {
 	address, err := s.addressOf(host)
 	if err != nil {
-		return err
+		var none Reply
+		return none, err
 	}
-	return s.peers.Call(ctx, address, method, args, reply)
+	return daemon.Call[Reply](ctx, s.peers, address, method, args)
 }
 
-func (s *Server) callExecute(ctx context.Context, host model.HostID, q daemon.ExecuteRequest, reply *daemon.ExecuteReply) error {
+func (s *Server) callExecute(ctx context.Context, host model.HostID, q daemon.ExecuteRequest) (daemon.ExecuteReply, error) {
 	if host == s.options.Daemon.Host {
-		*reply = s.executeHere(ctx, q)
-		return nil
+		return s.executeHere(ctx, q), nil
 	}
-	return s.call(ctx, host, "Execute", q, reply)
+	return call[daemon.ExecuteReply](ctx, s, host, "Execute", q)
 }
 
-func (s *Server) callBegin(ctx context.Context, host model.HostID, q daemon.BeginRequest, reply *daemon.BeginReply) error {
+func (s *Server) callBegin(ctx context.Context, host model.HostID, q daemon.BeginRequest) (daemon.BeginReply, error) {
 	if host == s.options.Daemon.Host {
-		*reply = s.beginHere(ctx, q)
-		return nil
+		return s.beginHere(ctx, q), nil
 	}
-	return s.call(ctx, host, "Begin", q, reply)
+	return call[daemon.BeginReply](ctx, s, host, "Begin", q)
 }
 
-func (s *Server) callEnd(ctx context.Context, host model.HostID, q daemon.EndRequest, reply *daemon.EndReply) error {
+func (s *Server) callEnd(ctx context.Context, host model.HostID, q daemon.EndRequest) (daemon.EndReply, error) {
 	if host == s.options.Daemon.Host {
-		*reply = s.endHere(ctx, q)
-		return nil
+		return s.endHere(ctx, q), nil
 	}
-	return s.call(ctx, host, "End", q, reply)
+	return call[daemon.EndReply](ctx, s, host, "End", q)
 }
 
 // lend implements limitTransport.
-func (s *Server) lend(ctx context.Context, to model.HostID, batch limit.LoanBatch) (reply limit.LoanReply, err error) {
-	err = s.call(ctx, to, "Lend", batch, &reply)
-	return reply, err
+func (s *Server) lend(ctx context.Context, to model.HostID, batch limit.LoanBatch) (limit.LoanReply, error) {
+	return call[limit.LoanReply](ctx, s, to, "Lend", batch)
 }
 
 // tokens implements limitTransport.
-func (s *Server) tokens(ctx context.Context, to model.HostID, request limit.TokenRequest) (reply limit.TokenReply, err error) {
-	err = s.call(ctx, to, "Tokens", request, &reply)
-	return reply, err
+func (s *Server) tokens(ctx context.Context, to model.HostID, request limit.TokenRequest) (limit.TokenReply, error) {
+	return call[limit.TokenReply](ctx, s, to, "Tokens", request)
 }
 
 // homeOf returns the home of a service on this host. A host that is not home refuses, so that the entry host asks the
--- a/server/server.go
+++ b/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/operator"
 	"github.com/waxwingspindle/waxwingspindle/platform"
+	"github.com/waxwingspindle/waxwingspindle/roster"
 )
 
 // Timeouts of the HTTP listeners.
@@ -82,7 +83,7 @@
 		drain:       make(chan struct{}),
 	}
 	s.retry = newRetrier(s.metrics, s.decisions)
-	s.limiter = newLimiter(o.Daemon.Host, s.incarnation, config.DefaultShareSlots, s)
+	s.limiter = newLimiter(o.Daemon.Host, s.incarnation, roster.DefaultSlots, s)
 	s.transaction = newTransactions(s)
 	s.snapshot.Store(&snapshot{})
 	s.state = newControlState(s, time.Now())
--- a/server/snapshot.go
+++ b/server/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/config"
+	"github.com/waxwingspindle/waxwingspindle/freshness"
 	"github.com/waxwingspindle/waxwingspindle/key"
 	"github.com/waxwingspindle/waxwingspindle/membership"
 	"github.com/waxwingspindle/waxwingspindle/model"
@@ -15,9 +16,10 @@
 	version      uint64
 	roster       uint64
 	document     *config.Document
-	registered   []model.HostID // hosts of the roster
-	heldSlots    int            // share slots that a host holds
-	freeSlots    int            // share slots that nobody holds
+	hosts        freshness.Hosts // hosts of the roster
+	confirmed    []model.HostID  // hosts known by the relay to have this version in force
+	heldSlots    int             // share slots that a host holds
+	freeSlots    int             // share slots that nobody holds
 	settings     *config.Settings
 	keys         *key.Set
 	tokens       *session.Codec
--- a/server/state.go
+++ b/server/state.go
@@ -73,6 +73,7 @@
 func (c *controlState) tick(now time.Time) {
 	c.perform(c.table.Tick(now, c.rng))
 	c.place(now)
+	c.proofs.tick(now)
 	for _, o := range c.owned {
 		o.group.tick(now)
 	}
@@ -132,6 +133,7 @@
 	c.server.decisions.setSample(settings.Log.DecisionSample)
 	c.server.limiter.setLimits(limitsOf(settings))
 	c.table.SetPayload(payload(d.Version))
+	c.proofs.host.Hold(now, d.Version)
 	c.server.log.Info("config: version in force", zap.Uint64("version", d.Version))
 	c.live = ""
 	c.configureHomes(now)
@@ -154,6 +156,7 @@
 	}
 	c.roster, c.rosterAt = d, now
 	c.server.limiter.setSlots(c.tenure.Update(now, d))
+	c.proofs.holdRoster(now, d)
 	c.server.log.Info("roster: version in force", zap.Uint64("version", d.Version), zap.Int("hosts", len(d.Hosts)))
 	c.publish(now)
 }
@@ -168,18 +171,24 @@
 	return binary.BigEndian.Uint64(p)
 }
 
-// place computes homes and brokers from the live members, when these or the configuration have changed.
+// place computes the relay tree, homes and brokers from the live members, when these or the configuration have changed.
 func (c *controlState) place(now time.Time) {
-	if c.settings == nil || !c.table.Ready(now) {
+	if !c.table.Ready(now) {
 		return
 	}
 	live := c.candidates()
-	if fingerprint := fmt.Sprint(live); fingerprint != c.live {
-		c.live = fingerprint
-		c.server.limiter.setBrokers(brokersOf(c.settings, live))
-		c.homes = homesOf(c.settings, live)
-		c.reconcileHomes(now)
+	fingerprint := fmt.Sprint(live)
+	if fingerprint == c.live {
+		return
+	}
+	c.live = fingerprint
+	c.proofs.setLive(now, live)
+	if c.settings == nil {
+		return
 	}
+	c.server.limiter.setBrokers(brokersOf(c.settings, live))
+	c.homes = homesOf(c.settings, live)
+	c.reconcileHomes(now)
 }
 
 // candidates returns the live members, from which this host is missing once it leaves.
@@ -331,15 +340,20 @@
 
 // publish replaces the snapshot that traffic reads.
 func (c *controlState) publish(now time.Time) {
-	kind, at, until := c.proofs.serving(now)
-	s := &snapshot{roster: c.roster.Version, members: c.table.Members(), homes: c.homes, proofKind: kind, proofAt: at,
-		servingUntil: until, leaving: c.leaving, addresses: map[model.HostID]string{}}
+	proof := c.proofs.serving(now)
+	s := &snapshot{roster: c.roster.Version, members: c.table.Members(), homes: c.homes, proofKind: proof.Kind.String(),
+		proofAt: now.Add(-proof.Age), leaving: c.leaving, addresses: map[model.HostID]string{}, hosts: rosterHosts(c.roster)}
+	if proof.OK {
+		s.servingUntil = proof.Until
+	}
+	_, s.confirmed = c.proofs.host.Confirmed()
 	if c.document != nil {
 		s.version, s.settings, s.keys, s.tokens, s.secret = c.document.Version, c.settings, c.keys, c.tokens, c.document.Secret
 		s.document = c.document
 	}
 	states := map[string]int{}
-	for _, m := range s.members {
+	for i, m := range s.members {
+		s.members[i].Payload = slices.Clone(m.Payload) // the table reuses the memory
 		states[m.State.String()]++
 		if m.Live() || m.State == membership.StateLeft {
 			s.addresses[m.ID] = m.RPCAddress
@@ -352,17 +366,11 @@
 			s.heldSlots++
 		}
 	}
-	for _, h := range c.roster.Hosts {
-		s.registered = append(s.registered, h.ID)
-	}
 	c.server.snapshot.Store(s)
-	c.server.metrics.Control(s.fresh(now), now.Sub(at), s.version, s.roster, states)
+	c.server.metrics.Control(s.fresh(now), proof.Age, s.version, s.roster, states)
 }
 
 // documentInForce returns the document in force, or nil.
 func (s *Server) documentInForce() *config.Document { return s.snapshot.Load().document }
 
-// rosterHosts returns the hosts that count in majorities.
-func (s *Server) rosterHosts() []model.HostID { return s.snapshot.Load().registered }
-
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/server/status.go
+++ b/server/status.go
@@ -41,8 +41,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
-	var reply daemon.GroupStatus
-	if err := s.call(ctx, host, "Group", daemon.GroupRequest{Service: service}, &reply); err != nil {
+	reply, err := call[daemon.GroupStatus](ctx, s, host, "Group", daemon.GroupRequest{Service: service})
+	if err != nil {
 		return daemon.GroupStatus{}
 	}
 	return reply
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -285,7 +285,7 @@
 // Handler returns the HTTP handler of the service.
 func (p *Platform) Handler() http.Handler {
 	mux := goahttp.NewMuxer()
-	s := server.New(platform.NewEndpoints(p), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
+	s := server.New(platform.NewEndpoints(p), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, goahttp.NewErrorResponse)
 	s.Mount(mux)
 	return mux
 }
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -26,7 +26,10 @@
 	patience = 60 * time.Second
 )
 
-var binaries string
+var (
+	binaries   string
+	buildFlags = []string{"build"}
+)
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "waxwingspindle-e2e")
@@ -34,7 +37,7 @@
 		panic(err)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir, "../../cmd/...")
+	build := exec.Command("go", append(buildFlags, "-o", dir, "../../cmd/...")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
 		os.Exit(1)
