--- a/target/history_test.go
+++ b/target/history_test.go
@@ -54,7 +54,7 @@
 		h.pools = append(h.pools, pool)
 		h.members = append(h.members, h.member(m))
 	}
-	h.expect(h.pools[0].Write(h.Context(), request("first"), put("log", "")), model.OutcomeDone, model.ReasonNone)
+	h.writeUntilDurable(request("first"), put("log", ""))
 	var clients sync.WaitGroup
 	for c := range historyClients {
 		clients.Go(func() { h.client(c) })
@@ -151,13 +151,13 @@
 func (h *history) client(c int) {
 	for i := range historyWrites {
 		token := fmt.Sprintf("%d.%d;", c, i)
-		position := h.appendToken(token)
+		position := h.writeUntilDurable(request(token), appendTo("log", token))
 		h.mu.Lock()
 		h.acked = append(h.acked, token)
 		h.mu.Unlock()
 		for m, pool := range h.pools {
 			a := pool.Read(h.within(historyDeadline), readKey("log"), position)
-			if a.Result.Outcome == model.OutcomeDone && !strings.Contains(*a.Rows.Values[0][0], token) {
+			if a.Result.Outcome == model.OutcomeDone && !holds(a.Rows, token) {
 				h.Errorf("member %d at %v does not have %q, which was acknowledged at %v", m, a.Position, token, position)
 			}
 		}
@@ -165,11 +165,15 @@
 	}
 }
 
-// appendToken repeats a write with the same request id until it is acknowledged.
-func (h *history) appendToken(token string) model.Position {
+func holds(rows target.Rows, token string) bool {
+	return len(rows.Values) == 1 && strings.Contains(*rows.Values[0][0], token)
+}
+
+// writeUntilDurable repeats a write with the same request id until it is acknowledged.
+func (h *history) writeUntilDurable(r target.Request, s target.Statement) model.Position {
 	for {
 		pool := h.pools[h.primary.Load()]
-		a := pool.Write(h.within(historyDeadline), request(token), appendTo("log", token))
+		a := pool.Write(h.within(historyDeadline), r, s)
 		if a.Result.Outcome == model.OutcomeDone && h.durable(a.Position) {
 			return a.Position
 		}
