--- a/limit/broker.go
+++ b/limit/broker.go
@@ -365,7 +365,7 @@
 	}
 	n := min(ask.Need, free)
 	// Prefetched tokens may not be used, so only a part of the level is given for it.
-	n += min(ask.Prefetch, int(float64(free-n)*cachedBurst))
+	n += min(ask.Prefetch, int(float64(free-n)*prefetchPart))
 	if n == 0 {
 		return 0
 	}
@@ -388,7 +388,11 @@
 
 // reportWithin returns the time within which spenders should report.
 func (p *pool) reportWithin() time.Duration {
-	if p.outstanding > tightBurst*p.total().Burst {
+	room := p.total().Burst - p.outstanding
+	switch {
+	case room < 2: // no token can be added before a report
+		return urgentReport
+	case p.outstanding > tightBurst*p.total().Burst:
 		return p.interval() / reportPart
 	}
 	return lazyReport
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -68,14 +68,17 @@
 
 	// Unreported tokens keep a full bucket from refilling. When they take more than tightBurst of the burst, reports have
 	// to come within a part of the interval; otherwise they wait for the next ask.
-	tightBurst  = 0.25
-	reportPart  = 4
-	lazyReport  = 200 * time.Millisecond
-	minInterval = 5 * time.Millisecond
-	maxInterval = 100 * time.Millisecond
+	tightBurst   = 0.25
+	reportPart   = 8
+	urgentReport = time.Millisecond
+	lazyReport   = 200 * time.Millisecond
+	minInterval  = 5 * time.Millisecond
+	maxInterval  = 200 * time.Millisecond
 	// cachedBurst is the part of the burst that may lie in the caches of all spenders together. A greater part saves
 	// messages; a smaller part leaves more tokens for hosts with sudden demand.
-	cachedBurst = 0.25
+	cachedBurst = 0.5
+	// prefetchPart is the part of the level that one ask gets for expected requests.
+	prefetchPart = 0.25
 
 	minRetry    = 20 * time.Millisecond
 	maxRetry    = 400 * time.Millisecond
