--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,205 @@
+package retry
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against a retry after the request bytes left, and against an outcome that a failure does not prove.
+func TestResultOfStages(t *testing.T) {
+	refused := model.NotRun(model.ReasonNoPrimary, "")
+	for name, test := range map[string]struct {
+		failure Failure
+		outcome model.Outcome
+		reason  model.Reason
+	}{
+		"refused here":              {Failure{Stage: StageLocal, Reason: model.ReasonQueueFull}, model.OutcomeNotRun, model.ReasonQueueFull},
+		"not connected":             {Failure{Stage: StageConnect}, model.OutcomeNotRun, model.ReasonTargetUnavailable},
+		"home not connected":        {Failure{Stage: StageConnect, Reason: model.ReasonHomeUnreachable}, model.OutcomeNotRun, model.ReasonHomeUnreachable},
+		"no byte left":              {Failure{Stage: StageSend}, model.OutcomeNotRun, model.ReasonConnectionLost},
+		"bytes left":                {Failure{Stage: StageSent}, model.OutcomeUnknown, model.ReasonConnectionLost},
+		"bytes left, time is over":  {Failure{Stage: StageSent, Reason: model.ReasonDeadline}, model.OutcomeUnknown, model.ReasonDeadline},
+		"peer refused":              {Failure{Stage: StageAnswered, Answer: refused}, model.OutcomeNotRun, model.ReasonNoPrimary},
+		"peer does not know":        {Failure{Stage: StageAnswered, Answer: model.Unknown(model.ReasonNotDurable, "")}, model.OutcomeUnknown, model.ReasonNotDurable},
+		"peer answered nothing":     {Failure{Stage: StageAnswered}, model.OutcomeUnknown, model.ReasonConnectionLost},
+		"peer answered nonsense":    {Failure{Stage: StageAnswered, Answer: model.Result{Outcome: 99}}, model.OutcomeUnknown, model.ReasonConnectionLost},
+		"answer without an answer":  {Failure{Stage: StageSent, Answer: refused}, model.OutcomeUnknown, model.ReasonConnectionLost},
+		"no stage":                  {Failure{}, model.OutcomeUnknown, model.ReasonConnectionLost},
+		"stage that does not exist": {Failure{Stage: 99}, model.OutcomeUnknown, model.ReasonConnectionLost},
+	} {
+		got := test.failure.Result()
+		if got.Outcome != test.outcome || got.Reason != test.reason {
+			t.Errorf("%s: %s, %s", name, got.Outcome, got.Reason)
+		}
+	}
+	var failure Failure
+	if err := fmt.Errorf("hop: %w", Failure{Stage: StageSent}); !errors.As(err, &failure) || failure.Stage != StageSent {
+		t.Errorf("the failure is lost in %v", err)
+	}
+}
+
+var reasons = map[model.Reason]Class{
+	model.ReasonConnectionLost: ClassElsewhere, model.ReasonDraining: ClassElsewhere,
+	model.ReasonHomeUnreachable: ClassTransient, model.ReasonNoPrimary: ClassTransient,
+	model.ReasonTargetUnavailable: ClassTransient, model.ReasonNotDurable: ClassTransient,
+	model.ReasonNone: ClassFinal, model.ReasonBadRequest: ClassFinal, model.ReasonKeyMissing: ClassFinal,
+	model.ReasonKeyInvalid: ClassFinal, model.ReasonServiceUnknown: ClassFinal,
+	model.ReasonServiceForbidden: ClassFinal, model.ReasonSessionInvalid: ClassFinal,
+	model.ReasonRateExceeded: ClassFinal, model.ReasonQueueFull: ClassFinal, model.ReasonDeadline: ClassFinal,
+	model.ReasonConfigurationStale: ClassFinal, model.ReasonOverload: ClassFinal,
+	model.ReasonTransactionLost: ClassFinal, model.ReasonTransactionForeign: ClassFinal,
+	model.ReasonTransactionBusy: ClassFinal, model.ReasonStatementRefused: ClassFinal,
+	model.ReasonSessionState: ClassFinal, model.ReasonRequestIDConflict: ClassFinal,
+	model.ReasonAnswerTooLarge: ClassFinal,
+}
+
+// want is the specification of a decision, written independently of the code: the first rule that applies wins.
+func want(a Attempt, class Class, paid bool) Cause {
+	runsOnce := a.Kind == KindBegin || a.Kind == KindWrite && !a.Idempotent
+	rules := []struct {
+		applies bool
+		cause   Cause
+	}{
+		{a.Result.Outcome == model.OutcomeDone, CauseDone},
+		{a.Kind == KindInTransaction || a.Kind == KindCommit || a.Kind == KindRollback, CauseInTransaction},
+		{a.Result.Outcome == model.OutcomeUnknown && runsOnce, CauseMayHaveRun},
+		{class == ClassFinal, CauseFinal},
+		{a.Attempts == 3, CauseAttempts},
+		{a.Remaining < 10*time.Millisecond, CauseTime},
+		{!paid, CauseBudget},
+	}
+	for _, rule := range rules {
+		if rule.applies {
+			return rule.cause
+		}
+	}
+	return CauseRetry
+}
+
+// Guards against a repeated write, commit or statement of a transaction, against retries without time or budget, and
+// against a budget that is spent on requests that are not retried: every combination of the inputs is decided.
+func TestDecideEveryCombination(t *testing.T) {
+	policy := Policy{MaxAttempts: 3, BaseDelay: 10 * time.Millisecond, MinRemaining: 5 * time.Millisecond}
+	checked, retried := 0, 0
+	for kind := KindRead; kind <= KindRollback; kind++ {
+		for _, idempotent := range []bool{false, true} {
+			for outcome := model.OutcomeDone; outcome <= model.OutcomeUnknown; outcome++ {
+				for reason, class := range reasons {
+					for attempts := 1; attempts <= 3; attempts++ {
+						for _, remaining := range []time.Duration{-time.Second, 0, time.Millisecond, time.Second} {
+							for _, paid := range []bool{false, true} {
+								attempt := Attempt{kind, idempotent, model.Result{Outcome: outcome, Reason: reason}, attempts, remaining}
+								budget := &Budget{filled: start}
+								if paid {
+									budget.earned = 1
+								}
+								got := policy.Decide(start, attempt, budget, 0.5)
+								checked++
+								if cause := want(attempt, class, paid); got.Cause != cause || got.Retry != (cause == CauseRetry) {
+									t.Fatalf("%+v, paid %t: got %+v, want %s", attempt, paid, got, cause)
+								}
+								if got.Retry {
+									retried++
+								}
+								if spent := paid && budget.earned == 0; spent != got.Retry {
+									t.Fatalf("%+v: retry %t, budget spent %t", attempt, got.Retry, spent)
+								}
+							}
+						}
+					}
+				}
+			}
+		}
+	}
+	if checked != 6*2*3*25*3*4*2 || retried == 0 {
+		t.Errorf("%d combinations, %d retries", checked, retried)
+	}
+}
+
+// Guards against retries that come together after a common failure, and against waits that the request has no time for.
+func TestDelay(t *testing.T) {
+	policy := Policy{BaseDelay: 10 * time.Millisecond, MaxDelay: 60 * time.Millisecond, MinRemaining: time.Millisecond}
+	decide := func(reason model.Reason, attempts int, jitter float64, after time.Duration) Decision {
+		result := model.NotRun(reason, "")
+		result.RetryAfter = after
+		attempt := Attempt{Kind: KindWrite, Result: result, Attempts: attempts, Remaining: 100 * time.Millisecond}
+		return policy.Decide(start, attempt, NewBudget(start), jitter)
+	}
+	type test struct {
+		reason   model.Reason
+		attempts int
+		jitter   float64
+		after    time.Duration
+		want     Decision
+	}
+	retry := func(delay time.Duration) Decision { return Decision{Retry: true, Delay: delay, Cause: CauseRetry} }
+	for _, test := range []test{
+		{model.ReasonDraining, 1, 0.9, 0, retry(0)},
+		{model.ReasonConnectionLost, 1, 0.9, 30 * time.Millisecond, retry(30 * time.Millisecond)},
+		{model.ReasonConnectionLost, 2, 0.5, 0, retry(10 * time.Millisecond)},
+		{model.ReasonNoPrimary, 1, 0.5, 0, retry(5 * time.Millisecond)},
+		{model.ReasonNoPrimary, 1, 0, 0, retry(0)},
+		{model.ReasonNoPrimary, 3, 0.5, 0, retry(20 * time.Millisecond)},
+		{model.ReasonNoPrimary, 9, 0.5, 0, retry(30 * time.Millisecond)},
+		{model.ReasonNoPrimary, 9, 0.5, 50 * time.Millisecond, retry(50 * time.Millisecond)},
+		{model.ReasonNoPrimary, 1, 0.5, 100 * time.Millisecond, Decision{Cause: CauseTime}},
+	} {
+		if diff := cmp.Diff(test.want, decide(test.reason, test.attempts, test.jitter, test.after)); diff != "" {
+			t.Errorf("%+v: %s", test, diff)
+		}
+	}
+	if got := (Policy{}).Backoff(1000, 0.999); got > DefaultMaxDelay {
+		t.Errorf("backoff %s after 1000 attempts", got)
+	}
+}
+
+// retries asks for a retry every millisecond for ten seconds at the given request rate, and returns the retries allowed
+// per second after the first second, which may use the initial tokens.
+func retries(requestsPerMillisecond int) float64 {
+	budget := NewBudget(start)
+	allowed := 0
+	for i := range 10_000 {
+		for range requestsPerMillisecond {
+			budget.Request()
+		}
+		if budget.Spend(start.Add(time.Duration(i)*time.Millisecond)) && i >= 1000 {
+			allowed++
+		}
+	}
+	return float64(allowed) / 9
+}
+
+// Guards against retries that multiply an overload, and against a quiet host that may not retry at all.
+func TestBudgetRate(t *testing.T) {
+	for requests, want := range map[int]float64{0: 10, 1: 100, 5: 500} {
+		if got := retries(requests); got < want*0.95 || got > want*1.05 {
+			t.Errorf("%d requests/s allow %.1f retries/s, want %.0f", requests*1000, got, want)
+		}
+	}
+}
+
+// Guards against a quiet hour that pays for a storm of retries.
+func TestBudgetBurst(t *testing.T) {
+	budget := NewBudget(start)
+	for range 1_000_000 {
+		budget.Request()
+	}
+	allowed := 0
+	for allowed <= budgetBurst && budget.Spend(start.Add(time.Hour)) {
+		allowed++
+	}
+	if allowed != budgetBurst {
+		t.Errorf("%d retries at once", allowed)
+	}
+	if budget.Spend(start) {
+		t.Error("an earlier time fills the budget")
+	}
+}
