Add package txn: the transactions of a home and their authenticated handles

Each use of a transaction has its own lease, so that a late release of one request does not end the use of the next.

--- /dev/null
+++ b/txn/table.go
@@ -0,0 +1,229 @@
+package txn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// DefaultIdleTimeout is the time after which an unused transaction is rolled back.
+const DefaultIdleTimeout = 30 * time.Second
+
+// Config has the settings of a table.
+type Config struct {
+	// IdleTimeout is the time after which an unused transaction expires. Zero stands for the default.
+	IdleTimeout time.Duration
+	// MaxPinsPerWorkspace bounds the connections of a service that a workspace pins. It is at least 1.
+	MaxPinsPerWorkspace int
+	// MaxPins bounds the connections of a service that all workspaces pin. It is at least 1.
+	MaxPins int
+}
+
+// ID is the number of a transaction at its home. Numbers are not used twice within an incarnation, and zero is none.
+type ID uint64
+
+// Lease is the exclusive use of a transaction by one request. Each use has its own lease, so that a late Release or End
+// of an earlier request does not touch the next one.
+type Lease struct {
+	ID  ID
+	use uint64
+}
+
+// EndCause tells why a transaction ended without its caller.
+type EndCause uint8
+
+const (
+	// EndIdle means that the transaction was not used for the idle timeout.
+	EndIdle EndCause = iota + 1
+	// EndDrain means that the host is leaving.
+	EndDrain
+)
+
+// Ended is a transaction that has ended without its caller. The connection in Value is closed, which makes the target
+// roll the transaction back.
+type Ended[V any] struct {
+	ID    ID
+	Value V
+	Cause EndCause
+	// Busy means that a request was using the transaction. The outcome of that request is unknown.
+	Busy bool
+}
+
+type transaction[V any] struct {
+	id      ID
+	service model.Service
+	owner   Owner
+	value   V
+	lease   uint64    // use that holds the transaction, zero while it is idle
+	uses    uint64    // uses so far
+	expires time.Time // while idle
+}
+
+type pinKey struct {
+	service   model.Service
+	workspace model.Workspace
+}
+
+// Table holds the transactions of a home. V is what a transaction pins, such as its connection.
+type Table[V any] struct {
+	config       Config
+	transactions map[ID]*transaction[V]
+	last         ID
+	workspaces   map[pinKey]int
+	services     map[model.Service]int
+	draining     bool
+	drainEnd     time.Time
+}
+
+// NewTable returns an empty table. It fails if a bound is below 1 or the timeout is negative.
+func NewTable[V any](config Config) (*Table[V], error) {
+	if config.MaxPinsPerWorkspace < 1 || config.MaxPins < 1 || config.IdleTimeout < 0 {
+		return nil, trace.BadParameter("the bounds of pinned connections are at least 1, and the timeout is not negative")
+	}
+	if config.IdleTimeout == 0 {
+		config.IdleTimeout = DefaultIdleTimeout
+	}
+	return &Table[V]{
+		config:       config,
+		transactions: make(map[ID]*transaction[V]),
+		workspaces:   make(map[pinKey]int),
+		services:     make(map[model.Service]int),
+	}, nil
+}
+
+// Begin adds a transaction that is in use by the request that begins it. It fails with ErrPins or ErrDraining.
+func (t *Table[V]) Begin(service model.Service, owner Owner, value V) (Lease, error) {
+	if t.draining {
+		return Lease{}, ErrDraining
+	}
+	pin := pinKey{service, owner.Workspace}
+	if t.workspaces[pin] >= t.config.MaxPinsPerWorkspace || t.services[service] >= t.config.MaxPins {
+		return Lease{}, ErrPins
+	}
+	t.workspaces[pin]++
+	t.services[service]++
+	t.last++
+	entry := &transaction[V]{id: t.last, service: service, owner: owner, value: value, lease: 1, uses: 1}
+	t.transactions[entry.id] = entry
+	return Lease{ID: entry.id, use: 1}, nil
+}
+
+// Use takes the exclusive use of a transaction and returns what it pins. It fails with ErrLost if the transaction is
+// unknown or has expired, with ErrForeign if it belongs to another workspace, key or service, and with ErrBusy if
+// another request is using it.
+func (t *Table[V]) Use(now time.Time, id ID, service model.Service, owner Owner) (Lease, V, error) {
+	var none V
+	entry, known := t.transactions[id]
+	switch {
+	case !known:
+		return Lease{}, none, ErrLost
+	case entry.service != service || entry.owner != owner:
+		return Lease{}, none, ErrForeign
+	case entry.lease != 0:
+		return Lease{}, none, ErrBusy
+	case !now.Before(t.end(entry)):
+		return Lease{}, none, ErrLost
+	}
+	entry.uses++
+	entry.lease = entry.uses
+	return Lease{ID: id, use: entry.lease}, entry.value, nil
+}
+
+// Release ends the use of a transaction, which stays open. It reports whether the lease was in force; if not, the
+// transaction has ended meanwhile.
+func (t *Table[V]) Release(now time.Time, lease Lease) bool {
+	entry, held := t.held(lease)
+	if !held {
+		return false
+	}
+	entry.lease = 0
+	entry.expires = now.Add(t.config.IdleTimeout)
+	return true
+}
+
+// End removes a transaction after a commit, a rollback or a failure, and frees its pin. It reports whether the lease was
+// in force.
+func (t *Table[V]) End(lease Lease) bool {
+	entry, held := t.held(lease)
+	if held {
+		t.remove(entry)
+	}
+	return held
+}
+
+// Expire removes and returns the idle transactions whose time has come and, from the end of a drain on, all
+// transactions, in the order of their numbers.
+func (t *Table[V]) Expire(now time.Time) []Ended[V] {
+	var ended []Ended[V]
+	for _, entry := range t.transactions {
+		drained := t.draining && !now.Before(t.drainEnd)
+		idle := entry.lease == 0 && !now.Before(entry.expires)
+		if !drained && !idle {
+			continue
+		}
+		cause := EndIdle
+		if !idle {
+			cause = EndDrain
+		}
+		ended = append(ended, Ended[V]{ID: entry.id, Value: entry.value, Cause: cause, Busy: entry.lease != 0})
+		t.remove(entry)
+	}
+	slices.SortFunc(ended, func(a, b Ended[V]) int { return cmp.Compare(a.ID, b.ID) })
+	return ended
+}
+
+// NextExpiry returns the earliest time at which Expire has something to do.
+func (t *Table[V]) NextExpiry() (time.Time, bool) {
+	var next time.Time
+	for _, entry := range t.transactions {
+		if entry.lease != 0 && !t.draining {
+			continue
+		}
+		if end := t.end(entry); next.IsZero() || end.Before(next) {
+			next = end
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// Drain refuses new transactions. Open ones may be finished until the given time, at which all of them expire.
+func (t *Table[V]) Drain(until time.Time) {
+	t.draining = true
+	t.drainEnd = until
+}
+
+// Len returns the number of open transactions.
+func (t *Table[V]) Len() int { return len(t.transactions) }
+
+// Pins returns the connections of a service that a workspace pins.
+func (t *Table[V]) Pins(service model.Service, workspace model.Workspace) int {
+	return t.workspaces[pinKey{service, workspace}]
+}
+
+// end returns the time at which the transaction expires if it is not used before.
+func (t *Table[V]) end(entry *transaction[V]) time.Time {
+	if t.draining && (entry.lease != 0 || t.drainEnd.Before(entry.expires)) {
+		return t.drainEnd
+	}
+	return entry.expires
+}
+
+func (t *Table[V]) held(lease Lease) (*transaction[V], bool) {
+	entry, known := t.transactions[lease.ID]
+	return entry, known && lease.use != 0 && entry.lease == lease.use
+}
+
+func (t *Table[V]) remove(entry *transaction[V]) {
+	delete(t.transactions, entry.id)
+	pin := pinKey{entry.service, entry.owner.Workspace}
+	if t.workspaces[pin]--; t.workspaces[pin] == 0 {
+		delete(t.workspaces, pin)
+	}
+	if t.services[entry.service]--; t.services[entry.service] == 0 {
+		delete(t.services, entry.service)
+	}
+}
--- /dev/null
+++ b/txn/txn_test.go
@@ -0,0 +1,344 @@
+package txn
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"flag"
+	"net/url"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	gocmp "github.com/google/go-cmp/cmp"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+func TestMain(m *testing.M) {
+	// The property tests give the same verdict in every run.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var (
+	start  = time.Unix(1000, 0)
+	alice  = Owner{Workspace: "alice", Key: "k1"}
+	bob    = Owner{Workspace: "bob", Key: "k2"}
+	secret = bytes.Repeat([]byte{7}, 32)
+)
+
+func newTable(t testing.TB, each, total int) *Table[string] {
+	t.Helper()
+	table, err := NewTable[string](Config{MaxPinsPerWorkspace: each, MaxPins: total})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func begin(t testing.TB, table *Table[string], owner Owner, value string) Lease {
+	t.Helper()
+	lease, err := table.Begin("stock", owner, value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lease
+}
+
+// Guards against crossed transactions: statements of one caller that reach the connection of another, through a handle
+// for another key, workspace or service.
+func TestUseChecksOwner(t *testing.T) {
+	table := newTable(t, 4, 4)
+	first, second := begin(t, table, alice, "connection 1"), begin(t, table, bob, "connection 2")
+	table.Release(start, first)
+	table.Release(start, second)
+	for name, test := range map[string]struct {
+		id      ID
+		service model.Service
+		owner   Owner
+		value   string
+		want    error
+	}{
+		"own":             {first.ID, "stock", alice, "connection 1", nil},
+		"own of bob":      {second.ID, "stock", bob, "connection 2", nil},
+		"other workspace": {first.ID, "stock", bob, "", ErrForeign},
+		"other key":       {first.ID, "stock", Owner{"alice", "k9"}, "", ErrForeign},
+		"same key name":   {first.ID, "stock", Owner{"bob", "k1"}, "", ErrForeign},
+		"other service":   {first.ID, "booking", alice, "", ErrForeign},
+		"unknown":         {99, "stock", alice, "", ErrLost},
+	} {
+		lease, value, err := table.Use(start, test.id, test.service, test.owner)
+		if !errors.Is(err, test.want) || value != test.value {
+			t.Errorf("%s: %q, %v", name, value, err)
+		}
+		table.Release(start, lease)
+	}
+}
+
+// Guards against two requests that use one transaction at once, whose statements and answers would mix.
+func TestUseIsExclusive(t *testing.T) {
+	table := newTable(t, 4, 4)
+	opening := begin(t, table, alice, "c")
+	if _, _, err := table.Use(start, opening.ID, "stock", alice); !errors.Is(err, ErrBusy) {
+		t.Errorf("during begin: %v", err)
+	}
+	table.Release(start, opening)
+	lease, _, err := table.Use(start, opening.ID, "stock", alice)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := table.Use(start, opening.ID, "stock", bob); !errors.Is(err, ErrForeign) {
+		t.Errorf("a foreign caller learns that the transaction is busy: %v", err)
+	}
+	if table.Release(start, opening) || table.End(opening) || table.End(Lease{ID: opening.ID}) {
+		t.Error("a late request ends the use of the next one")
+	}
+	if _, _, err := table.Use(start, opening.ID, "stock", alice); !errors.Is(err, ErrBusy) {
+		t.Errorf("after a late release: %v", err)
+	}
+	if !table.End(lease) || table.End(lease) || table.Len() != 0 {
+		t.Error("the holder does not end the transaction exactly once")
+	}
+}
+
+// Guards against transactions that hold a connection and locks for ever, and against one that expires while in use.
+func TestIdleTimeout(t *testing.T) {
+	table := newTable(t, 4, 4)
+	busy, idle := begin(t, table, alice, "busy"), begin(t, table, alice, "idle")
+	table.Release(start, idle)
+	if at, some := table.NextExpiry(); !some || at != start.Add(DefaultIdleTimeout) {
+		t.Errorf("next expiry %s, %t", at, some)
+	}
+	if ended := table.Expire(start.Add(DefaultIdleTimeout - 1)); ended != nil {
+		t.Errorf("too early: %+v", ended)
+	}
+	end := start.Add(DefaultIdleTimeout)
+	if _, _, err := table.Use(end, idle.ID, "stock", alice); !errors.Is(err, ErrLost) {
+		t.Errorf("an expired transaction is used: %v", err)
+	}
+	want := []Ended[string]{{ID: idle.ID, Value: "idle", Cause: EndIdle}}
+	if diff := gocmp.Diff(want, table.Expire(end)); diff != "" {
+		t.Error(diff)
+	}
+	if !table.Release(end, busy) {
+		t.Error("the busy transaction has ended")
+	}
+}
+
+// Guards against transactions that outlive a drain, and against callers whose transaction is cut off before its limit.
+func TestDrain(t *testing.T) {
+	table := newTable(t, 4, 4)
+	busy, idle := begin(t, table, alice, "busy"), begin(t, table, bob, "idle")
+	table.Release(start, idle)
+	limit := start.Add(5 * time.Second)
+	table.Drain(limit)
+	if _, err := table.Begin("stock", alice, "new"); !errors.Is(err, ErrDraining) {
+		t.Errorf("begin while draining: %v", err)
+	}
+	lease, _, err := table.Use(limit.Add(-1), idle.ID, "stock", bob)
+	if err != nil {
+		t.Errorf("use before the limit: %v", err)
+	}
+	table.Release(limit.Add(-1), lease)
+	if _, _, err := table.Use(limit, idle.ID, "stock", bob); !errors.Is(err, ErrLost) {
+		t.Errorf("use after the limit: %v", err)
+	}
+	if at, some := table.NextExpiry(); !some || at != limit {
+		t.Errorf("next expiry %s, %t", at, some)
+	}
+	want := []Ended[string]{
+		{ID: busy.ID, Value: "busy", Cause: EndDrain, Busy: true},
+		{ID: idle.ID, Value: "idle", Cause: EndDrain},
+	}
+	if diff := gocmp.Diff(want, table.Expire(limit)); diff != "" {
+		t.Error(diff)
+	}
+	if table.Release(limit, busy) || table.Len() != 0 {
+		t.Error("a transaction is left after the drain")
+	}
+}
+
+// Guards against a workspace that pins all connections, and against pins that are not given back.
+func TestPins(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table := newTable(t, 2, 3)
+		now := start
+		held := make(map[Lease]Owner)
+		count := func(owner Owner) int {
+			n := 0
+			for _, holder := range held {
+				if holder == owner {
+					n++
+				}
+			}
+			return n
+		}
+		for range 60 {
+			owner := rapid.SampledFrom([]Owner{alice, bob}).Draw(rt, "owner")
+			if rapid.Bool().Draw(rt, "begin") {
+				lease, err := table.Begin("stock", owner, "")
+				if full := count(owner) == 2 || len(held) == 3; full != errors.Is(err, ErrPins) {
+					rt.Fatalf("%d of %d pins, begin: %v", count(owner), len(held), err)
+				}
+				if err == nil {
+					held[lease] = owner
+				}
+			} else {
+				for lease, holder := range held {
+					if holder == owner {
+						table.End(lease)
+						delete(held, lease)
+						break
+					}
+				}
+			}
+			if got := table.Pins("stock", owner.Workspace); got != count(owner) || table.Len() != len(held) {
+				rt.Fatalf("%d pins, want %d", got, count(owner))
+			}
+		}
+		for lease := range held {
+			table.Release(now, lease)
+		}
+		table.Expire(now.Add(time.Minute))
+		if len(table.workspaces) != 0 || len(table.services) != 0 {
+			rt.Fatal("pins are left after all transactions have expired")
+		}
+	})
+}
+
+func newSealer(t testing.TB, secrets ...[]byte) *Sealer {
+	t.Helper()
+	sealer, err := NewSealer(secrets...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sealer
+}
+
+func exampleHandle() Handle {
+	return Handle{Home: "h1", Incarnation: 1 << 63, Local: 3, Service: "stock", Workspace: "alice", Key: "k1"}
+}
+
+// Guards against handles that lose a part on their way, that a URL changes, or that grow without bound.
+func TestHandleRoundTrip(t *testing.T) {
+	sealer := newSealer(t, secret)
+	rapid.Check(t, func(rt *rapid.T) {
+		name := func(label string) string {
+			return string(rapid.SliceOfN(rapid.Byte(), 1, maxNameBytes).Draw(rt, label))
+		}
+		want := Handle{
+			Home: model.HostID(name("home")), Incarnation: model.Incarnation(rapid.Uint64().Draw(rt, "incarnation")),
+			Local: ID(rapid.Uint64Min(1).Draw(rt, "local")), Service: model.Service(name("service")),
+			Workspace: model.Workspace(name("workspace")), Key: model.KeyID(name("key")),
+		}
+		text, err := sealer.Seal(want)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if len(text) > MaxHandleBytes || url.PathEscape(text) != text {
+			rt.Fatalf("%d bytes: %s", len(text), text)
+		}
+		got, err := sealer.Open(text)
+		if diff := gocmp.Diff(want, got); err != nil || diff != "" {
+			rt.Fatalf("%v %s", err, diff)
+		}
+	})
+}
+
+// Guards against forged handles: any changed bit, another secret, or the code of another token must be refused.
+func TestForgedHandle(t *testing.T) {
+	sealer := newSealer(t, secret)
+	text, err := sealer.Seal(exampleHandle())
+	if err != nil {
+		t.Fatal(err)
+	}
+	sealed, _ := base64.RawURLEncoding.DecodeString(text)
+	for bit := range len(sealed) * 8 {
+		changed := bytes.Clone(sealed)
+		changed[bit/8] ^= 1 << (bit % 8)
+		if _, err := sealer.Open(base64.RawURLEncoding.EncodeToString(changed)); !errors.Is(err, ErrForged) {
+			t.Fatalf("bit %d: %v", bit, err)
+		}
+	}
+	other := newSealer(t, bytes.Repeat([]byte{8}, 32))
+	if _, err := other.Open(text); !errors.Is(err, ErrForged) {
+		t.Errorf("another secret: %v", err)
+	}
+	if _, err := newSealer(t, bytes.Repeat([]byte{8}, 32), secret).Open(text); err != nil {
+		t.Errorf("the secret before a change: %v", err)
+	}
+	mac := hmac.New(sha256.New, secret)
+	mac.Write(sealed[sha256.Size:])
+	plain := base64.RawURLEncoding.EncodeToString(append(mac.Sum(nil), sealed[sha256.Size:]...))
+	if _, err := sealer.Open(plain); !errors.Is(err, ErrForged) {
+		t.Errorf("the code of another token: %v", err)
+	}
+}
+
+// Guards against panics and misreadings of texts that are no handles, also under a right code.
+func TestMalformedHandle(t *testing.T) {
+	sealer := newSealer(t, secret)
+	seal := func(content any) string {
+		body, err := msgpack.Marshal(content)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return base64.RawURLEncoding.EncodeToString(append(authenticate(secret, body), body...))
+	}
+	for name, text := range map[string]string{
+		"empty": "", "short": "AAAA", "not base64url": "a+b/", "long": strings.Repeat("A", MaxHandleBytes+1),
+		"other content": seal("text"), "no names": seal(Handle{}),
+	} {
+		if _, err := sealer.Open(text); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	long := exampleHandle()
+	long.Service = model.Service(strings.Repeat("s", maxNameBytes+1))
+	if _, err := sealer.Seal(long); err == nil {
+		t.Error("a name that is too long is sealed")
+	}
+	if _, err := NewSealer(secret[:31]); err == nil {
+		t.Error("a short secret is accepted")
+	}
+}
+
+// Guards against a foreign key on an authentic handle, and against a handle of an earlier start of the home.
+func TestHandleChecks(t *testing.T) {
+	h := exampleHandle()
+	for name, test := range map[string]struct{ got, want error }{
+		"own":               {h.Check("stock", alice), nil},
+		"foreign key":       {h.Check("stock", Owner{"alice", "k2"}), ErrForeign},
+		"foreign workspace": {h.Check("stock", Owner{"bob", "k1"}), ErrForeign},
+		"other service":     {h.Check("booking", alice), ErrForeign},
+		"this home":         {h.CheckHome("h1", 1<<63), nil},
+		"other home":        {h.CheckHome("h2", 1<<63), ErrLost},
+		"earlier start":     {h.CheckHome("h1", 1<<63+1), ErrLost},
+	} {
+		if !errors.Is(test.got, test.want) {
+			t.Errorf("%s: got %v, want %v", name, test.got, test.want)
+		}
+	}
+}
+
+// Guards against refusals whose reason sends the caller the wrong way.
+func TestReasons(t *testing.T) {
+	want := map[Error]model.Reason{
+		ErrMalformed: model.ReasonBadRequest, ErrForged: model.ReasonBadRequest,
+		ErrForeign: model.ReasonTransactionForeign, ErrLost: model.ReasonTransactionLost,
+		ErrBusy: model.ReasonTransactionBusy, ErrPins: model.ReasonOverload, ErrDraining: model.ReasonDraining,
+	}
+	for err, reason := range want {
+		if got := err.Result(); got.Reason != reason || got.Outcome != model.OutcomeNotRun {
+			t.Errorf("%s: %+v", err, got)
+		}
+	}
+}
