--- a/server/entry.go
+++ b/server/entry.go
@@ -77,7 +77,7 @@
 		}
 		q := daemon.EndRequest{Caller: a.caller, Service: a.service, Handle: handle, Commit: commit,
 			RequestID: r.RequestID, Remaining: remaining(ctx)}
-		reply, err := s.callEnd(ctx, h.Host, q)
+		reply, err := s.callEnd(ctx, h.Home, q)
 		if err != nil {
 			reply.Result = transactionFailure(ctx, err)
 		}
@@ -297,22 +297,25 @@
 		return daemon.ExecuteReply{Result: refused}
 	}
 	q.Remaining = remaining(ctx)
-	reply, err := s.callExecute(ctx, h.Host, q)
+	reply, err := s.callExecute(ctx, h.Home, q)
 	if err != nil {
 		reply.Result = transactionFailure(ctx, err)
 	}
 	return reply
 }
 
-// openHandle authenticates a transaction handle and checks that it belongs to the caller.
+// openHandle authenticates a transaction handle and checks that it belongs to the caller. A refusal has an outcome.
 func (s *Server) openHandle(a *admitted, text string) (txn.Handle, model.Result) {
-	h, err := txn.DecodeHandle(a.snapshot.secret, text)
+	sealer, err := txn.NewSealer(a.snapshot.secret)
 	if err != nil {
-		return txn.Handle{}, model.NotRun(model.ReasonBadRequest, err.Error())
+		panic("the secret of transaction handles is invalid: " + err.Error())
 	}
-	if h.Workspace != a.caller.Workspace || h.Key != a.caller.Key || h.Service != a.service {
-		return txn.Handle{}, model.NotRun(model.ReasonTransactionForeign,
-			"the transaction belongs to another key, workspace or service")
+	h, err := sealer.Open(text)
+	if err == nil {
+		err = h.Check(a.service, owner(a.caller))
+	}
+	if err != nil {
+		return txn.Handle{}, txnRefusal(err)
 	}
 	return h, model.Result{}
 }
