Let sessions read from a primary of a later term

Such a primary has every acknowledged write, but its offset may be below a mark that covers writes which were never acknowledged. A request whose time ended without an answer now has the reason deadline_exceeded.

--- a/standin/target/faults.go
+++ b/standin/target/faults.go
@@ -21,9 +21,13 @@
 // Everybody stands for all peers of a member in a cut: all other members and all clients.
 const Everybody = "*"
 
-// Clients stands for all clients of a member in a cut.
+// Clients stands for all clients of a member in a cut. A replication connection that begins during such a cut waits as
+// well, because the member learns from its first bytes who it is.
 const Clients = ""
 
+// unknownMember is the peer of an outgoing connection until the other end has told its name.
+const unknownMember = "?"
+
 // faults is the state of the settable faults of one member. Bytes that a cut or a freeze holds back arrive when it
 // ends, as they do on a TCP connection that survives a partition.
 type faults struct {
--- a/standin/target/replication.go
+++ b/standin/target/replication.go
@@ -159,6 +159,7 @@
 	defer stop()
 	defer plain.Close()
 	conn := newFaultConn(ctx, plain, m.faults, nil)
+	conn.peer.Store(unknownMember)
 	if err := m.greetPrimary(conn); err != nil {
 		return trace.Wrap(err)
 	}
--- a/standin/target/statement.go
+++ b/standin/target/statement.go
@@ -88,6 +88,7 @@
 	writes    bool
 	upsert    bool // INSERT: replace the value of an existing row
 	append    bool // UPDATE: append to the value
+	compare   bool // UPDATE: only if the row has the value of the third operand
 	all       bool // SELECT: every row
 	withKey   bool // SELECT: key and value
 	forUpdate bool // SELECT: lock the row
@@ -125,8 +126,9 @@
 	formSelect       = form(`SELECT (value|key_ ,_ value|\*) FROM (\w+)(?: WHERE key_ =_ §)?( FOR UPDATE)?`)
 	formInsert       = form(`INSERT INTO (\w+)_ \(_ key_ ,_ value_ \)_ VALUES_ \(_ §_ ,_ §_ \)(?: (ON CONFLICT_ \(_ key_ \)_ DO UPDATE SET value_ =_ excluded\.value))?`)
 	formWithInsert   = form(`WITH \w+ AS_ \(_ (INSERT INTO .+?)(?: RETURNING [\w, *]+)?_ \)_ SELECT .+`)
-	formUpdate       = form(`UPDATE (\w+) SET value_ =_ §_ WHERE key_ =_ §`)
-	formAppend       = form(`UPDATE (\w+) SET value_ =_ value_ \|\|_ §_ WHERE key_ =_ §`)
+	formUpdate       = form(`UPDATE (\w+) SET value_ =_ § WHERE key_ =_ §`)
+	formCompare      = form(`UPDATE (\w+) SET value_ =_ § WHERE key_ =_ § AND value_ =_ §`)
+	formAppend       = form(`UPDATE (\w+) SET value_ =_ value_ \|\|_ § WHERE key_ =_ §`)
 	formDelete       = form(`DELETE FROM (\w+) WHERE key_ =_ §`)
 	formSleep        = form(`SELECT pg_sleep_ \(_ §_ \)`)
 	formConstant     = form(`SELECT §`)
@@ -270,6 +272,9 @@
 	if m := formAppend.FindStringSubmatch(text); m != nil {
 		return &plan{kind: planUpdate, append: true, writes: true, table: strings.ToLower(m[1]), operands: parseOperands([]string{m[3], m[2]})}
 	}
+	if m := formCompare.FindStringSubmatch(text); m != nil {
+		return &plan{kind: planUpdate, compare: true, writes: true, table: strings.ToLower(m[1]), operands: parseOperands([]string{m[3], m[2], m[4]})}
+	}
 	if m := formUpdate.FindStringSubmatch(text); m != nil {
 		return &plan{kind: planUpdate, writes: true, table: strings.ToLower(m[1]), operands: parseOperands([]string{m[3], m[2]})}
 	}
--- a/target/classify.go
+++ b/target/classify.go
@@ -69,8 +69,11 @@
 func lost(err error) Answer {
 	reason := model.ReasonConnectionLost
 	var tooLarge *pgproto3.ExceededMaxBodyLenErr
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		reason = model.ReasonAnswerTooLarge
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		reason = model.ReasonDeadline
 	}
 	return Answer{Result: model.Unknown(reason, "no answer: "+err.Error()), Failure: FailureLost}
 }
--- a/target/execute.go
+++ b/target/execute.go
@@ -85,7 +85,7 @@
 		if err != nil {
 			return refusedBySelf(model.ReasonTargetUnavailable, err.Error())
 		}
-		if !before.Position.Covers(mark) {
+		if !before.Serves(mark) {
 			return behind(before)
 		}
 	}
--- a/target/member.go
+++ b/target/member.go
@@ -124,12 +124,14 @@
 
 // serveWaiters calls group_wait until no caller waits. An error goes to all callers.
 func (m *ControlMember) serveWaiters() {
+	// A call must return before its own time ends.
+	slice := min(waitSlice, m.waits.options.ControlTimeout/2)
 	for {
 		p, found := m.earliest()
 		if !found {
 			return
 		}
-		milliseconds := strconv.FormatInt(waitSlice.Milliseconds(), 10)
+		milliseconds := strconv.FormatInt(slice.Milliseconds(), 10)
 		status, err := m.waits.call(context.Background(), sqlWait, formatNumber(p.Term), formatNumber(p.Offset), milliseconds)
 		m.answerWaiters(status, err)
 	}
--- a/target/target.go
+++ b/target/target.go
@@ -66,6 +66,16 @@
 	return s.Role == RolePrimary && s.AdoptedTerm == s.Position.Term
 }
 
+// Serves reports whether a session that has seen mark may read from the member. A replica must have everything up to
+// mark. A primary of a later term may have a smaller offset: it has all acknowledged writes of the earlier terms, and
+// what it lacks was never acknowledged.
+func (s MemberStatus) Serves(mark model.Position) bool {
+	if s.Leads() && s.Position.Term > mark.Term {
+		return true
+	}
+	return s.Position.Covers(mark)
+}
+
 // Member is one target of a group, over its control connections. The errors of all methods are for IsRefusedConnection
 // and IsRefusedOrder; any other error means that the target gave no usable answer.
 type Member interface {
@@ -77,7 +87,8 @@
 	Promote(ctx context.Context, term uint64, orderer string) (MemberStatus, error)
 	// Follow makes the member a replica of the primary at the given address.
 	Follow(ctx context.Context, term uint64, primary string) (MemberStatus, error)
-	// WaitPosition waits until the member's position covers p or ctx ends.
+	// WaitPosition waits until the member's position covers p or ctx ends. An error of the connection is returned at
+	// once.
 	WaitPosition(ctx context.Context, p model.Position) (MemberStatus, error)
 }
 
@@ -89,7 +100,7 @@
 
 // Traffic runs statements on one target.
 type Traffic interface {
-	// Read runs a statement in a read-only transaction, on data that covers mark.
+	// Read runs a statement in a read-only transaction, on data that a session at mark may read (MemberStatus.Serves).
 	Read(ctx context.Context, s Statement, mark model.Position) Answer
 	// Write runs a statement together with its ledger entry in one transaction on the primary. The write is not
 	// acknowledged before the answer's position is durable on a majority of the group.
@@ -127,8 +138,8 @@
 	FailureNotSent
 	// FailureRefused means that the target refused the request and that it has no effect.
 	FailureRefused
-	// FailureBehind means that the target's data does not cover the position that a read asked for, or that the target
-	// changed its term during the read. The read's rows were dropped.
+	// FailureBehind means that the target does not serve the mark that a read asked for, or that it changed its term
+	// during the read. The read's rows were dropped.
 	FailureBehind
 	// FailureLost means that the request was sent and no answer came.
 	FailureLost
