Hand over released slots without a wait and poll only workspaces that are due

A leaving host releases its slots after it took back its loans, so a planned stop costs no rate. Idle loans last 4 s instead of 8 s, which shortens the wait for a dead host's slots.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -50,8 +50,9 @@
 	ClockTolerance = 1.01
 	// LoanDuration is the duration of a loan of a workspace that is in use.
 	LoanDuration = 2 * time.Second
-	// IdleLoanDuration is the duration of a loan of an idle workspace. It is the longest duration of a loan.
-	IdleLoanDuration = 8 * time.Second
+	// IdleLoanDuration is the duration of a loan of an idle workspace. It is the longest duration of a loan, so slots that
+	// move from a dead host are unused for this time and the freshness bound. A longer one saves renewals.
+	IdleLoanDuration = 4 * time.Second
 	// GrantDuration is the time during which a spender may use granted tokens.
 	GrantDuration = 500 * time.Millisecond
 	// Wait is the longest time that a request waits for a token.
@@ -60,7 +61,7 @@
 	// A loan names the timestamp of the previous reply, so it lasts LoanDuration − 2 × lendEvery just before its renewal.
 	// This must exceed GrantDuration, or grants can't be drawn on it.
 	lendEvery     = 500 * time.Millisecond
-	idleLendEvery = 3 * time.Second
+	idleLendEvery = 1500 * time.Millisecond
 	returnEvery   = 100 * time.Millisecond
 	loanTimeout   = 250 * time.Millisecond
 	// idleAfter is the time without token requests after which the broker calls a workspace idle.
--- a/limit/spender.go
+++ b/limit/spender.go
@@ -38,6 +38,7 @@
 	sequence    uint64
 	caches      map[model.Workspace]*cache
 	order       []*cache // all caches in order of creation
+	forgotten   time.Time
 }
 
 // cache is the state of one workspace at a spender.
@@ -48,6 +49,7 @@
 	demand    float64 // requests of the last demandWindow, exponentially weighted
 	demandAt  time.Time
 	used      time.Time
+	due       time.Time // when Poll has something to do for this workspace; zero for never
 
 	asks      []sentAsk     // unanswered asks, in order of time
 	askedAt   time.Time     // time of the last ask
@@ -93,10 +95,22 @@
 }
 
 // SetBrokers replaces the choice of brokers. Call it after each change of the membership.
-func (s *Spender) SetBrokers(brokerOf BrokerOf) { s.brokerOf = brokerOf }
+func (s *Spender) SetBrokers(brokerOf BrokerOf) {
+	s.brokerOf = brokerOf
+	s.scheduleAll()
+}
 
 // Drain makes the spender hand back tokens at once. It still admits requests, but keeps no tokens for later ones.
-func (s *Spender) Drain() { s.draining = true }
+func (s *Spender) Drain() {
+	s.draining = true
+	s.scheduleAll()
+}
+
+func (s *Spender) scheduleAll() {
+	for _, c := range s.order {
+		s.schedule(c)
+	}
+}
 
 // Drained reports whether no token is left and every report has arrived.
 func (s *Spender) Drained(now time.Time) bool {
@@ -119,6 +133,7 @@
 		s.order = append(s.order, c)
 	}
 	c.count(now)
+	defer s.schedule(c)
 	d := Decision{Ticket: ticket, Workspace: ws}
 	if len(c.waiters) == 0 && c.take(now) {
 		d.Verdict = Admitted
@@ -136,6 +151,7 @@
 func (s *Spender) Cancel(ws model.Workspace, ticket uint64) {
 	if c := s.caches[ws]; c != nil {
 		c.waiters = slices.DeleteFunc(c.waiters, func(w waiter) bool { return w.ticket == ticket })
+		s.schedule(c)
 	}
 }
 
@@ -145,14 +161,16 @@
 	var decisions []Decision
 	var out []TokenMessage
 	for _, c := range s.order {
+		if c.due.IsZero() || c.due.After(now) {
+			continue
+		}
 		decisions = append(decisions, c.expireWaiters(now)...)
 		c.expire(now)
 		c.shed(now, s.draining)
-	}
-	for _, c := range s.order {
 		for _, to := range s.dueBrokers(now, c) {
 			out = append(out, s.message(now, to))
 		}
+		s.schedule(c)
 	}
 	s.forget(now)
 	return out, decisions
@@ -165,9 +183,13 @@
 	}
 	var decisions []Decision
 	for _, c := range s.order {
-		c.confirm(from, reply.Sequence)
+		confirmed := c.confirm(from, reply.Sequence)
 		sent, ok := c.answered(from, reply.Sequence)
 		if !ok {
+			if confirmed {
+				c.expire(now)
+				s.schedule(c)
+			}
 			continue
 		}
 		for _, g := range reply.Grants {
@@ -179,31 +201,39 @@
 			decisions = append(decisions, Decision{Ticket: c.waiters[0].ticket, Workspace: c.workspace, Verdict: Admitted})
 			c.waiters = c.waiters[1:]
 		}
+		s.schedule(c)
 	}
 	return decisions
 }
 
 // Next returns the time at which Poll has something to do, or the zero time. It may have passed.
-func (s *Spender) Next(now time.Time) time.Time {
+func (s *Spender) Next() time.Time {
 	var next time.Time
 	for _, c := range s.order {
-		if len(c.waiters) > 0 {
-			next = earlier(next, c.waiters[0].deadline)
-		}
-		if s.brokerOf(c.workspace) != "" && c.wanted(s.draining) > 0 {
-			next = earlier(next, c.askTime())
-		}
-		for _, g := range c.grants {
-			next = earlier(next, g.end)
-			next = earlier(next, c.reportTime(g, s.draining))
-			if g.left > 0 {
-				next = earlier(next, g.received.Add(c.keep(s.draining)))
-			}
-		}
+		next = earlier(next, c.due)
 	}
 	return next
 }
 
+// schedule computes when Poll has something to do for c.
+func (s *Spender) schedule(c *cache) {
+	var due time.Time
+	if len(c.waiters) > 0 {
+		due = c.waiters[0].deadline
+	}
+	if s.brokerOf(c.workspace) != "" && c.wanted(s.draining) > 0 {
+		due = earlier(due, c.askTime())
+	}
+	for _, g := range c.grants {
+		due = earlier(due, g.end)
+		due = earlier(due, c.reportTime(g, s.draining))
+		if g.left > 0 {
+			due = earlier(due, g.received.Add(c.keep(s.draining)))
+		}
+	}
+	c.due = due
+}
+
 // dueBrokers returns the brokers that have to get a message because of c.
 func (s *Spender) dueBrokers(now time.Time, c *cache) []model.HostID {
 	var out []model.HostID
@@ -232,6 +262,7 @@
 		}
 		if ask.Need+ask.Prefetch > 0 || len(ask.Reports) > 0 {
 			req.Asks = append(req.Asks, ask)
+			s.schedule(c)
 		}
 	}
 	return TokenMessage{To: to, Request: req}
@@ -239,6 +270,10 @@
 
 // forget removes caches that were not used for a while.
 func (s *Spender) forget(now time.Time) {
+	if now.Sub(s.forgotten) < demandWindow {
+		return
+	}
+	s.forgotten = now
 	s.order = slices.DeleteFunc(s.order, func(c *cache) bool {
 		if len(c.grants) > 0 || len(c.waiters) > 0 || now.Sub(c.used) < 10*demandWindow {
 			return false
@@ -411,11 +446,14 @@
 	return out
 }
 
-// confirm notes that the broker has the totals of a message.
-func (c *cache) confirm(from model.HostID, sequence uint64) {
+// confirm notes that the broker has the totals of a message, and reports whether it had any of c.
+func (c *cache) confirm(from model.HostID, sequence uint64) bool {
+	found := false
 	for _, g := range c.grants {
 		if g.broker == from && g.sentIn == sequence {
 			g.confirmed = g.sent
+			found = true
 		}
 	}
+	return found
 }
--- a/roster/plan.go
+++ b/roster/plan.go
@@ -45,9 +45,9 @@
 }
 
 const (
-	// FreeAfter is the time for which a host is dead before its slots go to others. The wait of the new holder makes an
-	// earlier move harmless, but moved slots are unused for that wait.
-	FreeAfter = 10 * time.Second
+	// FreeAfter is the time for which a host is dead before its slots go to others. Moved slots are unused for the wait of
+	// the new holder, so a host that comes back at once should keep them.
+	FreeAfter = 3 * time.Second
 	// RemoveAfter is the time for which a host is dead before it no longer counts in majorities.
 	RemoveAfter = 10 * time.Minute
 	// RemoveUnlistedAfter is the same for a host that is not on the platform's list either.
@@ -111,13 +111,11 @@
 	return ok && m.State == Alive && !p.leaving[id]
 }
 
-// gone reports whether a host gives its slots to others. A host that the observer knows nothing about keeps them.
+// gone reports whether a host gives its slots to others. A host that the observer knows nothing about keeps them. A
+// living host that leaves calls Release, after which its slots need no wait.
 func (p planner) gone(id model.HostID) bool {
 	m, ok := p.members[id]
-	if p.leaving[id] || ok && m.State == Left {
-		return true
-	}
-	return ok && m.State == Dead && m.For >= FreeAfter
+	return ok && (m.State == Left || m.State == Dead && m.For >= FreeAfter)
 }
 
 // removable reports whether a host no longer counts in majorities.
@@ -175,8 +173,7 @@
 		if !ok {
 			break
 		}
-		// A slot without any version was never held.
-		d.Slots[i] = Slot{Holder: h.ID, Incarnation: h.Incarnation, Since: d.Version, First: s.Since == 0}
+		d.Slots[i] = Slot{Holder: h.ID, Incarnation: h.Incarnation, Since: d.Version, Clean: s.Clean}
 		n++
 	}
 	return n
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -47,7 +47,7 @@
 	Holder      model.HostID      `json:"holder,omitempty"` // empty while nobody holds the slot
 	Incarnation model.Incarnation `json:"incarnation,omitempty"`
 	Since       uint64            `json:"since,omitempty"` // version that gave the slot to this incarnation
-	First       bool              `json:"first,omitempty"` // nobody has held the slot before
+	Clean       bool              `json:"clean,omitempty"` // no former holder and none of its loans can use the slot
 }
 
 // Host is a registered host. It counts in majorities.
@@ -67,7 +67,11 @@
 
 // New returns version 0, which is never stored, with free slots and no hosts.
 func New(slots int) Document {
-	return Document{Slots: make([]Slot, slots)}
+	d := Document{Slots: make([]Slot, slots)}
+	for i := range d.Slots {
+		d.Slots[i].Clean = true
+	}
+	return d
 }
 
 // Parse reads a document and checks it.
@@ -175,10 +179,31 @@
 	return d, true, nil
 }
 
+// Release frees the slots of a host that leaves. Others may use a slot that the host could use itself without a wait. The
+// caller must have taken back all loans (limit.Holder.Lent) and given up the slots (limit.Holder.SetSlots) before the
+// change is sent to the store, and must not take the slots up again, whatever the answer.
+func Release(old Document, now time.Time, t *Tenure, changeID string) (Document, bool) {
+	d := old.next(changeID)
+	changed := false
+	for i, s := range d.Slots {
+		if s.Holder == t.host && s.Incarnation == t.incarnation {
+			// While the host still waits for a slot, the former holder may be using it.
+			x, ok := t.slots[i]
+			clean := ok && x.since == s.Since && !now.Before(x.from)
+			d.Slots[i] = Slot{Since: d.Version, Clean: clean}
+			changed = true
+		}
+	}
+	if !changed {
+		return old, false
+	}
+	return d, true
+}
+
 // UsableFrom returns the earliest time at which the holder may use a slot, if it saw the version that gave it the slot
 // at the given time. It saw that version no earlier than the store accepted it.
 func (s Slot) UsableFrom(seen time.Time) time.Time {
-	if s.First {
+	if s.Clean {
 		return seen
 	}
 	wait := float64(Freshness+limit.IdleLoanDuration) * limit.ClockTolerance
