--- /dev/null
+++ b/internal/simqueue/report.go
@@ -0,0 +1,170 @@
+package simqueue
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// Service is what a workspace got.
+type Service struct {
+	Workspace model.Workspace
+	Sent      int
+	Done      int // within the time of the request
+	Late      int // run, but after the time of the request
+	Refused   map[model.Reason]int
+	P50, P99  time.Duration // of the requests that were done
+	// Fair is the number of requests that a max-min fair division of the slot time has room for.
+	Fair float64
+	// Ratio is Done divided by Fair.
+	Ratio float64
+
+	latency  *hdrhistogram.Histogram
+	slotTime time.Duration // on the primary and on replicas, of all requests sent
+	reads    time.Duration
+}
+
+// Report is the result of a simulation.
+type Report struct {
+	Params   Params
+	Services []Service
+	// Goodput is the number of requests done per second, and Useful the part of all slots that worked for them.
+	Goodput, Useful float64
+	// MaxQueued is the greatest length of the queue of a target.
+	MaxQueued int
+	// Worst is the workspace with the lowest ratio.
+	Worst Service
+
+	useful time.Duration
+}
+
+func newReport(params Params) *Report {
+	report := &Report{Params: params}
+	for _, load := range params.Loads {
+		report.Services = append(report.Services, Service{
+			Workspace: load.Workspace, Refused: make(map[model.Reason]int),
+			latency: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+		})
+	}
+	return report
+}
+
+func (r *Report) sent(q request) *Service {
+	s := &r.Services[q.load]
+	s.Sent++
+	if q.read {
+		s.reads += q.service
+	} else {
+		s.slotTime += q.service
+	}
+	return s
+}
+
+func (r *Report) finished(q request, now time.Time) {
+	s := r.sent(q)
+	if now.After(q.deadline) {
+		s.Late++
+		return
+	}
+	s.Done++
+	r.useful += q.service
+	// The range of the histogram is far above any timeout.
+	_ = s.latency.RecordValue(max(1, now.Sub(q.arrived).Microseconds()))
+}
+
+func (r *Report) refused(q request, reason model.Reason) {
+	r.sent(q).Refused[reason]++
+}
+
+func (r *Report) complete() {
+	p := r.Params
+	slots := p.Duration.Seconds() * float64(p.Slots)
+	var writes, reads []float64
+	for _, s := range r.Services {
+		writes, reads = append(writes, s.slotTime.Seconds()), append(reads, s.reads.Seconds())
+	}
+	fairWrites := maxMin(writes, slots)
+	fairReads := maxMin(reads, slots*float64(p.Replicas))
+	done := 0
+	r.Worst.Ratio = math.Inf(1)
+	for i := range r.Services {
+		s := &r.Services[i]
+		if demand := writes[i] + reads[i]; demand > 0 {
+			s.Fair = float64(s.Sent) * (fairWrites[i] + fairReads[i]) / demand
+			s.Ratio = float64(s.Done) / s.Fair
+		}
+		s.P50 = time.Duration(s.latency.ValueAtQuantile(50)) * time.Microsecond
+		s.P99 = time.Duration(s.latency.ValueAtQuantile(99)) * time.Microsecond
+		done += s.Done
+		if s.Ratio < r.Worst.Ratio {
+			r.Worst = *s
+		}
+	}
+	r.Goodput = float64(done) / p.Duration.Seconds()
+	r.Useful = r.useful.Seconds() / (slots * float64(1+p.Replicas))
+}
+
+// maxMin divides the capacity: everyone gets what it demands, or else an equal part of what the others leave.
+func maxMin(demands []float64, capacity float64) []float64 {
+	order := make([]int, len(demands))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		if demands[a] < demands[b] {
+			return -1
+		}
+		return 1
+	})
+	parts := make([]float64, len(demands))
+	for done, i := range order {
+		parts[i] = min(demands[i], capacity/float64(len(order)-done))
+		capacity -= parts[i]
+	}
+	return parts
+}
+
+// Line returns the summary in one line.
+func (r Report) Line() string {
+	refused := 0
+	sent := 0
+	for _, s := range r.Services {
+		sent += s.Sent
+		for _, n := range s.Refused {
+			refused += n
+		}
+	}
+	return fmt.Sprintf("goodput %7.1f/s  useful slots %.3f  refused %.3f  worst %-8s ratio %.3f  max queue %d",
+		r.Goodput, r.Useful, float64(refused)/float64(max(1, sent)), r.Worst.Workspace, r.Worst.Ratio, r.MaxQueued)
+}
+
+// String returns the table of the workspaces, with the summary.
+func (r Report) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-8s %8s %9s %6s %9s %9s %7s %9s %9s %6s\n",
+		"name", "sent/s", "done/s", "ratio", "p50", "p99", "late", "full", "deadline", "other")
+	seconds := r.Params.Duration.Seconds()
+	for _, s := range r.Services {
+		full, deadline, other := 0, 0, 0
+		for reason, n := range s.Refused {
+			switch reason {
+			case model.ReasonQueueFull:
+				full += n
+			case model.ReasonDeadline:
+				deadline += n
+			default:
+				other += n
+			}
+		}
+		fmt.Fprintf(&b, "%-8s %8.1f %9.1f %6.3f %9s %9s %7d %9d %9d %6d\n", s.Workspace, float64(s.Sent)/seconds,
+			float64(s.Done)/seconds, s.Ratio, s.P50.Round(100*time.Microsecond), s.P99.Round(100*time.Microsecond),
+			s.Late, full, deadline, other)
+	}
+	return b.String() + r.Line() + "\n"
+}
