Spread the syncs of a joining host over groups and partners

A joining host asks a new partner for another group every 50 ms and no longer waits for each reply. A chain of replies with a cursor was tried first and was as slow, since one lost reply stopped it for 5 s.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -51,7 +51,9 @@
 	recheckPause  = 50 * time.Millisecond  // time between two rechecks
 	joinPause     = 50 * time.Millisecond  // time between two syncs of a host that has just started
 	catchUpPause  = 200 * time.Millisecond // time between two syncs while members were left out
-	differPause   = 500 * time.Millisecond // time between two syncs while the tables differ or a reply is missing
+	differPause   = 500 * time.Millisecond // time between two syncs while the tables differ
+	joinLimit     = 10 * time.Second       // a host syncs at the pace of joinPause for no longer than this
+	groupStep     = 27                     // distance of the groups that successive syncs start with, odd to reach all
 	suspectPings  = 300 * time.Millisecond
 	readyAfter    = 3 * time.Second // a host that hears from nobody is ready after this time
 	leaveMessages = 8               // members that are told of a leave at once
@@ -166,6 +168,7 @@
 	dead     []model.HostID // members that are retried
 	rechecks []model.HostID // members whose state another host sees differently
 	leftList map[model.HostID]bool
+	sums     [digestBuckets]uint64 // digests of the groups, this host left out
 
 	sequence  uint64
 	probes    map[uint64]*probe
@@ -177,6 +180,9 @@
 	nextPrune time.Time
 	nextCheck time.Time
 	syncWith  model.HostID // preferred partner of the next sync
+	syncPause time.Duration
+	group     uint8 // group that the next sync starts with
+	joining   bool  // no host with a complete table has sent everything yet
 
 	actions []Action
 }
@@ -191,11 +197,14 @@
 		self:     self,
 		started:  now,
 		lastTick: now,
-		members:  map[model.HostID]*entry{},
-		suspects: map[model.HostID]*entry{},
-		leftList: map[model.HostID]bool{},
-		probes:   map[uint64]*probe{},
-		proxies:  map[uint64]proxied{},
+		joining:  true,
+
+		syncPause: joinPause,
+		members:   map[model.HostID]*entry{},
+		suspects:  map[model.HostID]*entry{},
+		leftList:  map[model.HostID]bool{},
+		probes:    map[uint64]*probe{},
+		proxies:   map[uint64]proxied{},
 	}
 	t.queue.add(t.self.update())
 	return t
@@ -282,9 +291,9 @@
 	case KindPingRequest:
 		t.proxyPing(now, address, m)
 	case KindSync:
-		t.answerSync(rng, address, m)
+		t.answerSync(address, m)
 	case KindSyncReply:
-		t.afterSync(now, m)
+		t.afterSync(m)
 	}
 	return t.take()
 }
--- a/membership/message.go
+++ b/membership/message.go
@@ -81,6 +81,7 @@
 	Target      model.HostID      // the host that a ping or ack is about
 	Updates     []Update
 	Digests     []byte // in a sync: two bytes for each group of members
+	Group       uint8  // in a sync: the group that the reply starts with
 	More        bool   // in a sync reply: there may be more members
 }
 
@@ -153,6 +154,9 @@
 	if m.Kind == KindSync && len(m.Digests) != digestSize {
 		return false
 	}
+	if m.Group >= digestBuckets {
+		return false
+	}
 	for _, update := range m.Updates {
 		if !update.valid() {
 			return false
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -198,10 +198,12 @@
 	if now.Before(t.nextSync) {
 		return
 	}
-	t.nextSync = now.Add(t.settings.SyncInterval)
-	if !t.synced {
-		t.nextSync = now.Add(differPause)
+	if t.joining && now.Sub(t.started) >= joinLimit {
+		t.joining = false
+		t.syncPause = differPause
 	}
+	t.nextSync = now.Add(t.syncPause)
+	t.group = (t.group + groupStep) % digestBuckets
 	partner := t.members[t.syncWith]
 	t.syncWith = ""
 	if partner == nil {
@@ -214,40 +216,47 @@
 	t.sequence++
 	digests := t.digests()
 	t.send(partner.GossipAddress, partner,
-		Message{Kind: KindSync, Sequence: t.sequence, Target: partner.ID, Digests: digests}, partner.State != StateAlive)
+		Message{Kind: KindSync, Sequence: t.sequence, Target: partner.ID, Digests: digests, Group: t.group}, partner.State != StateAlive)
 }
 
-// afterSync decides when to compare again: soon while members were left out or the tables differ.
-func (t *Table) afterSync(now time.Time, m Message) {
-	pause := t.settings.SyncInterval
+// afterSync decides how long to wait between two comparisons. The pace does not depend on single replies, so that a lost
+// one doesn't hold up a host that joins.
+func (t *Table) afterSync(m Message) {
+	if !m.More {
+		t.joining = false
+		t.synced = true
+	}
 	switch {
-	case m.More && !t.synced:
-		pause = joinPause
+	case t.joining:
 	case m.More:
-		pause = catchUpPause
+		t.syncPause = catchUpPause
 	case len(m.Updates) > 0:
-		pause = differPause
+		t.syncPause = differPause
+	default:
+		t.syncPause = t.settings.SyncInterval
 	}
-	t.synced = t.synced || !m.More
-	t.nextSync = now.Add(pause)
 }
 
-// digests combines the live members of each group by exclusive or, so that the order doesn't matter. Members that are
+// mix returns a member's part of the digest of its group. Parts are combined by exclusive or, so that the order doesn't
+// matter.
+func mix(hash uint64, incarnation model.Incarnation) uint64 {
+	mixed := (hash ^ uint64(incarnation)) * 0x9e3779b97f4a7c15 // odd constant that spreads the bits of both
+	return mixed ^ mixed>>32
+}
+
+// toggle adds a row to the digests or takes it out. It is called before and after each change of a row. Members that are
 // not live are left out, because hosts forget them at different times.
-func (t *Table) digests() []byte {
-	var sums [digestBuckets]uint64
-	add := func(bucket int, hash uint64, incarnation model.Incarnation) {
-		mixed := (hash ^ uint64(incarnation)) * 0x9e3779b97f4a7c15 // odd constant that spreads the bits of both
-		sums[bucket] ^= mixed ^ mixed>>32
-	}
-	for _, e := range t.members {
-		if e.Live() && !e.listed {
-			add(e.bucket, e.hash, e.Incarnation)
-		}
+func (t *Table) toggle(e *entry) {
+	if e.Live() && !e.listed {
+		t.sums[e.bucket] ^= mix(e.hash, e.Incarnation)
 	}
+}
+
+func (t *Table) digests() []byte {
+	sums := t.sums
 	if t.self.Live() {
 		own := t.ownHash()
-		add(int(own%digestBuckets), own, t.self.Incarnation)
+		sums[own%digestBuckets] ^= mix(own, t.self.Incarnation)
 	}
 	digests := make([]byte, digestSize)
 	for i, sum := range sums {
@@ -256,8 +265,8 @@
 	return digests
 }
 
-// answerSync sends the members of the groups that differ, as many as fit, starting at a random group.
-func (t *Table) answerSync(rng *rand.Rand, address string, m Message) {
+// answerSync sends the members of the groups that differ, as many as fit.
+func (t *Table) answerSync(address string, m Message) {
 	reply := Message{Kind: KindSyncReply, Sequence: m.Sequence, Target: m.From}
 	room := maxEncoded - headerReserve - len(t.self.ID) - len(m.From) - len(t.self.Payload)
 	mine := t.digests()
@@ -268,7 +277,7 @@
 		differ = differ || buckets[i]
 	}
 	if differ {
-		t.fillReply(rng, &reply, room, buckets)
+		t.fillReply(&reply, int(m.Group), room, buckets)
 	}
 	reply.More = reply.More || !t.synced
 	reply.From = t.self.ID
@@ -277,26 +286,23 @@
 	t.actions = append(t.actions, Action{Send: &Send{Address: address, Message: reply}})
 }
 
-// fillReply adds whole groups, starting at a random one, so that groups become equal and drop out of the next sync.
-func (t *Table) fillReply(rng *rand.Rand, reply *Message, room int, buckets [digestBuckets]bool) {
+// fillReply adds groups that differ, in order from the group that the sync names, so that a host which joins gets
+// different parts of the table from different hosts.
+func (t *Table) fillReply(reply *Message, start, room int, buckets [digestBuckets]bool) {
 	var rows [digestBuckets][]Update
 	own := t.ownHash() % digestBuckets
 	rows[own] = append(rows[own], t.self.update())
 	for _, id := range t.order {
 		e := t.members[id]
-		if e != nil && !e.listed && id != reply.Target {
+		if e != nil && buckets[e.bucket] && !e.listed && id != reply.Target {
 			rows[e.bucket] = append(rows[e.bucket], e.update())
 		}
 	}
-	start := rng.IntN(digestBuckets)
 	for i := range digestBuckets {
 		bucket := (start + i) % digestBuckets
 		if !buckets[bucket] {
 			continue
 		}
-		rng.Shuffle(len(rows[bucket]), func(i, j int) {
-			rows[bucket][i], rows[bucket][j] = rows[bucket][j], rows[bucket][i]
-		})
 		for _, row := range rows[bucket] {
 			if row.size() > room {
 				reply.More = true
--- a/membership/update.go
+++ b/membership/update.go
@@ -110,6 +110,7 @@
 	if e.listed {
 		previous = StateUnknown
 	}
+	t.toggle(e)
 	e.listed = false
 	e.Incarnation = u.Incarnation
 	e.State = u.State
@@ -119,6 +120,7 @@
 		e.GossipAddress = u.GossipAddress
 		e.Payload = slices.Clone(u.Payload)
 	}
+	t.toggle(e)
 	if previous != u.State {
 		e.Since = now
 	}
