--- /dev/null
+++ b/daemon/gossip.go
@@ -0,0 +1,166 @@
+package daemon
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+
+	"github.com/waxwingspindle/waxwingspindle/membership"
+)
+
+const (
+	gossipTagSize    = 8         // bytes of the HMAC tag at the end of a datagram
+	gossipBufferSize = 256 << 10 // bytes of the socket's buffers, room for the datagrams of a short pause
+	// gossipKeyLabel separates the key of the tags from other uses of the shared secret.
+	gossipKeyLabel = "waxwingspindle gossip tag v1"
+)
+
+// GossipCounters counts datagrams and bytes since the start.
+type GossipCounters struct {
+	SentDatagrams      uint64
+	SentBytes          uint64
+	ReceivedDatagrams  uint64 // valid ones
+	ReceivedBytes      uint64 // of all datagrams
+	SendErrors         uint64
+	BadTag             uint64 // dropped: too short, or the tag doesn't match
+	Malformed          uint64 // dropped: the tag matches, but the message is not valid
+	TooLarge           uint64 // dropped: larger than membership.MaxDatagram
+	ReceiveErrors      uint64
+	UnresolvedReceiver uint64 // messages to an address that is not an IP address with a port
+}
+
+// GossipReceiver gets each valid message with the address it came from. It is called from the goroutine of Serve.
+type GossipReceiver func(address string, message membership.Message)
+
+// Gossip sends and receives membership messages in UDP datagrams. Each datagram ends with a tag, the first 8 bytes of
+// an HMAC-SHA256 with the shared secret, so that stray datagrams are ignored. The tag gives no protection against a
+// repetition; the membership rules ignore old messages.
+type Gossip struct {
+	connection *net.UDPConn
+	key        []byte
+
+	sentDatagrams     atomic.Uint64
+	sentBytes         atomic.Uint64
+	receivedDatagrams atomic.Uint64
+	receivedBytes     atomic.Uint64
+	sendErrors        atomic.Uint64
+	badTag            atomic.Uint64
+	malformed         atomic.Uint64
+	tooLarge          atomic.Uint64
+	receiveErrors     atomic.Uint64
+	unresolved        atomic.Uint64
+}
+
+// ListenGossip opens a UDP socket on an IP address and port. The secret must not be empty.
+func ListenGossip(address string, secret []byte) (*Gossip, error) {
+	if len(secret) == 0 {
+		return nil, trace.BadParameter("gossip needs a shared secret")
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, trace.BadParameter("gossip address %q: %v", address, err)
+	}
+	connection, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(parsed))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	// Smaller buffers only lose more datagrams after a pause, so a refusal of the system is no error.
+	_ = connection.SetReadBuffer(gossipBufferSize)
+	_ = connection.SetWriteBuffer(gossipBufferSize)
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte(gossipKeyLabel))
+	return &Gossip{connection: connection, key: mac.Sum(nil)}, nil
+}
+
+// Address returns the local address, with the port that the system chose if the address asked for port 0.
+func (g *Gossip) Address() string { return g.connection.LocalAddr().String() }
+
+// Close closes the socket. Serve then returns nil.
+func (g *Gossip) Close() error { return trace.Wrap(g.connection.Close()) }
+
+// Counters returns the counters.
+func (g *Gossip) Counters() GossipCounters {
+	return GossipCounters{
+		SentDatagrams:      g.sentDatagrams.Load(),
+		SentBytes:          g.sentBytes.Load(),
+		ReceivedDatagrams:  g.receivedDatagrams.Load(),
+		ReceivedBytes:      g.receivedBytes.Load(),
+		SendErrors:         g.sendErrors.Load(),
+		BadTag:             g.badTag.Load(),
+		Malformed:          g.malformed.Load(),
+		TooLarge:           g.tooLarge.Load(),
+		ReceiveErrors:      g.receiveErrors.Load(),
+		UnresolvedReceiver: g.unresolved.Load(),
+	}
+}
+
+// Send sends a message in one datagram. Datagrams may be lost anyway, so failures are counted and not returned.
+func (g *Gossip) Send(send membership.Send) {
+	address, err := netip.ParseAddrPort(send.Address)
+	if err != nil {
+		g.unresolved.Add(1)
+		return
+	}
+	data, err := membership.Encode(send.Message)
+	if err != nil {
+		g.sendErrors.Add(1)
+		return
+	}
+	data = append(data, g.tag(data)...)
+	if _, err := g.connection.WriteToUDPAddrPort(data, address); err != nil {
+		g.sendErrors.Add(1)
+		return
+	}
+	g.sentDatagrams.Add(1)
+	g.sentBytes.Add(uint64(len(data)))
+}
+
+// Serve receives until the socket is closed. It returns nil after Close.
+func (g *Gossip) Serve(receive GossipReceiver) error {
+	buffer := make([]byte, membership.MaxDatagram+1) // one byte more shows that a datagram is too large
+	for {
+		n, from, err := g.connection.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			g.receiveErrors.Add(1) // for example an ICMP error for an earlier datagram
+			continue
+		}
+		g.receivedBytes.Add(uint64(n))
+		if message, valid := g.open(buffer[:n]); valid {
+			g.receivedDatagrams.Add(1)
+			receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), message)
+		}
+	}
+}
+
+// open checks the tag and decodes the message. The message shares no memory with the datagram.
+func (g *Gossip) open(datagram []byte) (membership.Message, bool) {
+	if len(datagram) > membership.MaxDatagram {
+		g.tooLarge.Add(1)
+		return membership.Message{}, false
+	}
+	body := len(datagram) - gossipTagSize
+	if body <= 0 || !hmac.Equal(datagram[body:], g.tag(datagram[:body])) {
+		g.badTag.Add(1)
+		return membership.Message{}, false
+	}
+	message, err := membership.Decode(datagram[:body])
+	if err != nil {
+		g.malformed.Add(1)
+		return membership.Message{}, false
+	}
+	return message, true
+}
+
+func (g *Gossip) tag(body []byte) []byte {
+	mac := hmac.New(sha256.New, g.key)
+	mac.Write(body)
+	return mac.Sum(nil)[:gossipTagSize]
+}
--- /dev/null
+++ b/daemon/gossip_test.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/waxwingspindle/waxwingspindle/membership"
+)
+
+func openGossip(t *testing.T, secret string) (*Gossip, <-chan membership.Message) {
+	t.Helper()
+	gossip, err := ListenGossip("127.0.0.1:0", []byte(secret))
+	if err != nil {
+		t.Fatal(err)
+	}
+	received := make(chan membership.Message, 100)
+	done := make(chan error, 1)
+	go func() {
+		done <- gossip.Serve(func(_ string, m membership.Message) { received <- m })
+	}()
+	t.Cleanup(func() {
+		if err := gossip.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Errorf("Serve after Close: %v", err)
+		}
+	})
+	return gossip, received
+}
+
+// next waits for a message. Loopback loses no datagrams at this rate; the time only bounds a failing test.
+func next(t *testing.T, received <-chan membership.Message) membership.Message {
+	t.Helper()
+	select {
+	case m := <-received:
+		return m
+	case <-time.After(10 * time.Second):
+		t.Fatal("no datagram arrived")
+		return membership.Message{}
+	}
+}
+
+// Guards against messages that change on the way, and against stray, forged, malformed and oversized datagrams that
+// reach the member table or stop the receiver.
+func TestGossipDropsInvalidDatagrams(t *testing.T) {
+	a, _ := openGossip(t, "secret")
+	b, received := openGossip(t, "secret")
+	stranger, _ := openGossip(t, "other secret")
+	last := membership.Message{Kind: membership.KindAck, Sequence: 9, From: "a", Incarnation: 3, Target: "b",
+		Updates: []membership.Update{{ID: "c", State: membership.StateSuspect, Incarnation: 4}}}
+
+	stranger.Send(membership.Send{Address: b.Address(), Message: last})
+	raw, err := net.Dial("udp", b.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = raw.Close() }()
+	noise := []byte{0xc1, 0xff, 0x00}
+	for _, datagram := range [][]byte{
+		{},
+		[]byte("short"),
+		append(noise, a.tag(noise)...),
+		make([]byte, membership.MaxDatagram+100),
+	} {
+		if _, err := raw.Write(datagram); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.Send(membership.Send{Address: b.Address(), Message: last})
+	if diff := cmp.Diff(last, next(t, received)); diff != "" {
+		t.Error(diff)
+	}
+	got := b.Counters()
+	if got.ReceivedDatagrams != 1 || got.BadTag != 3 || got.Malformed != 1 || got.TooLarge != 1 {
+		t.Errorf("counters %+v", got)
+	}
+	a.Send(membership.Send{Address: "host.example:1", Message: last})
+	a.Send(membership.Send{Address: b.Address(), Message: membership.Message{Payload: make([]byte, 2000)}})
+	if got := a.Counters(); got.UnresolvedReceiver != 1 || got.SendErrors != 1 {
+		t.Errorf("counters of the sender %+v", got)
+	}
+}
+
+// Guards against a transport without authentication and against an address that needs a resolver.
+func TestListenGossipRefuses(t *testing.T) {
+	if _, err := ListenGossip("127.0.0.1:0", nil); err == nil {
+		t.Error("no error without a secret")
+	}
+	if _, err := ListenGossip("localhost:0", []byte("x")); err == nil {
+		t.Error("no error for a host name")
+	}
+}
