--- a/membership/update.go
+++ b/membership/update.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -206,7 +207,9 @@
 	if m.Incarnation > e.Incarnation || e.listed {
 		t.hearNewer(now, e, m)
 	}
-	e.Payload = append(e.Payload[:0], m.Payload...)
+	if !bytes.Equal(e.Payload, m.Payload) {
+		e.Payload = slices.Clone(m.Payload) // queued updates keep the old one
+	}
 	if e.State == StateDead {
 		t.syncWith = e.ID // a partition has healed
 		t.nextSync = now
