--- a/server/server.go
+++ b/server/server.go
@@ -113,7 +113,7 @@
 // listeners are the sockets of a daemon.
 type listeners struct {
 	callers, operators, peers net.Listener
-	gossip                    net.PacketConn
+	gossip                    *daemon.Gossip
 }
 
 func (s *Server) listen() (l listeners, err error) {
@@ -132,8 +132,8 @@
 	if l.peers, err = net.Listen("tcp", d.PeerListen); err != nil {
 		return l, trace.ConvertSystemError(err)
 	}
-	l.gossip, err = net.ListenPacket("udp", d.PeerListen)
-	return l, trace.ConvertSystemError(err)
+	l.gossip, err = daemon.ListenGossip(d.PeerListen, []byte(d.PeerSecret))
+	return l, trace.Wrap(err)
 }
 
 func (l listeners) close() {
@@ -159,13 +159,13 @@
 	if err != nil {
 		return err
 	}
-	s.gossip = daemon.NewGossip(sockets.gossip, s.options.Daemon.PeerSecret)
+	s.gossip = sockets.gossip
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var background sync.WaitGroup
 	background.Go(func() { s.control.run(inner, s.state.tick) })
 	background.Go(func() { s.limiter.run(inner) })
-	background.Go(func() { s.gossip.Run(inner, s.receiveGossip) })
+	background.Go(func() { s.gossip.Serve(s.receiveGossip) })
 	background.Go(func() { s.follow(inner) })
 	background.Go(func() { s.transaction.run(inner) })
 	background.Go(func() { rpcListener.Serve(inner, sockets.peers) })
@@ -181,6 +181,7 @@
 	operators.Close()
 	stop()
 	s.peers.Close()
+	s.gossip.Close()
 	background.Wait()
 	s.log.Info("server: stopped", zap.Error(err))
 	return err
--- a/server/state.go
+++ b/server/state.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/config"
+	"github.com/waxwingspindle/waxwingspindle/freshness"
 	"github.com/waxwingspindle/waxwingspindle/key"
 	"github.com/waxwingspindle/waxwingspindle/limit"
 	"github.com/waxwingspindle/waxwingspindle/membership"
@@ -25,23 +26,25 @@
 
 // controlState is the control state of a daemon. Only the control goroutine uses it.
 type controlState struct {
-	server   *Server
-	rng      *rand.Rand
-	table    *membership.Table
-	proofs   *proofs
-	tenure   *roster.Tenure
-	document *config.Document
-	settings *config.Settings
-	keys     *key.Set
-	tokens   *session.Codec
-	roster   roster.Document
-	rosterAt time.Time // time at which the roster last changed here
-	owned    map[model.Service]*ownedHome
-	live     string // fingerprint of the live members that brokers and homes were computed from
-	homes    map[model.Service]model.HostID
-	leaving  bool
-	listed   []roster.Listed // the platform's list of hosts
-	orderers uint64          // number of failover machines that this process has started
+	server    *Server
+	rng       *rand.Rand
+	table     *membership.Table
+	proofs    *proofs
+	tenure    *roster.Tenure
+	document  *config.Document
+	settings  *config.Settings
+	keys      *key.Set
+	tokens    *session.Codec
+	roster    roster.Document
+	rosterAt  time.Time // time at which the roster last changed here
+	owned     map[model.Service]*ownedHome
+	live      string // fingerprint of the live members that brokers and homes were computed from
+	homes     map[model.Service]model.HostID
+	leaving   bool
+	listed    []roster.Listed // the platform's list of hosts
+	sentBytes uint64          // bytes of membership messages at the last tick
+	proofKind freshness.Kind  // kind of proof that the host serves by
+	orderers  uint64          // number of failover machines that this process has started
 }
 
 // ownedHome is a home on this host with the control of its group.
@@ -79,14 +82,16 @@
 	}
 	c.closeRetired(now)
 	c.publish(now)
+	sent := c.server.gossip.Counters().SentBytes
+	c.server.metrics.ControlBytes("membership", int(sent-c.sentBytes))
+	c.sentBytes = sent
 }
 
 // perform sends membership messages and logs changes.
 func (c *controlState) perform(actions []membership.Action) {
 	for _, a := range actions {
 		if a.Send != nil {
-			n := c.server.gossip.Send(a.Send.Address, a.Send.Message)
-			c.server.metrics.ControlBytes("membership", n)
+			c.server.gossip.Send(*a.Send)
 			continue
 		}
 		c.server.log.Info("membership: member changed", zap.String("member", string(a.Change.Member.ID)),
@@ -346,6 +351,7 @@
 	if proof.OK {
 		s.servingUntil = proof.Until
 	}
+	c.logProof(proof)
 	_, s.confirmed = c.proofs.host.Confirmed()
 	if c.document != nil {
 		s.version, s.settings, s.keys, s.tokens, s.secret = c.document.Version, c.settings, c.keys, c.tokens, c.document.Secret
@@ -370,6 +376,20 @@
 	c.server.metrics.Control(s.fresh(now), proof.Age, s.version, s.roster, states)
 }
 
+// logProof writes a line when the host serves by another kind of proof than before, or no longer serves.
+func (c *controlState) logProof(p freshness.Proof) {
+	kind := freshness.KindNone
+	if p.OK {
+		kind = p.Kind
+	}
+	if kind == c.proofKind {
+		return
+	}
+	c.server.log.Info("config: proof of freshness changed", zap.Stringer("from", c.proofKind), zap.Stringer("to", kind),
+		zap.Duration("age", p.Age))
+	c.proofKind = kind
+}
+
 // documentInForce returns the document in force, or nil.
 func (s *Server) documentInForce() *config.Document { return s.snapshot.Load().document }
 
--- a/server/transactions.go
+++ b/server/transactions.go
@@ -74,7 +74,9 @@
 		MaxPinsPerWorkspace: fairqueue.FairPart(most, workspaces)}
 }
 
-func (t *transactions) sealer() (*txn.Sealer, error) { return txn.NewSealer(t.server.snapshot.Load().secret) }
+func (t *transactions) sealer() (*txn.Sealer, error) {
+	return txn.NewSealer(t.server.snapshot.Load().secret)
+}
 
 func owner(c daemon.Caller) txn.Owner { return txn.Owner{Workspace: c.Workspace, Key: c.Key} }
 
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -12,8 +12,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -75,7 +77,7 @@
 	}()
 	t.Cleanup(func() {
 		p.kill()
-		if t.Failed() {
+		if t.Failed() || os.Getenv("E2E_LOGS") != "" {
 			t.Logf("last lines of %s:\n%s", name, p.tail())
 		}
 	})
@@ -104,23 +106,47 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// perRequest marks the lines that a daemon writes for each request.
+var perRequest = []string{"routing: ", "placement: request", "caller: request", "retry: "}
+
+// tail returns the end of the log without the lines of single requests.
 func (p *process) tail() string {
-	text, _ := os.ReadFile(p.log)
-	const most = 6000
+	all, _ := os.ReadFile(p.log)
+	var text []byte
+	for line := range bytes.Lines(all) {
+		if !slices.ContainsFunc(perRequest, func(mark string) bool { return bytes.Contains(line, []byte(mark)) }) {
+			text = append(text, line...)
+		}
+	}
+	const most = 8000
 	if len(text) > most {
 		text = text[len(text)-most:]
 	}
 	return string(text)
 }
 
+// Ports of the tests are below the range that the kernel takes ports of outgoing connections from.
+const (
+	firstPort = 20000
+	lastPort  = 30000
+)
+
+var nextPort atomic.Int32
+
+// freePort returns a port that no other test of this process uses.
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		port := firstPort + int(nextPort.Add(1))
+		if port > lastPort {
+			t.Fatal("no port is left")
+		}
+		l, err := net.Listen("tcp", address(port))
+		if err == nil {
+			l.Close()
+			return port
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
 }
 
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
@@ -142,7 +168,8 @@
 	targets       []string
 	groupAdmin    string
 	daemons       []*daemonProcess
-	base          string // base file
+	base          string         // base file
+	frozen        *daemonProcess // stopped by a fault
 	key           string
 	keyID         string
 }
