--- a/server/limiter.go
+++ b/server/limiter.go
@@ -156,7 +156,7 @@
 	now := time.Now()
 	l.pollLocked(now)
 	next := now.Add(limitIdle)
-	for _, at := range []time.Time{l.holder.Next(now), l.spender.Next(now)} {
+	for _, at := range []time.Time{l.holder.Next(now), l.spender.Next()} {
 		if !at.IsZero() && at.Before(next) {
 			next = at
 		}
