--- a/server/follow.go
+++ b/server/follow.go
@@ -157,8 +157,8 @@
 			return
 		}
 		<-planned
-		if changed {
-			s.swapRoster(ctx, next, reason)
+		if changed && !s.swapRoster(ctx, next, reason) {
+			sleep(ctx, planInterval)
 		}
 	}
 }
@@ -211,18 +211,18 @@
 	return o
 }
 
-// swapRoster puts a new version of the roster into the store. A lost answer needs no care: the next look at the store
-// shows which version won.
-func (s *Server) swapRoster(ctx context.Context, next roster.Document, reason string) {
+// swapRoster puts a new version of the roster into the store and reports whether it is there. A lost answer needs no
+// care: the next look at the store shows which version won.
+func (s *Server) swapRoster(ctx context.Context, next roster.Document, reason string) bool {
 	data, err := next.Encode()
 	if err != nil {
 		s.log.Error("roster: version cannot be encoded", zap.Error(err))
-		return
+		return false
 	}
 	e, err := s.options.Store.Get(ctx, platform.KeyRoster)
 	s.metrics.StoreCall("get", err)
 	if err != nil || !precedes(e.Value, next) {
-		return
+		return false
 	}
 	change, err := s.announce(ctx, freshness.Roster, next.Version)
 	if err == nil {
@@ -230,12 +230,13 @@
 	}
 	if err != nil {
 		s.log.Warn("roster: change not made", zap.String("reason", reason), zap.Error(err))
-		return
+		return false
 	}
 	swapped, err := s.options.Store.Swap(ctx, platform.KeyRoster, e.Revision, data)
 	s.metrics.StoreCall("swap", err)
 	s.log.Info("roster: change sent to the store", zap.Uint64("version", next.Version), zap.String("reason", reason),
 		zap.Bool("swapped", swapped), zap.Error(err))
+	return swapped
 }
 
 // precedes reports whether the stored roster is the one that the next version was computed from.
