--- a/membership/membership.go
+++ b/membership/membership.go
@@ -37,7 +37,7 @@
 	DirectTimeout    time.Duration // time for the ack before others are asked to probe (130 ms)
 	ProbeTimeout     time.Duration // time for any ack before the member becomes suspect (400 ms)
 	SuspicionPeriod  time.Duration // time to refute a suspicion (1.2 s)
-	HearsayPeriod    time.Duration // added to the suspicion period when the suspicion comes from another host (1 s)
+	HearsayPeriod    time.Duration // added to the suspicion period when the suspicion comes from another host (500 ms)
 	SyncInterval     time.Duration // time between two comparisons of tables (5 s)
 	RetryInterval    time.Duration // time between two pings of dead members (2 s)
 	DeadRetention    time.Duration // time for which a dead member is remembered and retried (1 h)
@@ -57,6 +57,8 @@
 	suspectPings  = 300 * time.Millisecond
 	readyAfter    = 3 * time.Second // a host that hears from nobody is ready after this time
 	leaveMessages = 8               // members that are told of a leave at once
+	urgentPings   = 3               // extra pings that spread a death or a leave
+	urgentPause   = 50 * time.Millisecond
 )
 
 func (s Settings) withDefaults() Settings {
@@ -64,7 +66,7 @@
 	s.DirectTimeout = cmp.Or(s.DirectTimeout, 130*time.Millisecond)
 	s.ProbeTimeout = cmp.Or(s.ProbeTimeout, 400*time.Millisecond)
 	s.SuspicionPeriod = cmp.Or(s.SuspicionPeriod, 1200*time.Millisecond)
-	s.HearsayPeriod = cmp.Or(s.HearsayPeriod, time.Second)
+	s.HearsayPeriod = cmp.Or(s.HearsayPeriod, 500*time.Millisecond)
 	s.SyncInterval = cmp.Or(s.SyncInterval, 5*time.Second)
 	s.RetryInterval = cmp.Or(s.RetryInterval, 2*time.Second)
 	s.DeadRetention = cmp.Or(s.DeadRetention, time.Hour)
@@ -181,6 +183,8 @@
 	nextCheck time.Time
 	syncWith  model.HostID // preferred partner of the next sync
 	syncPause time.Duration
+	urgent    int // extra pings still to be sent
+	nextExtra time.Time
 	group     uint8 // group that the next sync starts with
 	joining   bool  // no host with a complete table has sent everything yet
 
@@ -262,6 +266,7 @@
 	t.expireProbes(now, rng)
 	t.checkSuspects(now)
 	t.startProbe(now, rng)
+	t.sendUrgent(now, rng)
 	t.recheck(now)
 	t.retryDead(now, rng)
 	t.startSync(now, rng)
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -34,6 +34,19 @@
 	}
 }
 
+// sendUrgent sends extra pings after a death or a leave, because services and workspaces wait for their next host. The
+// pause bounds the cost when many hosts die at once.
+func (t *Table) sendUrgent(now time.Time, rng *rand.Rand) {
+	if t.urgent == 0 || now.Before(t.nextExtra) {
+		return
+	}
+	t.urgent--
+	t.nextExtra = now.Add(urgentPause)
+	for _, e := range t.pick(rng, 1, "") {
+		t.ping(e, 0)
+	}
+}
+
 func (t *Table) probe(now time.Time, e *entry) {
 	t.sequence++
 	t.probes[t.sequence] = &probe{target: e.ID, sent: now}
--- a/membership/update.go
+++ b/membership/update.go
@@ -130,9 +130,12 @@
 	if u.State == StateSuspect {
 		e.ownSuspect = false
 		e.deadline = now.Add(t.settings.SuspicionPeriod + t.settings.HearsayPeriod)
-		e.nextPing = now.Add(t.settings.SuspicionPeriod / 2)
+		e.nextPing = now.Add(suspectPings)
 		t.suspects[e.ID] = e
 	}
+	if u.State == StateDead || u.State == StateLeft {
+		t.urgent = urgentPings
+	}
 	if u.State == StateDead && previous != StateDead {
 		t.dead = append(t.dead, e.ID)
 	}
