--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -52,6 +52,30 @@
 	}
 }
 
+// Guards against hosts that stop serving because a host of the relay tree dies during an outage of the store: first a
+// host in the middle, then a root.
+func TestRelayHostDiesDuringOutage(t *testing.T) {
+	for _, n := range []int{9, 50, 200} {
+		w := newWorld(t, n, 2)
+		w.run(10 * time.Second)
+		w.storeCut = func(int) bool { return true }
+		w.run(10 * time.Second)
+		w.idle = 0
+		w.oldest = 0
+		root := w.tree.Roots()[0]
+		for i := range w.hosts {
+			if id(i) == root || n > 9 && id(i) == w.tree.Children(root)[0] {
+				w.hosts[i].paused = true
+				w.run(20 * time.Second)
+			}
+		}
+		if w.idle > 0 {
+			t.Errorf("%d hosts: hosts did not serve at %d moments", n, w.idle)
+		}
+		t.Logf("%d hosts: oldest proof in use %v", n, w.oldest)
+	}
+}
+
 // Guards against a slow spread of an accepted change.
 func TestChangeReachesAll(t *testing.T) {
 	for _, n := range sizes {
--- a/freshness/sim_test.go
+++ b/freshness/sim_test.go
@@ -271,13 +271,14 @@
 
 func (w *world) poll(i int) {
 	h := w.hosts[i]
+	timeout := h.host.PollTimeout(w.now)
 	for _, parent := range h.upstream.Peers() {
-		if sent, busy := h.waiting[parent]; !busy || w.now.Sub(sent) >= PollTimeout {
+		if sent, busy := h.waiting[parent]; !busy || w.now.Sub(sent) >= timeout {
 			w.pollParent(i, parent, true)
 		}
 	}
 	for parent, sent := range h.waiting {
-		if !h.upstream.Root() && w.now.Sub(sent) >= PollTimeout {
+		if !h.upstream.Root() && w.now.Sub(sent) >= timeout {
 			delete(h.waiting, parent)
 			h.upstream.Failed(w.now)
 		}
--- a/freshness/upstream.go
+++ b/freshness/upstream.go
@@ -18,8 +18,17 @@
 	greatestPause    = 8 * time.Second
 )
 
-// PollTimeout is the time after which a poll without an answer has failed.
-const PollTimeout = holdCalm + 500*time.Millisecond
+// answerMargin is the time for a poll's way to the parent and back, in addition to the time for which it is held.
+const answerMargin = 500 * time.Millisecond
+
+// PollTimeout is the time after which a poll without an answer has failed. It is shorter during an outage, when a lost
+// parent has to be replaced before the outage proof ends.
+func (h *Host) PollTimeout(now time.Time) time.Duration {
+	if h.storeAge(now) < StateAfter {
+		return holdCalm + answerMargin
+	}
+	return holdOutage + answerMargin
+}
 
 // Upstream decides whom a host asks for proofs: the hosts that the relay tree names, one after the other, and the store
 // itself for the roots and as the last resort. It makes progress when parents form a cycle, since a parent that brings
