Send membership updates half as often

The price: 10% crashes at 5% loss are known to all 820 hosts after 23.5 s instead of 14 s (TestChurn), because the last ones learn it by sync; a single crash is known as soon as before. Tried and not kept: slower syncs (500 ms and 1 s) saved nothing and healed a partition of 820 hosts after 37.6 s instead of 23.8 s.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -44,7 +44,7 @@
 	LeftRetention    time.Duration // time for which a member that left is remembered (10 min)
 	PauseThreshold   time.Duration // gap between two ticks that shows that this host was paused (1 s)
 	IndirectProbes   int           // members that are asked to probe (3)
-	RetransmitFactor int           // an update is sent RetransmitFactor × log2(members) times (2)
+	RetransmitFactor int           // an update is sent RetransmitFactor × log2(members) times (1)
 }
 
 const (
@@ -73,7 +73,7 @@
 	s.LeftRetention = cmp.Or(s.LeftRetention, 10*time.Minute)
 	s.PauseThreshold = cmp.Or(s.PauseThreshold, time.Second)
 	s.IndirectProbes = cmp.Or(s.IndirectProbes, 3)
-	s.RetransmitFactor = cmp.Or(s.RetransmitFactor, 2)
+	s.RetransmitFactor = cmp.Or(s.RetransmitFactor, 1)
 	return s
 }
 
