Cancel announcements of changes that are not made

Cause: an announcement whose change was given up kept the hosts that had acknowledged it from acknowledging changes of the other document until the quarantine of 36 s ended, so a new fleet could not register its hosts. Announcements now have ids, and the changing host cancels the ones whose swap was not sent or has failed. Operators' failures keep their body: goa passes declared errors to the error formatter.

--- a/freshness/announce.go
+++ b/freshness/announce.go
@@ -10,6 +10,7 @@
 
 // Announcement tells the hosts of the roster that a change may be about to take effect.
 type Announcement struct {
+	ID       uint64 // unique among the announcements that may be pending, such as a random number
 	Document Document
 	Version  uint64 // the version that the change would make
 	Roster   uint64 // version of the roster that the majority is counted over
@@ -34,19 +35,24 @@
 		return ErrOtherRoster
 	}
 	other := Configuration + Roster - a.Document
-	if h.pending[other].active && !h.without.serial {
+	if h.pending[other].active() && !h.without.serial {
 		return ErrOtherPending
 	}
 	if a.Version <= h.held[a.Document] {
 		return nil // the store already has this version, so the swap fails
 	}
-	p := &h.pending[a.Document]
-	p.active = true
-	p.version = max(p.version, a.Version)
-	p.at = now
+	h.pending[a.Document].announced[a.ID] = announced{version: a.Version, at: now}
 	return nil
 }
 
+// Cancel forgets an announcement whose swap was never sent or has failed, so that the hosts that acknowledged it need
+// not wait for the quarantine to end. An announcement that arrives after its cancellation waits for it.
+func (h *Host) Cancel(a Announcement) {
+	if a.Document < documents {
+		delete(h.pending[a.Document].announced, a.ID)
+	}
+}
+
 // Reasons for not sending a swap.
 var (
 	ErrNoMajority = errors.New("cannot reach a majority of hosts")
@@ -63,14 +69,14 @@
 }
 
 // NewChange begins a change of a document that makes the version. Call it before the first announcement is sent, and
-// make a new one for every try. The first roster needs no acknowledgements, since nobody can state an outage without
+// make a new one with another id for every try. The first roster needs no acknowledgements, since nobody can state an outage without
 // one; the configuration can only be changed when there is a roster.
-func NewChange(now time.Time, document Document, version uint64, hosts Hosts) (*Change, error) {
+func NewChange(now time.Time, id uint64, document Document, version uint64, hosts Hosts) (*Change, error) {
 	if document == Configuration && hosts.Version == 0 {
 		return nil, ErrNoRoster
 	}
 	return &Change{
-		announcement: Announcement{Document: document, Version: version, Roster: hosts.Version},
+		announcement: Announcement{ID: id, Document: document, Version: version, Roster: hosts.Version},
 		hosts:        hosts,
 		started:      now,
 		acknowledged: newBitmap(len(hosts.IDs)),
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -129,14 +129,21 @@
 	at       time.Time
 }
 
-// pending is an announced change, or a start, that keeps a host from stating an outage.
+// pending holds what keeps a host from stating an outage: the start, and changes that were announced.
 type pending struct {
-	active  bool
-	start   bool   // any version may have been announced
-	version uint64 // the greatest announced version
+	start     bool // any change may have been announced before the start
+	startedAt time.Time
+	announced map[uint64]announced // by the id of the announcement
+}
+
+// announced is one announced change.
+type announced struct {
+	version uint64
 	at      time.Time
 }
 
+func (p pending) active() bool { return p.start || len(p.announced) > 0 }
+
 // childSet is what a child stated for its subtree.
 type childSet struct {
 	bits     bitmap
@@ -195,7 +202,7 @@
 		lastToken:   uint64(incarnation),
 	}
 	for d := range h.pending {
-		h.pending[d] = pending{active: true, start: true, at: now}
+		h.pending[d] = pending{start: true, startedAt: now, announced: map[uint64]announced{}}
 	}
 	return h
 }
@@ -235,9 +242,7 @@
 // endStartQuarantine is called when the roster shows that this host has not restarted since it was taken up.
 func (h *Host) endStartQuarantine() {
 	for d := range h.pending {
-		if h.pending[d].start && h.pending[d].version == 0 {
-			h.pending[d] = pending{}
-		}
+		h.pending[d].start = false
 	}
 }
 
@@ -284,12 +289,16 @@
 	h.settle(d, r)
 }
 
-// settle ends the effect of an announcement when the reading shows what became of the change.
+// settle ends the effect of announcements when the reading shows what became of the changes.
 func (h *Host) settle(d Document, r reading) {
-	p := h.pending[d]
-	decided := !p.start && r.version >= p.version
-	if decided || !r.at.Before(p.at.Add(Quarantine)) {
-		h.pending[d] = pending{}
+	p := &h.pending[d]
+	if !r.at.Before(p.startedAt.Add(Quarantine)) {
+		p.start = false
+	}
+	for id, a := range p.announced {
+		if r.version >= a.version || !r.at.Before(a.at.Add(Quarantine)) {
+			delete(p.announced, id)
+		}
 	}
 }
 
@@ -343,7 +352,7 @@
 		return false
 	}
 	for _, p := range h.pending {
-		if p.active && !(p.start && h.without.start) && (p.start || !h.without.withheld) {
+		if p.start && !h.without.start || len(p.announced) > 0 && !h.without.withheld {
 			return false
 		}
 	}
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -349,7 +349,7 @@
 // Guards against a swap without a majority or long after its announcement.
 func TestChange(t *testing.T) {
 	hosts := Hosts{Version: 3, IDs: []model.HostID{"a", "b", "c", "d"}}
-	change, err := NewChange(epoch, Configuration, 8, hosts)
+	change, err := NewChange(epoch, 1, Configuration, 8, hosts)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -366,7 +366,7 @@
 	if err := change.MaySwap(epoch.Add(SwapWithin + 1)); !errors.Is(err, ErrTooLate) {
 		t.Errorf("late: %v", err)
 	}
-	if _, err := NewChange(epoch, Configuration, 1, Hosts{}); !errors.Is(err, ErrNoRoster) {
+	if _, err := NewChange(epoch, 1, Configuration, 1, Hosts{}); !errors.Is(err, ErrNoRoster) {
 		t.Errorf("without a roster: %v", err)
 	}
 }
@@ -401,3 +401,27 @@
 		}
 	})
 }
+
+// TestCancelledAnnouncementHoldsNothingUp guards against changes and outage statements that wait for the quarantine of a
+// change that was given up, and against a cancellation that ends the effect of another change.
+func TestCancelledAnnouncementHoldsNothingUp(t *testing.T) {
+	h := New(epoch, "a", 1)
+	h.HoldRoster(epoch, Hosts{Version: 1, IDs: []model.HostID{"a"}, Since: []model.Incarnation{1}})
+	h.Hold(epoch, 1)
+	first := Announcement{ID: 1, Document: Configuration, Version: 2, Roster: 1}
+	second := Announcement{ID: 2, Document: Configuration, Version: 2, Roster: 1}
+	roster := Announcement{ID: 3, Document: Roster, Version: 2, Roster: 1}
+	for _, a := range []Announcement{first, second} {
+		if err := h.Announce(epoch, a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h.Cancel(first)
+	if err := h.Announce(epoch, roster); !errors.Is(err, ErrOtherPending) {
+		t.Errorf("a pending change was forgotten with another one: %v", err)
+	}
+	h.Cancel(second)
+	if err := h.Announce(epoch, roster); err != nil {
+		t.Errorf("a cancelled change still holds up the roster: %v", err)
+	}
+}
--- a/freshness/sim_test.go
+++ b/freshness/sim_test.go
@@ -341,7 +341,7 @@
 func (w *world) change(i int, d Document) {
 	h := w.hosts[i]
 	version := h.host.held[d] + 1
-	change, err := NewChange(w.now, d, version, h.host.hosts)
+	change, err := NewChange(w.now, w.rng.Uint64(), d, version, h.host.hosts)
 	if err != nil {
 		w.refused[err.Error()]++
 		return
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -68,7 +68,7 @@
 func NewHandler(b Backend, token func() string) http.Handler {
 	mux := goahttp.NewMuxer()
 	s := server.New(genoperator.NewEndpoints(&service{backend: b, token: token}), mux, goahttp.RequestDecoder,
-		goahttp.ResponseEncoder, nil, goahttp.NewErrorResponse)
+		goahttp.ResponseEncoder, nil, format)
 	s.Mount(mux)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
@@ -76,6 +76,27 @@
 	})
 }
 
+// errorBody is the JSON body of a failure.
+type errorBody struct {
+	Name     string   `json:"name"`
+	Reason   string   `json:"reason"`
+	Detail   string   `json:"detail"`
+	Problems []string `json:"problems"`
+	Version  uint64   `json:"version"`
+}
+
+// StatusCode implements goahttp.Statuser. It is used for requests that the HTTP layer could not read.
+func (*errorBody) StatusCode() int { return http.StatusBadRequest }
+
+// format returns the body for failures and for requests that the HTTP layer could not read.
+func format(_ context.Context, err error) goahttp.Statuser {
+	var f *genoperator.OperatorFailure
+	if errors.As(err, &f) {
+		return &errorBody{Name: f.Name, Reason: f.Reason, Detail: f.Detail, Problems: f.Problems, Version: f.Version}
+	}
+	return &errorBody{Name: "invalid", Reason: "bad_request", Detail: err.Error(), Problems: []string{}}
+}
+
 // service implements the goa service.
 type service struct {
 	backend Backend
--- a/server/changes.go
+++ b/server/changes.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	mathrand "math/rand/v2"
 	"slices"
 	"time"
 
@@ -142,24 +143,24 @@
 	if err != nil {
 		return nil, false, &operator.NotAcceptedError{Why: err.Error()}
 	}
-	if err := change.MaySwap(time.Now()); err != nil {
-		return nil, false, &operator.NotAcceptedError{Why: err.Error()}
-	}
 	swapped, err := s.options.Store.Swap(ctx, platform.KeyConfiguration, revision, data)
 	s.metrics.StoreCall("swap", err)
 	if err != nil {
 		*sent = true
 		return nil, false, &operator.UnresolvedError{Why: err.Error()}
 	}
+	if !swapped {
+		s.cancel(change)
+	}
 	return next, swapped, nil
 }
 
-// announce tells the hosts of the roster that a version is about to exist, and waits until a majority of them has
-// acknowledged it or all have answered. Without a majority a host that is cut off could prove by an outage that nothing
-// changes.
+// announce tells the hosts of the roster that a version is about to exist, until a majority of them has acknowledged it,
+// so that the swap may be sent. Without a majority a host that is cut off could prove by an outage that nothing changes.
+// The announcement of a change that may not be sent is cancelled.
 func (s *Server) announce(ctx context.Context, d freshness.Document, version uint64) (*freshness.Change, error) {
 	hosts := s.snapshot.Load().hosts
-	change, err := freshness.NewChange(time.Now(), d, version, hosts)
+	change, err := freshness.NewChange(time.Now(), mathrand.Uint64(), d, version, hosts)
 	if err != nil {
 		return nil, err
 	}
@@ -182,9 +183,33 @@
 			break
 		}
 	}
+	if err := change.MaySwap(time.Now()); err != nil {
+		s.cancel(change)
+		return nil, err
+	}
 	return change, nil
 }
 
+// cancel tells the hosts that a change was not made, without waiting for them.
+func (s *Server) cancel(c *freshness.Change) {
+	for _, h := range s.snapshot.Load().hosts.IDs {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+			defer cancel()
+			if h == s.options.Daemon.Host {
+				s.cancelled(c.Announcement())
+				return
+			}
+			call[daemon.Empty](ctx, s, h, "Cancel", c.Announcement())
+		}()
+	}
+}
+
+// cancelled takes note that a change was not made.
+func (s *Server) cancelled(a freshness.Announcement) {
+	s.control.post(func(time.Time) { s.state.proofs.host.Cancel(a) })
+}
+
 func (s *Server) announceTo(ctx context.Context, h model.HostID, a freshness.Announcement) bool {
 	if h == s.options.Daemon.Host {
 		return s.announced(a)
--- a/server/follow.go
+++ b/server/follow.go
@@ -225,15 +225,15 @@
 		return false
 	}
 	change, err := s.announce(ctx, freshness.Roster, next.Version)
-	if err == nil {
-		err = change.MaySwap(time.Now())
-	}
 	if err != nil {
 		s.log.Warn("roster: change not made", zap.String("reason", reason), zap.Error(err))
 		return false
 	}
 	swapped, err := s.options.Store.Swap(ctx, platform.KeyRoster, e.Revision, data)
 	s.metrics.StoreCall("swap", err)
+	if err == nil && !swapped {
+		s.cancel(change)
+	}
 	s.log.Info("roster: change sent to the store", zap.Uint64("version", next.Version), zap.String("reason", reason),
 		zap.Bool("swapped", swapped), zap.Error(err))
 	return swapped
--- a/server/rpc.go
+++ b/server/rpc.go
@@ -62,6 +62,12 @@
 	return nil
 }
 
+// Cancel takes note that an announced change was not made.
+func (r *rpcService) Cancel(a freshness.Announcement, _ *daemon.Empty) error {
+	r.server.cancelled(a)
+	return nil
+}
+
 // Relay answers a poll for documents and proofs.
 func (r *rpcService) Relay(q daemon.RelayRequest, reply *daemon.RelayReply) error {
 	held := make(chan (<-chan daemon.RelayReply), 1)
