--- a/failover/gap_test.go
+++ b/failover/gap_test.go
@@ -69,6 +69,7 @@
 // Guards against a failover that misses the target of 5 s, also when the home dies with the primary. With -v it prints
 // the gap in writes in virtual time.
 func TestWriteGap(t *testing.T) {
+	t.Parallel()
 	for _, homeDies := range []bool{false, true} {
 		for kind, name := range []string{"primary silent", "primary refuses", "primary cut off", "primary cut off from its replicas"} {
 			var gaps []gap
@@ -95,6 +96,7 @@
 // Guards against a comparison that shows nothing: a proxy without fencing that acknowledges on the primary alone loses
 // acknowledged writes under the same faults, and this package loses none.
 func TestBaselineLosesWrites(t *testing.T) {
+	t.Parallel()
 	lost, acked, baselineLost, baselineAcked := 0, 0, 0, 0
 	for seed := range uint64(*seeds) {
 		w := simulate(seed, guards{})
--- a/failover/machine_test.go
+++ b/failover/machine_test.go
@@ -237,6 +237,7 @@
 // Guards against lost or unknown writes and against a long gap when the primary's target leaves, and against new work on
 // it after a few seconds.
 func TestPlannedHandover(t *testing.T) {
+	t.Parallel()
 	var longest time.Duration
 	for seed := range uint64(30) {
 		for _, members := range []int{2, 3} {
@@ -266,6 +267,7 @@
 // Guards against writes that only removed members hold: a member is replaced by adding one and removing another, each
 // when the group is settled, and afterwards the group survives a failure.
 func TestReplaceMember(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		w := newWorld(seed, 3, 2, 5)
 		w.run(2 * time.Second)
