--- a/routing/classify.go
+++ b/routing/classify.go
@@ -17,8 +17,8 @@
 	ClassPrimary Class = iota
 	// ClassRead may run on a replica in a read-only transaction.
 	ClassRead
-	// ClassSessionState changes the state of its connection and is refused outside a transaction, because connections
-	// are shared.
+	// ClassSessionState changes the state of its connection or needs a transaction, as SAVEPOINT does. It is refused
+	// outside a transaction, because connections are shared, and runs inside one.
 	ClassSessionState
 	// ClassTransactionControl begins or ends a transaction and is refused everywhere. The transaction routes do this.
 	ClassTransactionControl
@@ -57,12 +57,12 @@
 }
 
 var transactionControl = []string{
-	"abort", "begin", "commit", "end", "release", "rollback", "savepoint", "start",
+	"abort", "begin", "commit", "end", "rollback", "start",
 }
 
 var sessionState = []string{
-	"close", "deallocate", "declare", "discard", "execute", "fetch", "listen", "load", "move", "prepare", "reset",
-	"set", "unlisten",
+	"close", "deallocate", "declare", "discard", "execute", "fetch", "listen", "load", "move", "prepare", "release",
+	"reset", "savepoint", "set", "unlisten",
 }
 
 // writeWords are the words that make a SELECT write, lock or create something. They are matched anywhere outside
@@ -125,6 +125,9 @@
 // classifyRefused finds statements that never run alone. It returns ClassPrimary for all others.
 func classifyRefused(statement []token) Classification {
 	first, second := firstWord(statement), wordAt(statement, 1)
+	if first == "rollback" && rollsBackToSavepoint(statement) {
+		return Classification{ClassSessionState, "rolls back to a savepoint"}
+	}
 	if slices.Contains(transactionControl, first) || first == "prepare" && second == "transaction" {
 		return Classification{ClassTransactionControl, "starts with " + first}
 	}
@@ -142,6 +145,15 @@
 	return Classification{Class: ClassPrimary}
 }
 
+// rollsBackToSavepoint finds ROLLBACK [WORK | TRANSACTION] TO, which does not end the transaction.
+func rollsBackToSavepoint(statement []token) bool {
+	word := wordAt(statement, 1)
+	if word == "work" || word == "transaction" {
+		word = wordAt(statement, 2)
+	}
+	return word == "to"
+}
+
 // createsTemporary finds CREATE [OR REPLACE] [LOCAL | GLOBAL] TEMP[ORARY] and SELECT ... INTO TEMP[ORARY].
 func createsTemporary(statement []token) bool {
 	create := firstWord(statement) == "create"
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -40,11 +40,13 @@
 			"listen c", "unlisten *", "select pg_advisory_lock(1)", `select "pg_try_advisory_lock_shared"(1)`,
 			"select set_config('a', 'b', false)", "create temp table t (a int)", "create local temporary table t (a int)",
 			"create or replace temporary view v as select 1", "select * into temp x from t", "select 1; set a = b",
-			"/* x */ (set a = b", "declare c cursor for select 1", "insert into t select pg_advisory_xact_lock(1)",
+			"/* x */ (set a = b", "savepoint a",
+			"release savepoint a", "rollback to a", "rollback work to savepoint a", "ROLLBACK /* x */ TRANSACTION TO a",
+			"declare c cursor for select 1", "insert into t select pg_advisory_xact_lock(1)",
 		}},
 		{ClassTransactionControl, []string{
-			"begin", "START TRANSACTION", "commit", "commit prepared 'x'", "rollback to a", "savepoint a", "end", "abort",
-			"release a", "prepare transaction 'x'", "select 1; commit", "-- x\nbegin read only",
+			"begin", "START TRANSACTION", "commit", "commit prepared 'x'", "rollback and chain", "rollback work", "end", "abort",
+			"rollback prepared 'x'", "prepare transaction 'x'", "select 1; commit", "-- x\nbegin read only",
 		}},
 		{ClassGroupCommand, []string{
 			"select * from group_promote(9, 'x')", "select 1; select group_adopt(9, 'x')", `select "group_follow"(1, 'x')`,
