Prove the age of a read by samples of the current primary only

A sample of a replaced primary together with a confirmation of its successor proved an age that the replica did not have. The check now also takes the time of the decision that the value came from, because duplicated answers can make two reads of one request.

--- a/failover/client_test.go
+++ b/failover/client_test.go
@@ -30,7 +30,6 @@
 	age      time.Duration
 	start    time.Duration
 	deadline time.Duration
-	decided  time.Duration // when the read was routed
 	done     bool
 }
 
@@ -164,7 +163,6 @@
 		read.MaxStaleness = 0
 	}
 	decision := routing.ChooseRead(w.clock(), h.group(), read)
-	r.decided = w.now
 	switch decision.Kind {
 	case routing.KindReplica, routing.KindPrimary:
 		r.fetch(decision)
@@ -185,12 +183,13 @@
 	get := func(f *fake) {
 		position, value, primary = f.position(), f.read(r.key), f.role == failover.RolePrimary
 	}
+	decided := r.w.now // duplicated answers can make several reads of one request
 	finish := func() {
 		r.finish(func() {
 			if r.key == r.client.key {
 				r.mark = r.mark.Later(position)
 			}
-			r.w.noteRead(r, value, decision.Kind)
+			r.w.noteRead(r, value, decision.Kind, decided)
 		})
 	}
 	r.home.call(decision.Target, false, get, func() {
--- a/failover/record_test.go
+++ b/failover/record_test.go
@@ -116,11 +116,12 @@
 	}
 }
 
-func (r *record) noteRead(q *request, value int, kind routing.Kind) {
+// noteRead takes a value that was read by a decision of the given kind and time.
+func (r *record) noteRead(q *request, value int, kind routing.Kind, decided time.Duration) {
 	r.served[kind]++
 	floor := 0
 	for i := len(r.acked) - 1; i >= 0 && floor == 0; i-- {
-		if r.acked[i].key == q.key && r.acked[i].at < q.decided-q.age {
+		if r.acked[i].key == q.key && r.acked[i].at < decided-q.age {
 			floor = r.acked[i].value
 		}
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -209,7 +209,7 @@
 	if read.MaxStaleness == 0 {
 		return true
 	}
-	at, ok := group.Samples.ProvenAt(t.Position)
+	at, ok := group.Samples.ProvenAt(group.Term, t.Position)
 	if !ok {
 		return false
 	}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -183,6 +183,24 @@
 	}
 }
 
+// Guards against a proof that mixes terms: a position of the replaced primary, sampled after a majority had confirmed its
+// successor, proves nothing about the age of a replica that stayed with it.
+func TestSampleOfReplacedPrimary(t *testing.T) {
+	group, behind := testGroup(position(2, 100), position(1, 60)), position(1, 60)
+	group.Targets[1].Alive = false
+	group.Samples = &Samples{}
+	group.Samples.Add(at(950), behind)
+	read := Read{MaxStaleness: 500 * time.Millisecond, Deadline: at(2000)}
+	if got := ChooseRead(at(1010), group, read); got.Kind != KindPrimary {
+		t.Errorf("sample of the replaced primary only: got %v", got)
+	}
+	group.Samples.Add(at(960), position(2, 100))
+	group.Samples.Add(at(970), behind)
+	if got := ChooseRead(at(1010), group, read); got.Kind != KindPrimary {
+		t.Errorf("samples of both primaries: got %v", got)
+	}
+}
+
 // Guards against unbounded samples and against a proof for a time later than the sample.
 func TestSamplesAreBounded(t *testing.T) {
 	samples := &Samples{}
@@ -193,7 +211,7 @@
 		t.Errorf("%d samples", len(samples.list))
 	}
 	for i := range uint64(10 * MaxSamples) {
-		proven, ok := samples.ProvenAt(position(1, i))
+		proven, ok := samples.ProvenAt(1, position(1, i))
 		if ok && proven.After(at(int(i)*200)) {
 			t.Fatalf("offset %d counts as proven at %v", i, proven.Sub(epoch))
 		}
--- a/routing/samples.go
+++ b/routing/samples.go
@@ -24,10 +24,16 @@
 
 // Add records that the primary answered position to a question that was sent at time at. The time of sending is used
 // because the position may date from any moment between the question and the answer. A sample that is not later than the
-// last one is ignored.
+// last one is ignored, and so is one of an earlier term. Samples of earlier terms are dropped.
 func (s *Samples) Add(at time.Time, position model.Position) {
-	if n := len(s.list); n > 0 && !at.After(s.list[n-1].at) {
-		return
+	if n := len(s.list); n > 0 {
+		last := s.list[n-1]
+		if !at.After(last.at) || position.Term < last.position.Term {
+			return
+		}
+		if position.Term > last.position.Term {
+			s.list = nil
+		}
 	}
 	s.list = append(s.list, sample{at, position})
 	if len(s.list) > MaxSamples {
@@ -40,14 +46,15 @@
 	return &Samples{list: slices.Clone(s.list)}
 }
 
-// ProvenAt returns the latest sampled time whose position is covered by p. A replica at p has all data that the primary
-// had at that time. It reports false when no sample is covered.
-func (s *Samples) ProvenAt(p model.Position) (time.Time, bool) {
+// ProvenAt returns the latest sampled time of the primary of term whose position is covered by p. A replica at p has all
+// data that this primary had at that time. It reports false when no sample is covered. Samples of other terms prove
+// nothing: their primary may have been replaced before the sample was taken.
+func (s *Samples) ProvenAt(term uint64, p model.Position) (time.Time, bool) {
 	if s == nil {
 		return time.Time{}, false
 	}
 	for _, sample := range slices.Backward(s.list) {
-		if p.Covers(sample.position) {
+		if sample.position.Term == term && p.Covers(sample.position) {
 			return sample.at, true
 		}
 	}
