--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -40,11 +40,13 @@
 			"listen c", "unlisten *", "select pg_advisory_lock(1)", `select "pg_try_advisory_lock_shared"(1)`,
 			"select set_config('a', 'b', false)", "create temp table t (a int)", "create local temporary table t (a int)",
 			"create or replace temporary view v as select 1", "select * into temp x from t", "select 1; set a = b",
-			"/* x */ (set a = b", "declare c cursor for select 1", "insert into t select pg_advisory_xact_lock(1)",
+			"/* x */ (set a = b", "savepoint a",
+			"release savepoint a", "rollback to a", "rollback work to savepoint a", "ROLLBACK /* x */ TRANSACTION TO a",
+			"declare c cursor for select 1", "insert into t select pg_advisory_xact_lock(1)",
 		}},
 		{ClassTransactionControl, []string{
-			"begin", "START TRANSACTION", "commit", "commit prepared 'x'", "rollback to a", "savepoint a", "end", "abort",
-			"release a", "prepare transaction 'x'", "select 1; commit", "-- x\nbegin read only",
+			"begin", "START TRANSACTION", "commit", "commit prepared 'x'", "rollback and chain", "rollback work", "end", "abort",
+			"rollback prepared 'x'", "prepare transaction 'x'", "select 1; commit", "-- x\nbegin read only",
 		}},
 		{ClassGroupCommand, []string{
 			"select * from group_promote(9, 'x')", "select 1; select group_adopt(9, 'x')", `select "group_follow"(1, 'x')`,
@@ -181,6 +183,24 @@
 	}
 }
 
+// Guards against a proof that mixes terms: a position of the replaced primary, sampled after a majority had confirmed its
+// successor, proves nothing about the age of a replica that stayed with it.
+func TestSampleOfReplacedPrimary(t *testing.T) {
+	group, behind := testGroup(position(2, 100), position(1, 60)), position(1, 60)
+	group.Targets[1].Alive = false
+	group.Samples = &Samples{}
+	group.Samples.Add(at(950), behind)
+	read := Read{MaxStaleness: 500 * time.Millisecond, Deadline: at(2000)}
+	if got := ChooseRead(at(1010), group, read); got.Kind != KindPrimary {
+		t.Errorf("sample of the replaced primary only: got %v", got)
+	}
+	group.Samples.Add(at(960), position(2, 100))
+	group.Samples.Add(at(970), behind)
+	if got := ChooseRead(at(1010), group, read); got.Kind != KindPrimary {
+		t.Errorf("samples of both primaries: got %v", got)
+	}
+}
+
 // Guards against unbounded samples and against a proof for a time later than the sample.
 func TestSamplesAreBounded(t *testing.T) {
 	samples := &Samples{}
@@ -191,7 +211,7 @@
 		t.Errorf("%d samples", len(samples.list))
 	}
 	for i := range uint64(10 * MaxSamples) {
-		proven, ok := samples.ProvenAt(position(1, i))
+		proven, ok := samples.ProvenAt(1, position(1, i))
 		if ok && proven.After(at(int(i)*200)) {
 			t.Fatalf("offset %d counts as proven at %v", i, proven.Sub(epoch))
 		}
