--- a/cmd/waxbench/limits.go
+++ b/cmd/waxbench/limits.go
@@ -14,6 +14,7 @@
 	Hosts    []int         `default:"9" help:"Numbers of hosts."`
 	Load     []float64     `default:"0.5,0.95,3" help:"Arrivals as multiples of the rate."`
 	Fault    []string      `default:"none" help:"Faults: none, kill-broker, kill-holder, pause-broker, loss."`
+	Rate     float64       `default:"25" help:"Sum of the rates of all workspaces per host, for more than 9 hosts."`
 	Slots    int           `default:"12" help:"Share slots."`
 	Duration time.Duration `default:"30s" help:"Simulated time."`
 	Warmup   time.Duration `default:"5s" help:"Simulated time at the beginning that is not counted."`
@@ -46,7 +47,7 @@
 }
 
 func (c *limitsCommand) row(out io.Writer, design simlimit.Design, hosts int, load float64, fault simlimit.Kind) error {
-	cfg := simlimit.Scenario(design, hosts, load, fault)
+	cfg := simlimit.Scenario(design, hosts, c.Rate, load, fault)
 	cfg.Slots, cfg.Duration, cfg.Warmup, cfg.Seed = c.Slots, c.Duration, c.Warmup, c.Seed
 	r := simlimit.Run(cfg)
 	worst := 0.0
--- a/internal/simlimit/scenario.go
+++ b/internal/simlimit/scenario.go
@@ -9,12 +9,13 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
-// Scenario returns the measured configuration: 8 workspaces on up to 9 hosts, else 64. A few workspaces are large, the
+// Scenario returns the measured configuration: 8 workspaces with 3,000 requests/s on up to 9 hosts, else 64 workspaces
+// with the given rate per host. A few workspaces are large, the
 // bursts are between 10 ms and 1 s of the rate, and the arrivals are unevenly spread over the hosts.
-func Scenario(design Design, hosts int, load float64, fault Kind) Config {
+func Scenario(design Design, hosts int, ratePerHost, load float64, fault Kind) Config {
 	count, total := 8, 3000.0
 	if hosts > 9 {
-		count, total = 64, 25*float64(hosts)
+		count, total = 64, ratePerHost*float64(hosts)
 	}
 	cfg := Config{
 		Design: design, Hosts: hosts, Slots: 12, Warmup: 5 * time.Second, Duration: 30 * time.Second, Seed: 1,
--- a/limit/broker.go
+++ b/limit/broker.go
@@ -328,7 +328,7 @@
 		g := Grant{Workspace: ask.Workspace}
 		g.Tokens = p.grant(now, grantID{id, req.Sequence}, ask)
 		g.Interval, g.Report = p.interval(), p.reportWithin()
-		g.Retry = p.retry(now, id.host, g.Tokens < ask.Need)
+		g.Retry = p.retry(now, id.host, g.Tokens < ask.Need || g.Tokens < ask.Need+ask.Prefetch && len(p.scarce) > 50)
 		reply.Grants = append(reply.Grants, g)
 	}
 	return reply
@@ -407,7 +407,7 @@
 	}
 	p.scarce[spender] = now
 	n := len(p.scarce)
-	wait := max(minRetry, time.Duration(n)*retrySpread)
+	wait := max(min(minRetry, time.Duration(n)*fewRetry), time.Duration(n)*retrySpread)
 	if rate := p.total().Rate; rate > 0 {
 		// The spenders together have to come often enough to fetch the tokens before the bucket is full.
 		wait = min(wait, time.Duration(n)*p.interval())
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -69,10 +69,10 @@
 
 	// Unreported tokens keep a full bucket from refilling. When they take more than tightBurst of the burst, reports have
 	// to come within a part of the interval; otherwise they wait for the next ask.
-	tightBurst   = 0.25
+	tightBurst   = 0.125
 	reportPart   = 8
 	urgentReport = time.Millisecond
-	lazyReport   = 200 * time.Millisecond
+	lazyReport   = GrantDuration
 	minInterval  = 5 * time.Millisecond
 	maxInterval  = 200 * time.Millisecond
 	// cachedBurst is the part of the burst that may lie in the caches of all spenders together. A greater part saves
@@ -82,6 +82,7 @@
 	prefetchPart = 0.25
 
 	minRetry    = 20 * time.Millisecond
+	fewRetry    = 3 * time.Millisecond // per competing spender, while that is less than minRetry
 	maxRetry    = 400 * time.Millisecond
 	retrySpread = time.Millisecond // added per spender that competes for scarce tokens
 
