--- a/internal/simlimit/chaos.go
+++ b/internal/simlimit/chaos.go
@@ -10,6 +10,7 @@
 // kinds at a high rate most tokens are lost, and no bound would ever be reached.
 func (s *sim) chaos(d time.Duration) {
 	until := s.now + int64(d)
+	s.slowNews = true
 	rates := []*float64{&s.lossRate, &s.dupRate, &s.tailRate}
 	for _, r := range rates {
 		*r = []float64{0, 0.03, 0.2}[s.rng.IntN(3)]
--- a/internal/simlimit/host.go
+++ b/internal/simlimit/host.go
@@ -18,6 +18,7 @@
 	incarnation model.Incarnation
 	run         int // changes with every start and death; older events are void
 	dead        bool
+	suspected   bool // the members take the host for dead
 	pausedUntil int64
 	cutUntil    int64 // no messages until this time
 	clockRate   float64
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -49,7 +49,7 @@
 	// ClockTolerance is the factor by which the rates of any two clocks may differ.
 	ClockTolerance = 1.01
 	// LoanDuration is the duration of a loan of a workspace that is in use.
-	LoanDuration = 2 * time.Second
+	LoanDuration = 1500 * time.Millisecond
 	// IdleLoanDuration is the duration of a loan of an idle workspace. It is the longest duration of a loan, so slots that
 	// move from a dead host are unused for this time and the freshness bound. A longer one saves renewals.
 	IdleLoanDuration = 4 * time.Second
@@ -60,7 +60,7 @@
 
 	// A loan names the timestamp of the previous reply, so it lasts LoanDuration − 2 × lendEvery just before its renewal.
 	// This must exceed GrantDuration, or grants can't be drawn on it.
-	lendEvery     = 500 * time.Millisecond
+	lendEvery     = 400 * time.Millisecond
 	idleLendEvery = 1500 * time.Millisecond
 	returnEvery   = 100 * time.Millisecond
 	loanTimeout   = 250 * time.Millisecond
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,7 +25,7 @@
 
 const (
 	// DefaultSlots is the number of share slots of a new roster.
-	DefaultSlots = 12
+	DefaultSlots = 24
 	// Freshness is the time within which a host has the newest documents or stops.
 	Freshness = 5 * time.Second
 	// Margin is added to the wait of a new holder, for a request that is admitted just before its host stops.
