--- a/limit/broker.go
+++ b/limit/broker.go
@@ -28,7 +28,7 @@
 type lender struct {
 	sequence uint64
 	heard    time.Time
-	loans    map[model.Workspace]*loanRecord
+	loans    map[model.Workspace]*loanRecord // kept as long as the lender is known
 }
 
 // loanRecord is the last loan of one holder for one workspace. It stays after the loan has ended, so that an epoch is
@@ -73,7 +73,8 @@
 	end             time.Time
 }
 
-// NewBroker returns a broker without loans. The incarnation must be greater than those of earlier starts of this host.
+// NewBroker returns a broker without loans. The incarnation must be greater than 0 and those of earlier starts of this
+// host.
 func NewBroker(incarnation model.Incarnation, now time.Time) *Broker {
 	return &Broker{
 		incarnation: incarnation, start: now, swept: now,
@@ -108,10 +109,11 @@
 		l = &lender{loans: map[model.Workspace]*loanRecord{}}
 		b.lenders[id] = l
 	}
+	l.heard = now // also for old messages, because the reply has a new stamp
 	if batch.Sequence <= l.sequence {
 		return reply // a repeated or overtaken message
 	}
-	l.sequence, l.heard = batch.Sequence, now
+	l.sequence = batch.Sequence
 	if batch.Stamp.Incarnation != b.incarnation {
 		return reply
 	}
@@ -301,7 +303,7 @@
 // HandleTokens takes reports and grants tokens.
 func (b *Broker) HandleTokens(now time.Time, req TokenRequest) TokenReply {
 	b.sweep(now)
-	reply := TokenReply{Sequence: req.Sequence, Stamp: b.stamp(now)}
+	reply := TokenReply{Sequence: req.Sequence}
 	id := party{req.Spender, req.Incarnation}
 	a := b.askers[id]
 	if a == nil {
@@ -328,7 +330,7 @@
 		g := Grant{Workspace: ask.Workspace}
 		g.Tokens = p.grant(now, grantID{id, req.Sequence}, ask)
 		g.Interval, g.Report = p.interval(), p.reportWithin()
-		g.Retry = p.retry(now, id.host, g.Tokens < ask.Need || g.Tokens < ask.Need+ask.Prefetch && len(p.scarce) > 50)
+		g.Retry = p.retry(now, id.host, p.short(ask, g.Tokens))
 		reply.Grants = append(reply.Grants, g)
 	}
 	return reply
@@ -398,6 +400,12 @@
 	return lazyReport
 }
 
+// short reports whether a spender should slow down. While many compete, this includes those that got all they needed at
+// once, because their next ask would come as soon.
+func (p *pool) short(ask Ask, granted int) bool {
+	return granted < ask.Need || granted < ask.Need+ask.Prefetch && len(p.scarce) > manySpenders
+}
+
 // retry returns how long a spender that got too little should wait. The more spenders compete, the longer it is, so
 // that the message rate at the broker stays bounded.
 func (p *pool) retry(now time.Time, spender model.HostID, short bool) time.Duration {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -84,7 +84,9 @@
 	minRetry    = 20 * time.Millisecond
 	fewRetry    = 3 * time.Millisecond // per competing spender, while that is less than minRetry
 	maxRetry    = 400 * time.Millisecond
-	retrySpread = time.Millisecond // added per spender that competes for scarce tokens
+	retrySpread = time.Millisecond // per spender that competes for scarce tokens
+	// manySpenders is the number of competing spenders from which on the message rate at the broker is limited.
+	manySpenders = 50
 
 	askTimeout   = 15 * time.Millisecond
 	demandWindow = 500 * time.Millisecond
@@ -203,7 +205,6 @@
 // TokenReply answers a TokenRequest.
 type TokenReply struct {
 	Sequence uint64
-	Stamp    Stamp
 	Grants   []Grant
 }
 
