--- a/internal/simlimit/scenario.go
+++ b/internal/simlimit/scenario.go
@@ -11,8 +11,8 @@
 )
 
 // Scenario returns the measured configuration: 8 workspaces with 3,000 requests/s on up to 9 hosts, else 64 workspaces
-// with the given rate per host. A few workspaces are large, the
-// bursts are between 10 ms and 1 s of the rate, and the arrivals are unevenly spread over the hosts.
+// with the given rate per host. A few workspaces are large, the bursts are between 50 ms and 1 s of the rate, and the
+// arrivals are unevenly spread over the hosts.
 func Scenario(design Design, hosts int, ratePerHost, load float64, fault Kind) Config {
 	count, total := 8, 3000.0
 	if hosts > 9 {
