--- a/limit/limit.go
+++ b/limit/limit.go
@@ -49,7 +49,7 @@
 	// ClockTolerance is the factor by which the rates of any two clocks may differ.
 	ClockTolerance = 1.01
 	// LoanDuration is the duration of a loan of a workspace that is in use.
-	LoanDuration = 2 * time.Second
+	LoanDuration = 1500 * time.Millisecond
 	// IdleLoanDuration is the duration of a loan of an idle workspace. It is the longest duration of a loan, so slots that
 	// move from a dead host are unused for this time and the freshness bound. A longer one saves renewals.
 	IdleLoanDuration = 4 * time.Second
@@ -60,7 +60,7 @@
 
 	// A loan names the timestamp of the previous reply, so it lasts LoanDuration − 2 × lendEvery just before its renewal.
 	// This must exceed GrantDuration, or grants can't be drawn on it.
-	lendEvery     = 500 * time.Millisecond
+	lendEvery     = 400 * time.Millisecond
 	idleLendEvery = 1500 * time.Millisecond
 	returnEvery   = 100 * time.Millisecond
 	loanTimeout   = 250 * time.Millisecond
@@ -69,10 +69,10 @@
 
 	// Unreported tokens keep a full bucket from refilling. When they take more than tightBurst of the burst, reports have
 	// to come within a part of the interval; otherwise they wait for the next ask.
-	tightBurst   = 0.25
+	tightBurst   = 0.125
 	reportPart   = 8
 	urgentReport = time.Millisecond
-	lazyReport   = 200 * time.Millisecond
+	lazyReport   = GrantDuration
 	minInterval  = 5 * time.Millisecond
 	maxInterval  = 200 * time.Millisecond
 	// cachedBurst is the part of the burst that may lie in the caches of all spenders together. A greater part saves
@@ -82,8 +82,11 @@
 	prefetchPart = 0.25
 
 	minRetry    = 20 * time.Millisecond
+	fewRetry    = 3 * time.Millisecond // per competing spender, while that is less than minRetry
 	maxRetry    = 400 * time.Millisecond
-	retrySpread = time.Millisecond // added per spender that competes for scarce tokens
+	retrySpread = time.Millisecond // per spender that competes for scarce tokens
+	// manySpenders is the number of competing spenders from which on the message rate at the broker is limited.
+	manySpenders = 50
 
 	askTimeout   = 15 * time.Millisecond
 	demandWindow = 500 * time.Millisecond
@@ -202,7 +205,6 @@
 // TokenReply answers a TokenRequest.
 type TokenReply struct {
 	Sequence uint64
-	Stamp    Stamp
 	Grants   []Grant
 }
 
