--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -135,7 +135,7 @@
 // may be a request of a workspace that holds more than its fair part of a full queue.
 func (q *Queue) Push(now time.Time, request Request) (Ticket, []Action) {
 	q.last++
-	entry := &item{ticket: q.last, request: request}
+	entry := &item{ticket: q.last, request: request, entered: now}
 	w := q.workspace(request.Workspace)
 	if refusal := q.admit(now, w, entry); refusal.Outcome != 0 {
 		q.refuse(entry, refusal)
--- a/fairqueue/fairqueue_test.go
+++ b/fairqueue/fairqueue_test.go
@@ -172,6 +172,23 @@
 	b.wantRefused(b.push("a", 0), model.ReasonDeadline)
 }
 
+// Guards against slots that are wasted on requests that most likely end too late, and against a wrong estimate that
+// refuses requests with most of their time left.
+func TestUselessIsNeverStarted(t *testing.T) {
+	b := newBench(t, Config{Slots: 1, ServiceTime: 10 * time.Millisecond})
+	running := b.push("a", time.Second)
+	late, early := b.push("b", 50*time.Millisecond), b.push("c", 30*time.Millisecond)
+	b.now = b.now.Add(31 * time.Millisecond / 2)
+	b.finish(running)
+	b.wantStarted(late, true)
+	b.finish(late)
+	b.wantRefused(early, model.ReasonDeadline)
+	running, late = b.push("a", time.Second), b.push("b", 50*time.Millisecond)
+	b.now = b.now.Add(35 * time.Millisecond)
+	b.finish(running)
+	b.wantRefused(late, model.ReasonDeadline)
+}
+
 // Guards against a wrong estimate that refuses everything, so that no later service time can correct it.
 func TestEstimateRecovers(t *testing.T) {
 	b := newBench(t, Config{Slots: 1})
--- a/fairqueue/schedule.go
+++ b/fairqueue/schedule.go
@@ -16,11 +16,17 @@
 	maxDebt = 1.0
 	// maxRemembered bounds the workspaces whose service times are remembered while they are idle.
 	maxRemembered = 1024
+	// usefulFactor is the multiple of the recent service time that must remain when a request starts. Service times have
+	// a long tail, so the mean alone lets many requests start that end too late and waste their slots.
+	usefulFactor = 2.0
+	// usefulPart is the part of its whole time that a request needs at most to be worth starting.
+	usefulPart = 0.5
 )
 
 type item struct {
 	ticket        Ticket
 	request       Request
+	entered       time.Time
 	owner         *workspace
 	previous      *item // in the queue of the owner
 	next          *item
@@ -228,7 +234,7 @@
 		}
 		entry := w.oldest
 		q.remove(entry)
-		if refusal := recheck(now, entry); refusal.Outcome != 0 {
+		if refusal := q.recheck(now, entry); refusal.Outcome != 0 {
 			q.refuse(entry, refusal)
 			continue
 		}
@@ -236,8 +242,10 @@
 	}
 }
 
-func recheck(now time.Time, entry *item) model.Result {
-	if !entry.request.Deadline.After(now) {
+// recheck returns why a request that is about to start must not, or the zero result.
+func (q *Queue) recheck(now time.Time, entry *item) model.Result {
+	remaining := entry.request.Deadline.Sub(now)
+	if remaining <= 0 || remaining < needed(entry) {
 		return expired()
 	}
 	if entry.request.Recheck == nil {
@@ -246,6 +254,13 @@
 	return entry.request.Recheck()
 }
 
+// needed returns the time that a request probably runs. It is at most a part of the whole time of the request: so
+// requests that did not wait long are started whatever the estimate, and their service times correct it.
+func needed(entry *item) time.Duration {
+	whole := entry.request.Deadline.Sub(entry.entered).Seconds()
+	return seconds(min(usefulFactor*entry.owner.service, usefulPart*whole))
+}
+
 func (q *Queue) start(now time.Time, w *workspace, entry *item) {
 	q.virtual = max(q.virtual, w.account)
 	q.turns++
