Order workspaces by decayed slot time instead of by virtual time

Used slot time loses its weight with a time constant of 1 s; a workspace runs at most 0.2 s of slot time ahead of the next one that waits. With virtual time, a workspace with slow statements that was alone for a moment raised the virtual time to its own account, which erased its debt to the others.

--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -1,7 +1,8 @@
 // Package fairqueue is the bounded queue for the slots of one target, fair over workspaces.
 //
-// A free slot goes to the workspace that has used the least slot time, among those that wait. A workspace that was idle
-// gets no credit for it, and a workspace that used much has a bounded debt. Every request that enters gets exactly one
+// A free slot goes to the workspace that has used the least slot time lately, among those that wait. Used slot time
+// loses its weight with time, so that both the debt of a workspace with slow statements and the credit of one that was
+// idle are bounded. Every request that enters gets exactly one
 // action: it starts, or it is refused as not run; or the caller cancels it.
 //
 // The package is pure: the time is an argument, and the actions are returned. A Queue is not safe for concurrent use.
@@ -21,8 +22,8 @@
 const (
 	// PolicySlotTime charges the time that a statement holds its slot.
 	PolicySlotTime Policy = iota
-	// PolicyCount charges 1 per statement. With equal weights and a cost of 1 this is deficit round robin. It lets a
-	// workspace with slow statements take most of the slot time, and is kept for comparison.
+	// PolicyCount starts one statement of each waiting workspace in turn, which is deficit round robin with equal weights
+	// and a cost of 1. It lets a workspace with slow statements take most of the slot time, and is kept for comparison.
 	PolicyCount
 )
 
@@ -101,8 +102,8 @@
 	items      map[Ticket]*item
 	last       Ticket
 	turns      uint64
-	virtual    float64 // account of the workspace that started last, before its charge
-	overall    float64 // recent service time of all workspaces, in seconds
+	epoch      time.Time // from which the accounts are scaled
+	overall    float64   // recent service time of all workspaces, in seconds
 	queued     int
 	waiting    int     // workspaces with queued requests
 	queuedWork float64 // expected service time of all queued requests, in seconds
@@ -134,6 +135,7 @@
 // Push adds a request and returns its ticket with the actions that follow. The request itself may be among them, and so
 // may be a request of a workspace that holds more than its fair part of a full queue.
 func (q *Queue) Push(now time.Time, request Request) (Ticket, []Action) {
+	q.advance(now)
 	q.last++
 	entry := &item{ticket: q.last, request: request, entered: now}
 	w := q.workspace(request.Workspace)
@@ -153,6 +155,7 @@
 		return nil
 	}
 	delete(q.items, ticket)
+	q.advance(now)
 	q.running--
 	q.release(now, entry)
 	q.dispatch(now)
@@ -194,6 +197,7 @@
 // SetSlots changes the number of slots. With zero slots nothing starts, and requests wait up to their deadlines, as
 // during a failover. Requests that run keep their slots.
 func (q *Queue) SetSlots(now time.Time, slots int) []Action {
+	q.advance(now)
 	q.config.Slots = max(0, slots)
 	q.dispatch(now)
 	return q.take()
@@ -220,7 +224,7 @@
 func (q *Queue) EstimatedWait(name model.Workspace) time.Duration {
 	w, known := q.workspaces[name]
 	if !known {
-		w = &workspace{account: q.virtual, service: q.overall}
+		w = &workspace{service: q.overall}
 	}
 	return seconds(q.estimate(w))
 }
--- a/fairqueue/heap.go
+++ b/fairqueue/heap.go
@@ -40,6 +40,22 @@
 	return h.elements[0], true
 }
 
+// firstExcept returns the first element other than the given one, which may be the first.
+func (h *indexedHeap[T]) firstExcept(element T) (T, bool) {
+	if *h.place(element) != 1 {
+		return h.first()
+	}
+	if len(h.elements) < 2 {
+		var none T
+		return none, false
+	}
+	second := h.elements[1]
+	if len(h.elements) > 2 && h.less(h.elements[2], second) {
+		second = h.elements[2]
+	}
+	return second, true
+}
+
 // set adds or removes the element, or moves it to its new place after its order changed.
 func (h *indexedHeap[T]) set(element T, member bool) {
 	place := *h.place(element)
--- a/fairqueue/schedule.go
+++ b/fairqueue/schedule.go
@@ -1,7 +1,9 @@
 package fairqueue
 
 import (
+	"container/heap"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -11,9 +13,16 @@
 const (
 	// serviceWeight is the weight of a new service time in the moving averages.
 	serviceWeight = 0.1
-	// maxDebt bounds, in seconds of slot time, how far a workspace can fall behind the others through slow statements.
-	// Without a bound one statement of 10 s would shut its workspace out for 10 s of everyone else's slot time.
-	maxDebt = 1.0
+	// usageMemory is the time in which used slot time loses all but 1/e of its weight. It bounds what a workspace owes
+	// after slow statements, and what it can claim after a pause, to a second per slot.
+	usageMemory = time.Second
+	// maxCredit bounds, in seconds of slot time, how far a workspace may run ahead of the next one that waits. Without
+	// it, a workspace that comes back after a pause would take every slot for 0.7 of usageMemory.
+	maxCredit = 0.2
+	// maxExponent is the age of the epoch, in parts of usageMemory, at which a new epoch begins, far from overflow.
+	maxExponent = 100
+	// maxExpected bounds, in seconds, what is charged at the start of a request, before it has run.
+	maxExpected = 1.0
 	// maxRemembered bounds the workspaces whose service times are remembered while they are idle.
 	maxRemembered = 1024
 	// usefulFactor is the multiple of the recent service time that must remain when a request starts. Service times have
@@ -33,7 +42,7 @@
 	deadlinePlace int
 	running       bool
 	started       time.Time
-	charged       float64
+	charged       float64 // in the scale of the epoch
 }
 
 func earlier(a, b *item) bool {
@@ -47,7 +56,7 @@
 
 type workspace struct {
 	name         model.Workspace
-	account      float64 // what the workspace was charged, in seconds of slot time or in statements
+	account      float64 // slot time used, in the scale of the epoch
 	turn         uint64  // order of the last start, which decides between equal accounts
 	service      float64 // recent service time in seconds
 	oldest       *item
@@ -72,6 +81,42 @@
 	return a.name < b.name
 }
 
+// advance begins a new epoch if the present one is old. Used slot time is not decayed as time passes, which would touch
+// every workspace; instead, later slot time counts more, by e for each usageMemory since the epoch. The order of the
+// workspaces is the same.
+func (q *Queue) advance(now time.Time) {
+	if q.epoch.IsZero() {
+		q.epoch = now
+	}
+	exponent := now.Sub(q.epoch).Seconds() / usageMemory.Seconds()
+	if exponent < maxExponent {
+		return
+	}
+	scale := math.Exp(-exponent)
+	for _, w := range q.workspaces {
+		w.account *= scale
+		for _, entry := range w.running {
+			entry.charged *= scale
+		}
+	}
+	q.epoch = now
+	// Very small accounts may have become equal.
+	heap.Init(&q.ready)
+}
+
+// weight returns how much slot time counts at a time, in the scale of the epoch.
+func (q *Queue) weight(at time.Time) float64 {
+	return math.Exp(at.Sub(q.epoch).Seconds() / usageMemory.Seconds())
+}
+
+// usage returns the slot time between two times, in the scale of the epoch.
+func (q *Queue) usage(from, to time.Time) float64 {
+	if !to.After(from) {
+		return 0
+	}
+	return usageMemory.Seconds() * (q.weight(to) - q.weight(from))
+}
+
 func readyPlace(w *workspace) *int   { return &w.readyPlace }
 func longestPlace(w *workspace) *int { return &w.longestPlace }
 
@@ -80,7 +125,7 @@
 	if !known {
 		q.forgetIdle()
 		q.turns++
-		w = &workspace{name: name, account: q.virtual, service: q.overall, turn: q.turns}
+		w = &workspace{name: name, service: q.overall, turn: q.turns}
 		q.workspaces[name] = w
 	}
 	return w
@@ -141,16 +186,14 @@
 }
 
 // estimate returns the expected wait of a new request in seconds. A workspace gets an equal part of the slot time, so
-// its own queue and its debt take as many times longer as workspaces wait. It never waits longer than for everything
-// that is queued, which is zero for an empty queue: so a wrong estimate never keeps an idle target from being used.
+// its own queue takes as many times longer as workspaces wait, but no longer than everything that is queued. It is zero
+// for an empty queue: so a wrong estimate never keeps an idle target from being used. What a workspace used lately is
+// left out, because counting it refused requests that would have been in time.
 func (q *Queue) estimate(w *workspace) float64 {
 	if q.config.Slots == 0 {
 		return 0
 	}
 	own := float64(w.queued) * w.service
-	if q.config.Policy == PolicySlotTime {
-		own += max(0, w.account-q.virtual)
-	}
 	parts := q.waiting
 	if w.queued == 0 {
 		parts++
@@ -173,10 +216,12 @@
 	q.count(w, 1)
 }
 
-// activate takes the credit of a workspace that begins to wait. A workspace with credit for its idle time would take
-// every slot until it had used it up.
+// activate puts a workspace that begins to wait behind the others if only turns count.
 func (q *Queue) activate(w *workspace) {
-	w.account = max(w.account, q.virtual)
+	if q.config.Policy == PolicyCount {
+		q.turns++
+		w.turn = q.turns
+	}
 }
 
 // remove takes the request out of the queue of its workspace.
@@ -262,53 +307,44 @@
 }
 
 func (q *Queue) start(now time.Time, w *workspace, entry *item) {
-	q.virtual = max(q.virtual, w.account)
 	q.turns++
 	w.turn = q.turns
 	entry.running = true
 	entry.started = now
-	cost := w.service
-	if q.config.Policy == PolicyCount {
-		cost = 1
-	}
-	entry.charged = q.charge(w, cost)
 	w.running = append(w.running, entry)
 	q.items[entry.ticket] = entry
 	q.running++
-	q.place(w)
+	q.limitCredit(now, w)
+	q.charge(w, entry, now.Add(seconds(min(w.service, maxExpected))))
 	q.actions = append(q.actions, Action{Ticket: entry.ticket, Start: true})
 }
 
-// charge changes the account of a workspace up to the bound of its debt, and returns the change. A later refund is at
-// most that change; a refund of what was not charged would put the workspace ahead of the others.
-func (q *Queue) charge(w *workspace, amount float64) float64 {
-	before := w.account
-	w.account += amount
-	if q.config.Policy == PolicySlotTime && amount > 0 {
-		w.account = max(before, min(w.account, q.virtual+maxDebt))
+// limitCredit takes the credit of a workspace beyond maxCredit.
+func (q *Queue) limitCredit(now time.Time, w *workspace) {
+	if next, some := q.ready.firstExcept(w); some {
+		w.account = max(w.account, next.account-maxCredit*q.weight(now))
+	}
+}
+
+// charge makes the charge of a running request that of its slot time until the given time.
+func (q *Queue) charge(w *workspace, entry *item, until time.Time) {
+	if q.config.Policy == PolicySlotTime {
+		usage := q.usage(entry.started, until)
+		w.account += usage - entry.charged
+		entry.charged = usage
 	}
 	q.place(w)
-	return w.account - before
 }
 
 // settle charges the workspace for the time that its running requests have held their slots beyond what they were
 // charged at the start, and reports whether another workspace goes first now. Without it, requests that take longer than
 // expected would be free until they end.
 func (q *Queue) settle(now time.Time, w *workspace) bool {
-	if q.config.Policy == PolicyCount {
-		return false
-	}
-	charged := 0.0
 	for _, entry := range w.running {
-		if due := now.Sub(entry.started).Seconds() - entry.charged; due > 0 {
-			more := q.charge(w, due)
-			entry.charged += more
-			charged += more
+		if q.usage(entry.started, now) > entry.charged {
+			q.charge(w, entry, now)
 		}
 	}
-	if charged == 0 {
-		return false
-	}
 	first, _ := q.ready.first()
 	return first != w
 }
@@ -318,12 +354,8 @@
 	w := entry.owner
 	place := slices.Index(w.running, entry)
 	w.running = slices.Delete(w.running, place, place+1)
-	took := max(0, now.Sub(entry.started).Seconds())
-	if q.config.Policy == PolicySlotTime {
-		q.charge(w, took-entry.charged)
-	}
-	q.learn(w, took)
-	q.place(w)
+	q.charge(w, entry, now)
+	q.learn(w, max(0, now.Sub(entry.started).Seconds()))
 }
 
 func (q *Queue) learn(w *workspace, took float64) {
