--- a/internal/simqueue/simqueue_test.go
+++ b/internal/simqueue/simqueue_test.go
@@ -3,9 +3,13 @@
 import (
 	"os"
 	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
-// BenchmarkTables prints the tables for 3 and 2 slots:
+// BenchmarkTables prints the tables for 3 and 2 slots; with -v it prints all workspaces:
 //
 //	go test -run '^$' -bench Tables -benchtime 1x ./internal/simqueue
 func BenchmarkTables(b *testing.B) {
@@ -17,3 +21,74 @@
 		}
 	}
 }
+
+func run(p Params, discipline Discipline) Report {
+	p.Duration = 10 * time.Second
+	p.Discipline = discipline
+	return Run(p)
+}
+
+// Guards against a policy that lets a noisy workspace, or one with slow statements, take the service of the others. The
+// other disciplines show that the scenarios do so without the policy.
+func TestWorstServed(t *testing.T) {
+	for name, test := range map[string]struct {
+		params     Params
+		discipline Discipline
+		low, high  float64
+	}{
+		"calm":           {Mixed(1, 3, false, false), SlotTime, 0.99, 1.01},
+		"noisy":          {Mixed(1, 3, true, false), SlotTime, 0.97, 1.01},
+		"noisy, FIFO":    {Mixed(1, 3, true, false), FIFO, 0, 0.93},
+		"slow":           {Mixed(1, 3, false, true), SlotTime, 0.85, 1.01},
+		"slow, count":    {Mixed(1, 3, false, true), Count, 0, 0.5},
+		"slow, FIFO":     {Mixed(1, 3, false, true), FIFO, 0, 0.7},
+		"both":           {Mixed(1, 3, true, true), SlotTime, 0.85, 1.01},
+		"slow, 2 slots":  {Mixed(1, 2, false, true), SlotTime, 0.85, 1.01},
+		"noisy, 2 slots": {Mixed(1, 2, true, false), SlotTime, 0.97, 1.01},
+	} {
+		report := run(test.params, test.discipline)
+		if got := report.Worst.Ratio; got < test.low || got > test.high {
+			t.Errorf("%s: %s", name, report.Line())
+		}
+	}
+}
+
+// Guards against goodput that falls, and against queues that grow, as the offered load rises beyond the capacity.
+func TestOverload(t *testing.T) {
+	atCapacity := run(Overload(1, 3, 1), SlotTime)
+	for _, factor := range []float64{2, 4} {
+		report := run(Overload(1, 3, factor), SlotTime)
+		if report.Goodput < 0.97*atCapacity.Goodput || report.MaxQueued > report.Params.MaxQueued {
+			t.Errorf("load %.0f: %s; at capacity %s", factor, report.Line(), atCapacity.Line())
+		}
+	}
+}
+
+// Guards against reports that differ between runs, with which no two policies can be compared, and against requests that
+// vanish in the simulation.
+func TestRunIsDeterministic(t *testing.T) {
+	params := Mixed(7, 2, true, true)
+	first, second := run(params, SlotTime), run(params, SlotTime)
+	if diff := cmp.Diff(first.String(), second.String()); diff != "" {
+		t.Error(diff)
+	}
+	// The requests do not depend on the discipline.
+	other := run(params, FIFO)
+	for i, s := range first.Services {
+		answered := s.Done + s.Late
+		for _, n := range s.Refused {
+			answered += n
+		}
+		if s.Sent == 0 || answered != s.Sent || other.Services[i].Sent != s.Sent {
+			t.Errorf("%s: %d sent, %d answered, %d sent under FIFO", s.Workspace, s.Sent, answered, other.Services[i].Sent)
+		}
+	}
+}
+
+// Guards against a wrong measure of fairness.
+func TestMaxMin(t *testing.T) {
+	got := maxMin([]float64{1, 10, 4, 0}, 9)
+	if diff := cmp.Diff([]float64{1, 4, 4, 0}, got, cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+		t.Error(diff)
+	}
+}
