--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -303,7 +303,9 @@
 
 // Serving tells whether the host may serve keyed requests now, and by which proof.
 func (h *Host) Serving(now time.Time) Proof {
-	h.countOutage(now)
+	if len(h.hosts.IDs) == 1 {
+		h.countOutage(now) // nobody reports to the only host
+	}
 	store := Proof{Kind: KindStore, Age: h.storeAge(now)}
 	best := store
 	if !h.outage.at.IsZero() && (h.held.covers(h.outage.versions) || h.without.versions) {
--- a/freshness/relay.go
+++ b/freshness/relay.go
@@ -67,7 +67,6 @@
 	if link.token != 0 {
 		r.Waited = waited(now.Sub(link.received))
 	}
-	h.countOutage(now)
 	r.StoreAge = milliseconds(h.storeAge(now))
 	if !h.outage.at.IsZero() && now.Sub(h.outage.at) < F {
 		r.OutageAge = milliseconds(now.Sub(h.outage.at))
@@ -204,7 +203,6 @@
 // Answer returns the answer to a poll that arrived at the time. It has to be sent at once; a delay counts as time on
 // the way.
 func (h *Host) Answer(now, received time.Time, to model.HostID) Answer {
-	h.countOutage(now)
 	h.lastToken++
 	h.issued[to] = issued{token: h.lastToken, at: now}
 	a := Answer{Token: h.lastToken, Waited: waited(now.Sub(received)), Held: h.held}
