--- a/server/proofs.go
+++ b/server/proofs.go
@@ -112,12 +112,13 @@
 	}
 	q := daemon.RelayRequest{From: p.server.options.Daemon.Host, Report: p.host.Report(now, link)}
 	p.polling[to] = true
-	go p.server.relay(to, link, q, now)
+	go p.server.relay(to, link, q, now, p.host.PollTimeout(now))
 }
 
 // relay sends a poll and takes over the answer.
-func (s *Server) relay(to model.HostID, link *freshness.Link, q daemon.RelayRequest, sent time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), freshness.PollTimeout)
+func (s *Server) relay(to model.HostID, link *freshness.Link, q daemon.RelayRequest, sent time.Time,
+	timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	reply, err := call[daemon.RelayReply](ctx, s, to, "Relay", q)
 	s.control.post(func(now time.Time) {
