--- a/server/entry.go
+++ b/server/entry.go
@@ -418,5 +418,5 @@
 	snap, now := s.snapshot.Load(), time.Now()
 	state := snap.state(now, s.draining.Load())
 	return caller.Status{Host: s.options.Daemon.Host, State: state, ConfigurationVersion: snap.version,
-		Accepting: state == "serving"}
+		Accepting: state == "serving" && snap.ready(s.options.Daemon.Host)}
 }
--- a/server/group.go
+++ b/server/group.go
@@ -29,7 +29,8 @@
 	dial    func(address string) *target.ControlMember
 	members map[model.TargetID]*memberConnections
 	publish func(failover.View, *routing.Samples)
-	replace func(model.TargetID) // closes the connections for traffic of a target
+	replace func(model.TargetID)      // closes the connections for traffic of a target
+	idle    func(model.TargetID) bool // nothing runs on a target
 	samples routing.Samples
 	writes  map[uint64]chan bool // writes whose durability is awaited
 	nextID  uint64
@@ -107,8 +108,14 @@
 	}
 }
 
-// tick lets the machine do what is due.
-func (g *groupControl) tick(now time.Time) { g.handle(now, failover.Tick{}) }
+// tick lets the machine do what is due. A primary that is held back for a handover and runs nothing any more is reported
+// as idle, so that the handover need not wait.
+func (g *groupControl) tick(now time.Time) {
+	if v := g.machine.View(); v.Held && g.idle(v.Primary) {
+		g.handle(now, failover.PrimaryIdle{Term: v.Term})
+	}
+	g.handle(now, failover.Tick{})
+}
 
 // stop ends the work for the group, because this host is no longer its home.
 func (g *groupControl) stop() {
@@ -188,10 +195,8 @@
 
 // published samples the primary's position, measures gaps in writes, and hands the view to traffic.
 func (g *groupControl) published(now time.Time, v failover.View) {
-	for _, m := range v.Members {
-		if m.Target == v.Primary && m.Known && m.Position.Term == v.Term {
-			g.samples.Add(m.Asked, m.Position)
-		}
+	if at, p, ok := v.Sample(); ok {
+		g.samples.Add(at, p)
 	}
 	g.measureGap(now, v)
 	g.publish(v, g.samples.Clone())
--- a/server/home.go
+++ b/server/home.go
@@ -145,6 +145,12 @@
 	return false
 }
 
+// idle reports whether nothing runs on a target, except for open transactions.
+func (h *home) idle(id model.TargetID) bool {
+	t := h.target(id)
+	return t == nil || t.queue.stats().Running == 0
+}
+
 // close ends all connections.
 func (h *home) close() {
 	h.stop()
--- a/server/limiter.go
+++ b/server/limiter.go
@@ -27,6 +27,7 @@
 type limiter struct {
 	host      model.HostID
 	transport limitTransport
+	fresh     func(now time.Time) bool // the host has a proof that its roster is fresh
 	wake      chan struct{}
 	calls     sync.WaitGroup
 
@@ -36,12 +37,16 @@
 	spender *limit.Spender
 	waiting map[uint64]chan limit.Decision
 	ticket  uint64
+
+	released bool // the slots were given back for good
 }
 
-func newLimiter(host model.HostID, incarnation model.Incarnation, shareSlots int, t limitTransport) *limiter {
+func newLimiter(host model.HostID, incarnation model.Incarnation, shareSlots int, t limitTransport,
+	fresh func(time.Time) bool) *limiter {
 	return &limiter{
 		host:      host,
 		transport: t,
+		fresh:     fresh,
 		wake:      make(chan struct{}, 1),
 		holder:    limit.NewHolder(host, incarnation, shareSlots),
 		broker:    limit.NewBroker(incarnation, time.Now()),
@@ -50,10 +55,15 @@
 	}
 }
 
-// admit takes a token for a request of the workspace, and waits for one for at most limit.Wait.
+// admit takes a token for a request of the workspace, and waits for one for at most limit.Wait. Freshness is checked at
+// the moment of the admission, because the process may have been paused since the request was checked.
 func (l *limiter) admit(ctx context.Context, w model.Workspace) limit.Decision {
 	l.mu.Lock()
 	now := time.Now()
+	if !l.fresh(now) {
+		l.mu.Unlock()
+		return limit.Decision{Workspace: w, Verdict: limit.Refused}
+	}
 	if l.holder.Admit(now, w) {
 		l.mu.Unlock()
 		return limit.Decision{Workspace: w, Verdict: limit.Admitted}
@@ -109,6 +119,9 @@
 func (l *limiter) setSlots(slots []limit.Slot) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.released {
+		return
+	}
 	l.holder.SetSlots(time.Now(), slots)
 	l.wakeUp()
 }
@@ -164,7 +177,12 @@
 	return max(next.Sub(now), time.Millisecond)
 }
 
+// pollLocked does what is due. A host without a proof of freshness lends nothing, because its slots may be another
+// host's.
 func (l *limiter) pollLocked(now time.Time) {
+	if !l.fresh(now) {
+		return
+	}
 	for _, m := range l.holder.Messages(now) {
 		l.calls.Go(func() { l.lend(m) })
 	}
@@ -233,6 +251,18 @@
 	}
 }
 
+// releaseSlots stops the use of this host's slots for good. It reports false while some of them are lent.
+func (l *limiter) releaseSlots() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.holder.Lent(time.Now()) {
+		return false
+	}
+	l.holder.SetSlots(time.Now(), nil)
+	l.released = true
+	return true
+}
+
 func (l *limiter) drained() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/server/server.go
+++ b/server/server.go
@@ -83,7 +83,9 @@
 		drain:       make(chan struct{}),
 	}
 	s.retry = newRetrier(s.metrics, s.decisions)
-	s.limiter = newLimiter(o.Daemon.Host, s.incarnation, roster.DefaultSlots, s)
+	s.limiter = newLimiter(o.Daemon.Host, s.incarnation, roster.DefaultSlots, s, func(now time.Time) bool {
+		return s.snapshot.Load().fresh(now)
+	})
 	s.transaction = newTransactions(s)
 	s.snapshot.Store(&snapshot{})
 	s.state = newControlState(s, time.Now())
--- a/server/shutdown.go
+++ b/server/shutdown.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/config"
+	"github.com/waxwingspindle/waxwingspindle/roster"
 )
 
 // handoverWait is the time that other hosts get to learn that this host leaves, before it stops being home.
@@ -40,6 +41,7 @@
 	s.transaction.finish(ctx)
 	s.finishHomes(ctx)
 	s.limiter.drain(ctx)
+	s.giveSlotsBack(ctx)
 	s.control.post(s.state.left)
 	sleep(ctx, handoverWait)
 	return trace.Wrap(err)
@@ -54,3 +56,33 @@
 		return true
 	})
 }
+
+// slotsTimeout bounds giving the share slots back. When the store is down, they are given to other hosts later.
+const slotsTimeout = 2 * time.Second
+
+// giveSlotsBack gives the share slots of this host back in the roster, so that other hosts may use them at once.
+func (s *Server) giveSlotsBack(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, slotsTimeout)
+	defer cancel()
+	if !s.limiter.releaseSlots() {
+		return
+	}
+	for ctx.Err() == nil {
+		type result struct {
+			next    roster.Document
+			changed bool
+		}
+		answer := make(chan result, 1)
+		if !s.control.post(func(now time.Time) {
+			next, changed := s.state.releaseRoster(now)
+			answer <- result{next, changed}
+		}) {
+			return
+		}
+		r := <-answer
+		if !r.changed || s.swapRoster(ctx, r.next, "this host gives its slots back") {
+			return
+		}
+		sleep(ctx, followPause)
+	}
+}
--- a/server/snapshot.go
+++ b/server/snapshot.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/config"
@@ -33,11 +34,16 @@
 	leaving      bool      // this host has announced that it leaves
 }
 
-// fresh reports whether the host may serve keyed requests: it has a configuration and a roster with held
-// share slots, and a proof that both are fresh. The monotonic clock goes on while the process is paused, so a
+// fresh reports whether the host may serve keyed requests: it has a configuration and a roster, and a proof that
+// both are fresh. The monotonic clock goes on while the process is paused, so a
 // proof that ended during a pause is not used afterwards.
 func (s *snapshot) fresh(now time.Time) bool {
-	return s.settings != nil && s.heldSlots > 0 && now.Before(s.servingUntil)
+	return s.settings != nil && s.roster > 0 && now.Before(s.servingUntil)
+}
+
+// ready reports whether the balancer may send requests to the host: it is registered, and share slots are in use.
+func (s *snapshot) ready(self model.HostID) bool {
+	return s.heldSlots > 0 && slices.Contains(s.hosts.IDs, self)
 }
 
 // state returns the state of the host for people.
--- a/server/state.go
+++ b/server/state.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/config"
@@ -269,6 +270,7 @@
 	}
 	h.group = newGroupControl(service, orderer, s.control, dial, s.metrics, s.log.With(zap.String("service", string(name))))
 	h.group.publish, h.group.replace = h.publish, h.replaceConnections
+	h.group.idle = func(t model.TargetID) bool { return h.idle(t) && s.transaction.open(name) == 0 }
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	go h.cleanLedger(ctx)
@@ -340,6 +342,11 @@
 	c.publish(now)
 }
 
+// releaseRoster returns the roster in which this host has given its slots back.
+func (c *controlState) releaseRoster(now time.Time) (roster.Document, bool) {
+	return roster.Release(c.roster, now, c.tenure, uuid.NewString())
+}
+
 // left runs at the end of a planned stop.
 func (c *controlState) left(now time.Time) { c.perform(c.table.Tick(now, c.rng)) }
 
