Spend less on control

A poll is now probed only when no answer came in time, and members are copied when they change, or every 500 ms. Confirmations of a change come from the roots of the relay.

--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -136,3 +136,9 @@
 	Configuration []byte // empty when the asking host has the newest known one
 	Roster        []byte
 }
+
+// Confirmation tells which hosts have a version of the configuration in force, as far as the relay knows.
+type Confirmation struct {
+	Version uint64
+	Hosts   []model.HostID
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -54,8 +54,18 @@
 // Call calls a method of the daemon at an address. When the context ends first, the call may still run there. A
 // *NotSentError reports that it did not run. A late answer is dropped: it is decoded into a value that nobody has.
 func Call[Reply any](ctx context.Context, p *Peers, address, method string, args any) (Reply, error) {
+	return start[Reply](ctx, p, address, method, args, false)
+}
+
+// Poll is Call for methods that hold their answer back on purpose. The connection is not probed while it waits, which
+// would cost more than the poll itself, but only when no answer came in time.
+func Poll[Reply any](ctx context.Context, p *Peers, address, method string, args any) (Reply, error) {
+	return start[Reply](ctx, p, address, method, args, true)
+}
+
+func start[Reply any](ctx context.Context, p *Peers, address, method string, args any, held bool) (Reply, error) {
 	reply := new(Reply)
-	if err := p.peer(address).call(ctx, "Daemon."+method, args, reply); err != nil {
+	if err := p.peer(address).call(ctx, "Daemon."+method, args, reply, held); err != nil {
 		var none Reply
 		return none, err
 	}
@@ -113,20 +123,25 @@
 	pinging bool
 }
 
-func (p *peer) call(ctx context.Context, method string, args, reply any) error {
+func (p *peer) call(ctx context.Context, method string, args, reply any, held bool) error {
 	c, err := p.connected(ctx)
 	if err != nil {
 		return &NotSentError{Err: err}
 	}
-	if c.enter() {
-		go p.ping(c)
+	if !held {
+		if c.enter() {
+			go p.ping(c)
+		}
+		defer c.leave()
 	}
-	defer c.leave()
 	call := c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		return p.outcome(c, call.Error)
 	case <-ctx.Done():
+		if held {
+			go p.probe(c)
+		}
 		return trace.LimitExceeded("no answer from the daemon at %s: %v", p.address, ctx.Err())
 	}
 }
@@ -208,19 +223,24 @@
 func (p *peer) ping(c *client) {
 	for c.keepPinging() {
 		time.Sleep(pingInterval)
-		call := c.rpc.Go("Daemon.Ping", Empty{}, &Empty{}, make(chan *rpc.Call, 1))
-		select {
-		case <-call.Done:
-			if call.Error != nil {
-				return
-			}
-		case <-time.After(silentAfter):
-			p.drop(c)
+		if !p.probe(c) {
 			return
 		}
 	}
 }
 
+// probe sends one ping. It drops the connection and reports false when the ping is not answered.
+func (p *peer) probe(c *client) bool {
+	call := c.rpc.Go("Daemon.Ping", Empty{}, &Empty{}, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return call.Error == nil
+	case <-time.After(silentAfter):
+		p.drop(c)
+		return false
+	}
+}
+
 func (c *client) keepPinging() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -125,7 +125,7 @@
 }
 
 // Control records what the control goroutine knows.
-func (m *Metrics) Control(serving bool, proofAge time.Duration, configuration, roster uint64, members map[string]int) {
+func (m *Metrics) Control(serving bool, proofAge time.Duration, configuration, roster uint64) {
 	m.serving.Set(0)
 	if serving {
 		m.serving.Set(1)
@@ -133,6 +133,10 @@
 	m.proofAge.Set(proofAge.Seconds())
 	m.version.Set(float64(configuration))
 	m.roster.Set(float64(roster))
+}
+
+// Members records the number of members in each state.
+func (m *Metrics) Members(members map[string]int) {
 	m.members.Reset()
 	for state, n := range members {
 		m.members.WithLabelValues(state).Set(float64(n))
--- a/server/changes.go
+++ b/server/changes.go
@@ -33,7 +33,7 @@
 	// change or has stopped serving keyed requests.
 	confirmTimeout = 7 * time.Second
 	// confirmPoll is the time between two looks at who has confirmed.
-	confirmPoll = 20 * time.Millisecond
+	confirmPoll = 50 * time.Millisecond
 )
 
 // operations implements operator.Backend.
@@ -228,17 +228,16 @@
 	}
 }
 
+// confirmations tells which live hosts have a version in force: by the relay, whose roots know it for all hosts, and by
+// the payloads of membership messages.
 func (s *Server) confirmations(version uint64) (confirmed, unconfirmed []model.HostID) {
 	snap := s.snapshot.Load()
+	relayed := s.relayConfirmations(snap, version)
 	for _, m := range snap.members {
 		if !m.Live() {
 			continue
 		}
-		has := payloadVersion(m.Payload)
-		if m.ID == s.options.Daemon.Host {
-			has = snap.version
-		}
-		if has >= version || slices.Contains(snap.confirmed, m.ID) && snap.version >= version {
+		if relayed[m.ID] || payloadVersion(m.Payload) >= version {
 			confirmed = append(confirmed, m.ID)
 		} else {
 			unconfirmed = append(unconfirmed, m.ID)
@@ -249,6 +248,28 @@
 	return confirmed, unconfirmed
 }
 
+// relayConfirmations asks the roots of the relay which hosts have a version in force.
+func (s *Server) relayConfirmations(snap *snapshot, version uint64) map[model.HostID]bool {
+	out := map[model.HostID]bool{}
+	add := func(c daemon.Confirmation) {
+		for _, h := range c.Hosts {
+			out[h] = out[h] || c.Version >= version
+		}
+	}
+	add(daemon.Confirmation{Version: snap.version, Hosts: append(snap.confirmed, s.options.Daemon.Host)})
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	for _, root := range snap.roots {
+		if root == s.options.Daemon.Host {
+			continue
+		}
+		if c, err := call[daemon.Confirmation](ctx, s, root, "Confirmed", daemon.Empty{}); err == nil {
+			add(c)
+		}
+	}
+	return out
+}
+
 // NewKey implements operator.Backend.
 func (o *operations) NewKey(w model.Workspace) (key.Key, key.Record) {
 	id := model.KeyID(uuid.NewString())
--- a/server/proofs.go
+++ b/server/proofs.go
@@ -28,6 +28,7 @@
 	host     *freshness.Host
 	upstream freshness.Upstream
 	links    map[model.HostID]*freshness.Link
+	roots    []model.HostID
 	polling  map[model.HostID]bool // polls that wait for an answer
 	held     []*heldPoll
 	read     map[freshness.Document]bool // documents whose state in the store was read
@@ -70,6 +71,7 @@
 // setLive follows a change of the live members.
 func (p *proofs) setLive(now time.Time, live []placement.Candidate) {
 	tree := placement.NewTree(live)
+	p.roots = tree.Roots()
 	self := p.server.options.Daemon.Host
 	p.upstream.SetParents(now, tree.IsRoot(self), tree.Parents(self))
 	alive := map[model.HostID]bool{}
@@ -120,7 +122,11 @@
 	timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	reply, err := call[daemon.RelayReply](ctx, s, to, "Relay", q)
+	var reply daemon.RelayReply
+	address, err := s.addressOf(to)
+	if err == nil {
+		reply, err = daemon.Poll[daemon.RelayReply](ctx, s.peers, address, "Relay", q)
+	}
 	s.control.post(func(now time.Time) {
 		p := s.state.proofs
 		delete(p.polling, to)
--- a/server/rpc.go
+++ b/server/rpc.go
@@ -68,6 +68,13 @@
 	return nil
 }
 
+// Confirmed tells which hosts have the configuration of this host in force. A root of the relay knows it for all hosts.
+func (r *rpcService) Confirmed(_ daemon.Empty, reply *daemon.Confirmation) error {
+	snap := r.server.snapshot.Load()
+	*reply = daemon.Confirmation{Version: snap.version, Hosts: snap.confirmed}
+	return nil
+}
+
 // Relay answers a poll for documents and proofs.
 func (r *rpcService) Relay(q daemon.RelayRequest, reply *daemon.RelayReply) error {
 	held := make(chan (<-chan daemon.RelayReply), 1)
--- a/server/snapshot.go
+++ b/server/snapshot.go
@@ -19,6 +19,7 @@
 	document     *config.Document
 	hosts        freshness.Hosts // hosts of the roster
 	confirmed    []model.HostID  // hosts known by the relay to have this version in force
+	roots        []model.HostID  // roots of the relay tree
 	heldSlots    int             // share slots that a host holds
 	freeSlots    int             // share slots that nobody holds
 	settings     *config.Settings
--- a/server/state.go
+++ b/server/state.go
@@ -95,6 +95,7 @@
 			c.server.gossip.Send(*a.Send)
 			continue
 		}
+		c.changed = true
 		c.server.log.Info("membership: member changed", zap.String("member", string(a.Change.Member.ID)),
 			zap.Stringer("from", a.Change.Previous), zap.Stringer("to", a.Change.Member.State))
 		if a.Change.Member.ID == c.server.options.Daemon.Host && a.Change.Member.State == membership.StateLeft {
@@ -141,7 +142,7 @@
 	c.table.SetPayload(payload(d.Version))
 	c.proofs.host.Hold(now, d.Version)
 	c.server.log.Info("config: version in force", zap.Uint64("version", d.Version))
-	c.live = ""
+	c.live, c.changed = "", true
 	c.configureHomes(now)
 	c.publish(now)
 	return nil
@@ -160,7 +161,7 @@
 	if d.Version <= c.roster.Version {
 		return
 	}
-	c.roster, c.rosterAt = d, now
+	c.roster, c.rosterAt, c.changed = d, now, true
 	c.server.limiter.setSlots(c.tenure.Update(now, d))
 	c.proofs.holdRoster(now, d)
 	c.server.log.Info("roster: version in force", zap.Uint64("version", d.Version), zap.Int("hosts", len(d.Hosts)))
@@ -187,7 +188,7 @@
 	if fingerprint == c.live {
 		return
 	}
-	c.live = fingerprint
+	c.live, c.changed = fingerprint, true
 	c.proofs.setLive(now, live)
 	if c.settings == nil {
 		return
@@ -337,7 +338,7 @@
 func (c *controlState) leave(now time.Time) {
 	c.leaving = true
 	c.perform(c.table.Leave(now, c.rng))
-	c.live = ""
+	c.live, c.changed = "", true
 	c.place(now)
 	c.publish(now)
 }
@@ -352,13 +353,29 @@
 
 // publish replaces the snapshot that traffic reads.
 func (c *controlState) publish(now time.Time) {
+	next := *c.server.snapshot.Load()
+	if c.changed || now.Sub(c.rebuiltAt) >= rebuildInterval {
+		next = c.rebuild()
+		c.changed, c.rebuiltAt = false, now
+	}
 	proof := c.proofs.serving(now)
-	s := &snapshot{roster: c.roster.Version, members: c.table.Members(), homes: c.homes, proofKind: proof.Kind.String(),
-		proofAt: now.Add(-proof.Age), leaving: c.leaving, addresses: map[model.HostID]string{}, hosts: rosterHosts(c.roster)}
+	next.proofKind, next.proofAt, next.servingUntil = proof.Kind.String(), now.Add(-proof.Age), time.Time{}
 	if proof.OK {
-		s.servingUntil = proof.Until
+		next.servingUntil = proof.Until
 	}
 	c.logProof(proof)
+	c.server.snapshot.Store(&next)
+	c.server.metrics.Control(next.fresh(now), proof.Age, next.version, next.roster)
+}
+
+// rebuildInterval is the time after which all of the snapshot is computed again. In between only the proof of freshness
+// is renewed, which is all that most events change; copying the members at each event was most of the cost of control.
+const rebuildInterval = 500 * time.Millisecond
+
+// rebuild returns a snapshot without the proof of freshness.
+func (c *controlState) rebuild() snapshot {
+	s := snapshot{roster: c.roster.Version, members: c.table.Members(), homes: c.homes, leaving: c.leaving,
+		addresses: map[model.HostID]string{}, hosts: rosterHosts(c.roster), roots: c.proofs.roots}
 	_, s.confirmed = c.proofs.host.Confirmed()
 	if c.document != nil {
 		s.version, s.settings, s.keys, s.tokens, s.secret = c.document.Version, c.settings, c.keys, c.tokens, c.document.Secret
@@ -379,8 +396,8 @@
 			s.heldSlots++
 		}
 	}
-	c.server.snapshot.Store(s)
-	c.server.metrics.Control(s.fresh(now), proof.Age, s.version, s.roster, states)
+	c.server.metrics.Members(states)
+	return s
 }
 
 // logProof writes a line when the host serves by another kind of proof than before, or no longer serves.
--- /dev/null
+++ b/test/e2e/capacity_test.go
@@ -0,0 +1,176 @@
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// ticksPerSecond is the unit of processor times in /proc, in hertz.
+const ticksPerSecond = 100
+
+// usage is what a process has used.
+type usage struct {
+	cpu      time.Duration
+	resident float64 // MB
+}
+
+func (p *process) usage(b testing.TB) usage {
+	b.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
+	number := func(i int) float64 {
+		n, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return n
+	}
+	const user, system, pages = 11, 12, 21 // fields after the name
+	return usage{cpu: time.Duration((number(user) + number(system)) / ticksPerSecond * float64(time.Second)),
+		resident: number(pages) * float64(os.Getpagesize()) / 1e6}
+}
+
+// controlBytes returns the bytes of membership messages that a daemon has sent.
+func (d *daemonProcess) controlBytes(b testing.TB) float64 {
+	b.Helper()
+	r, err := client.Get("http://" + d.operator + "/metrics")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "waxwingspindle_control_bytes_total") {
+			n, _ := strconv.ParseFloat(strings.Fields(line)[1], 64)
+			return n
+		}
+	}
+	return 0
+}
+
+// BenchmarkIdleFleet measures what a daemon spends for control when no caller sends anything: processor time, memory and
+// bytes of membership messages.
+func BenchmarkIdleFleet(b *testing.B) {
+	for _, daemons := range []int{3, 9, 30, 60} {
+		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
+			s := startSystem(b, daemons)
+			time.Sleep(5 * time.Second)
+			before, bytesBefore := make([]usage, daemons), make([]float64, daemons)
+			for i, d := range s.daemons {
+				before[i], bytesBefore[i] = d.usage(b), d.controlBytes(b)
+			}
+			const span = 15 * time.Second
+			time.Sleep(span)
+			var cpu, most time.Duration
+			var resident, sent float64
+			for i, d := range s.daemons {
+				u := d.usage(b)
+				cpu += u.cpu - before[i].cpu
+				most = max(most, u.cpu-before[i].cpu)
+				resident = max(resident, u.resident)
+				sent += d.controlBytes(b) - bytesBefore[i]
+			}
+			n := float64(daemons)
+			b.ReportMetric(100*cpu.Seconds()/span.Seconds()/n, "%core/daemon")
+			b.ReportMetric(100*most.Seconds()/span.Seconds(), "%core/busiest")
+			b.ReportMetric(resident, "MB/largest")
+			b.ReportMetric(sent/span.Seconds()/n, "membershipB/s")
+		})
+	}
+}
+
+// BenchmarkStatements measures the processor time of the daemons for a statement, with all lines of the log written.
+func BenchmarkStatements(b *testing.B) {
+	for _, kind := range []string{"read", "write"} {
+		b.Run(kind, func(b *testing.B) {
+			s := startSystem(b, 3)
+			rate, burst := "200000", "200000"
+			if err := s.command(nil, "workspace", "set", "workshop", "--rate", rate, "--burst", burst); err != nil {
+				b.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+			before := s.cpu(b)
+			started := time.Now()
+			done := s.load(b, kind, 48, 6*time.Second)
+			took := time.Since(started)
+			b.ReportMetric(float64(done)/took.Seconds(), "statements/s")
+			b.ReportMetric(float64((s.cpu(b)-before).Microseconds())/float64(done), "µscpu/statement")
+		})
+	}
+}
+
+// cpu returns the processor time of all daemons.
+func (s *system) cpu(b testing.TB) time.Duration {
+	var sum time.Duration
+	for _, d := range s.daemons {
+		sum += d.usage(b).cpu
+	}
+	return sum
+}
+
+// load sends statements from a number of callers for a time and returns how many were done.
+func (s *system) load(b testing.TB, kind string, callers int, span time.Duration) int64 {
+	b.Helper()
+	var done, failed atomic.Int64
+	var wg sync.WaitGroup
+	end := time.Now().Add(span)
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				q := s.statement(s.daemons[i%len(s.daemons)], "", selectSQL, "k")
+				if kind == "write" {
+					q = s.statement(s.daemons[i%len(s.daemons)], "", insertSQL, fmt.Sprintf("k%d", i), fmt.Sprint(n))
+				}
+				if a, err := q.do(); err == nil && a.Outcome == "done" {
+					done.Add(1)
+				} else {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	b.Logf("%s: %d done, %d not", kind, done.Load(), failed.Load())
+	return done.Load()
+}
+
+// BenchmarkConnections measures the memory of a daemon for an idle connection of a caller that was used once.
+func BenchmarkConnections(b *testing.B) {
+	const connections = 4000
+	s := startSystem(b, 1)
+	before := s.daemons[0].usage(b)
+	request := "GET /v1/status HTTP/1.1\r\nHost: x\r\n\r\n"
+	for range connections {
+		c, err := net.Dial("tcp", s.daemons[0].caller)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := c.Write([]byte(request)); err != nil {
+			b.Fatal(err)
+		}
+		buffer := make([]byte, 1024)
+		if _, err := c.Read(buffer); err != nil || !bytes.Contains(buffer, []byte(http.StatusText(http.StatusOK))) {
+			b.Fatalf("%v: %s", err, buffer)
+		}
+	}
+	time.Sleep(time.Second)
+	after := s.daemons[0].usage(b)
+	b.ReportMetric((after.resident-before.resident)*1000/connections, "KB/connection")
+}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -58,7 +58,7 @@
 	once sync.Once
 }
 
-func startProcess(t *testing.T, name, binary string, args ...string) *process {
+func startProcess(t testing.TB, name, binary string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, cmd: exec.Command(filepath.Join(binaries, binary), args...),
 		log: filepath.Join(t.TempDir(), name+".log"), done: make(chan struct{})}
@@ -95,7 +95,7 @@
 }
 
 // stop sends SIGTERM and returns the exit code.
-func (p *process) stop(t *testing.T) int {
+func (p *process) stop(t testing.TB) int {
 	t.Helper()
 	p.signal(syscall.SIGTERM)
 	select {
@@ -134,7 +134,7 @@
 var nextPort atomic.Int32
 
 // freePort returns a port that no other test of this process uses.
-func freePort(t *testing.T) int {
+func freePort(t testing.TB) int {
 	t.Helper()
 	for {
 		port := firstPort + int(nextPort.Add(1))
@@ -159,7 +159,7 @@
 
 // system is a platform, a database group of three and some daemons, each a process of its own.
 type system struct {
-	t             *testing.T
+	t             testing.TB
 	dir           string
 	platform      *process
 	platformURL   string
@@ -175,7 +175,7 @@
 }
 
 // startSystem starts a system, applies a configuration and creates a key.
-func startSystem(t *testing.T, daemons int, groupArgs ...string) *system {
+func startSystem(t testing.TB, daemons int, groupArgs ...string) *system {
 	t.Helper()
 	s := &system{t: t, dir: t.TempDir()}
 	platform, admin := address(freePort(t)), address(freePort(t))
@@ -293,7 +293,7 @@
 	eventually(s.t, what, step)
 }
 
-func eventually(t *testing.T, what string, step func() error) {
+func eventually(t testing.TB, what string, step func() error) {
 	t.Helper()
 	var err error
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
