--- a/server/state.go
+++ b/server/state.go
@@ -44,6 +44,8 @@
 	leaving   bool
 	listed    []roster.Listed // the platform's list of hosts
 	sentBytes uint64          // bytes of membership messages at the last tick
+	changed   bool            // more than the proof of freshness has changed since the last snapshot
+	rebuiltAt time.Time       // time at which all of the snapshot was computed
 	proofKind freshness.Kind  // kind of proof that the host serves by
 	orderers  uint64          // number of failover machines that this process has started
 }
