--- a/test/e2e/operate_test.go
+++ b/test/e2e/operate_test.go
@@ -131,6 +131,7 @@
 		{"race", operateRace},
 		{"workspace", operateWorkspace},
 		{"keys", operateKeys},
+		{"store outage", operateOutage},
 		{"drain", operateDrain},
 	} {
 		t.Run(step.name, func(t *testing.T) {
@@ -345,6 +346,40 @@
 	})
 }
 
+// operateOutage checks that changes are refused while the store is down, that statements go on, and that the commands that
+// only read answer from the configuration in force.
+func operateOutage(t *testing.T, s *system) {
+	d := s.daemons[0]
+	version, base := s.inForce()
+	next := s.edited(workshopRate.FindString(base), rateOf(500))
+	s.platformFaults(map[string]any{"down": true})
+	s.eventually("the outage is proven", func() error {
+		if r := runAt(t, d, "status"); !strings.Contains(r.stdout, "is serving") ||
+			!strings.Contains(r.stdout, "proof of freshness: outage") {
+			return fmt.Errorf("status: %s%s", r.stdout, r.stderr)
+		}
+		return nil
+	})
+	s.unchanged(t, func() {
+		runAt(t, d, "config", "apply", next, "--expect-version", fmt.Sprint(version)).want(t, cli.ExitUnavailable,
+			"not_accepted")
+		runAt(t, d, "key", "create", "workshop").want(t, cli.ExitUnavailable, "not_accepted")
+		runAt(t, d, "key", "withdraw", s.keyID).want(t, cli.ExitUnavailable, "not_accepted")
+		runAt(t, d, "workspace", "set", "school", "--rate", "1").want(t, cli.ExitUnavailable, "not_accepted")
+		runAt(t, d, "config", "diff", next).want(t, cli.ExitDifferent, "rate: ")
+	})
+	for _, each := range s.daemons {
+		s.must(s.statement(each, "", insertSQL, "outage", each.id))
+	}
+	s.platformFaults(map[string]any{})
+	s.eventually("a change is accepted again", func() error {
+		if r := runAt(t, d, "workspace", "set", "school", "--rate", "60"); r.code != cli.ExitOK {
+			return errors.New(r.stderr)
+		}
+		return nil
+	})
+}
+
 func operateDrain(t *testing.T, s *system) {
 	d := s.daemons[2]
 	runAt(t, d, "drain").want(t, cli.ExitOK, "draining")
