--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -274,17 +274,26 @@
 
 // command runs the command line against the first daemon and decodes its JSON output.
 func (s *system) command(to any, args ...string) error {
-	args = append(args, "--operator", "http://"+s.daemons[0].operator, "--token", operatorToken, "--output", "json")
+	return s.commandOn(s.daemons[0], to, args...)
+}
+
+// commandOn runs the command line against a daemon and decodes its JSON output. Output of a failed command is decoded
+// too, because config diff fails when there are differences.
+func (s *system) commandOn(d *daemonProcess, to any, args ...string) error {
+	args = append(args, "--operator", "http://"+d.operator, "--token", operatorToken, "--output", "json")
 	cmd := exec.Command(filepath.Join(binaries, "waxwingspindle"), args...)
 	var stdout, stderr bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &stdout, &stderr
-	if err := cmd.Run(); err != nil {
-		return fmt.Errorf("%s: %w: %s", strings.Join(args, " "), err, stderr.String())
+	err := cmd.Run()
+	if to != nil && stdout.Len() > 0 {
+		if wrong := json.Unmarshal(stdout.Bytes(), to); wrong != nil {
+			return wrong
+		}
 	}
-	if to == nil {
-		return nil
+	if err != nil {
+		return fmt.Errorf("%s: %w: %s", strings.Join(args, " "), err, stderr.String())
 	}
-	return json.Unmarshal(stdout.Bytes(), to)
+	return nil
 }
 
 // eventually repeats a step until it succeeds.
@@ -365,6 +374,7 @@
 	timeout time.Duration
 	path    string // below /v1/services/stock
 	body    map[string]any
+	client  *http.Client // nil means the shared client
 }
 
 // client gives up long after any request's own time, so that a lost answer shows as a failure.
@@ -389,7 +399,11 @@
 	if r.timeout > 0 {
 		q.Header.Set("X-Timeout-Ms", fmt.Sprint(r.timeout.Milliseconds()))
 	}
-	response, err := client.Do(q)
+	with := r.client
+	if with == nil {
+		with = client
+	}
+	response, err := with.Do(q)
 	if err != nil {
 		return answer{}, err
 	}
