--- a/test/e2e/invariants_test.go
+++ b/test/e2e/invariants_test.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/standin/target"
 )
 
 // Limits of the workspace "school" in the base file of the tests.
@@ -265,3 +269,266 @@
 		}
 	}
 }
+
+// value reads the value of a key without a session mark of an earlier request; the read goes to the primary.
+func (s *system) value(d *daemonProcess, key string) (string, bool) {
+	s.t.Helper()
+	handle := s.begin(d)
+	a := s.must(s.within(d, handle, selectSQL, key))
+	s.must(s.end(d, handle, "rollback"))
+	if len(a.Rows) == 0 {
+		return "", false
+	}
+	text, _ := a.Rows[0][0].(string)
+	return text, true
+}
+
+// expectValue checks the value of a key; "" stands for no value.
+func (s *system) expectValue(d *daemonProcess, key, want string) {
+	s.t.Helper()
+	if got, _ := s.value(d, key); got != want {
+		s.t.Errorf("%s is %q, want %q", key, got, want)
+	}
+}
+
+// TestInvariantTransactionsApart guards against transactions that mix, against handles that another workspace's key can
+// use, and against a rolled back transaction that leaves a write.
+func TestInvariantTransactionsApart(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, 3)
+	foreign, _ := s.createKey("school")
+	for i, d := range s.daemons {
+		next := s.daemons[(i+1)%3]
+		for _, other := range []*daemonProcess{d, next} {
+			name := fmt.Sprintf("%s-%s", d.id, other.id)
+			a, b := s.begin(d), s.begin(d)
+			s.must(s.within(d, a, insertSQL, "a-"+name, "a"))
+			s.must(s.within(other, b, insertSQL, "b-"+name, "b"))
+			s.must(s.within(other, a, insertSQL, "a2-"+name, "a"))
+			s.must(s.within(d, b, insertSQL, "b2-"+name, "b"))
+			if r := s.must(s.within(other, b, selectSQL, "a-"+name)); len(r.Rows) != 0 {
+				t.Errorf("%s: a transaction read another one's write that is not committed: %v", name, r.Rows)
+			}
+			if r := s.must(s.within(other, a, selectSQL, "a-"+name)); len(r.Rows) != 1 {
+				t.Errorf("%s: a transaction does not read its own write: %v", name, r.Rows)
+			}
+			for _, q := range []request{s.within(other, a, insertSQL, "foreign-"+name, "x"), s.end(other, a, "commit"),
+				s.end(d, a, "rollback")} {
+				q.key = foreign
+				r, err := q.do()
+				if err != nil || r.Outcome != "not_run" || r.Reason != "transaction_foreign" {
+					t.Errorf("%s: a foreign key got %+v, %v", name, r, err)
+				}
+			}
+			s.must(s.end(other, b, "rollback"))
+			s.must(s.end(other, a, "commit"))
+			s.expectValue(d, "a-"+name, "a")
+			s.expectValue(d, "a2-"+name, "a")
+			s.expectValue(d, "b-"+name, "")
+			s.expectValue(d, "b2-"+name, "")
+			s.expectValue(d, "foreign-"+name, "")
+		}
+	}
+}
+
+// TestInvariantTransactionHomeKilled guards against a transaction that is reported as done, or leaves a write, although
+// its home died before the commit.
+func TestInvariantTransactionHomeKilled(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, 3)
+	home := s.home()
+	entry := s.daemons[0]
+	if entry == home {
+		entry = s.daemons[1]
+	}
+	s.must(s.statement(entry, "", insertSQL, "before", "x"))
+	handle := s.begin(entry)
+	s.must(s.within(entry, handle, insertSQL, "lost", "x"))
+	home.kill()
+	for _, q := range []request{s.within(entry, handle, insertSQL, "lost", "y"), s.end(entry, handle, "commit")} {
+		a, err := q.do()
+		if err != nil || a.Outcome == "done" || a.Outcome == "" {
+			t.Errorf("%s after the home's death: %+v, %v", q.path, a, err)
+		}
+	}
+	s.eventually("another host is home", func() error {
+		a, err := s.statement(entry, "", insertSQL, "after", "x").do()
+		if err == nil && a.Outcome != "done" {
+			err = fmt.Errorf("%+v", a)
+		}
+		return err
+	})
+	s.expectValue(entry, "lost", "")
+	s.expectValue(entry, "after", "x")
+	s.expectValue(entry, "before", "x")
+}
+
+const appendSQL = "UPDATE kv SET value = value || $2 WHERE key = $1"
+
+// TestInvariantAtMostOnce guards against a non-idempotent request that runs more than once when it is repeated with its
+// request id, and against a request id that stands for two statements.
+func TestInvariantAtMostOnce(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, 3)
+	s.must(s.statement(s.daemons[0], "", insertSQL, "log", "-"))
+	want := "-"
+	ask := func(d *daemonProcess, id, text string) request {
+		q := s.statement(d, "", appendSQL, "log", text)
+		q.id = id
+		return q
+	}
+	// repeat sends a request until it is done. Its outcome may be unknown before.
+	repeat := func(d *daemonProcess, id, text string) {
+		s.eventually("request "+id+" is done", func() error {
+			a, err := ask(d, id, text).do()
+			if err == nil && a.Outcome != "done" {
+				err = fmt.Errorf("%+v", a)
+			}
+			return err
+		})
+	}
+	for round := range 6 {
+		if round >= 3 {
+			s.memberFaults("m1", map[string]any{"lose_answers": 2})
+		}
+		id, text := fmt.Sprintf("serial-%d", round), fmt.Sprintf("s%d ", round)
+		for range 2 {
+			for _, d := range s.daemons {
+				repeat(d, id, text)
+			}
+		}
+		want += text
+		s.expectValue(s.daemons[round%3], "log", want)
+
+		if round >= 3 {
+			s.memberFaults("m1", map[string]any{"lose_answers": 2})
+		}
+		id, text = fmt.Sprintf("parallel-%d", round), fmt.Sprintf("p%d ", round)
+		var wg sync.WaitGroup
+		for range 4 {
+			for _, d := range s.daemons {
+				wg.Go(func() { ask(d, id, text).do() })
+			}
+		}
+		wg.Wait()
+		repeat(s.daemons[round%3], id, text)
+		want += text
+		s.expectValue(s.daemons[round%3], "log", want)
+	}
+	s.memberFaults("m1", map[string]any{"lose_answers": 0})
+	for _, d := range s.daemons {
+		other := s.statement(d, "", insertSQL, "log", "overwritten")
+		other.id = "serial-0"
+		a, err := other.do()
+		if err != nil || a.Status != http.StatusConflict || a.Reason != "request_id_conflict" {
+			t.Errorf("another statement with a used request id got %+v, %v", a, err)
+		}
+	}
+	s.expectValue(s.daemons[0], "log", want)
+	s.checkRunOnce()
+}
+
+// edit returns a copy of the base file with a text replaced.
+func (s *system) edit(name, old, with string) string {
+	s.t.Helper()
+	data, err := os.ReadFile(s.base)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if !strings.Contains(string(data), old) {
+		s.t.Fatalf("the base file has no %q", old)
+	}
+	path := filepath.Join(s.dir, name)
+	if err := os.WriteFile(path, []byte(strings.Replace(string(data), old, with, 1)), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+// difference is the output of config diff.
+type difference struct {
+	Version     uint64
+	Differences []string
+}
+
+// diff compares a base file with the configuration in force.
+func (s *system) diff(d *daemonProcess, path string) difference {
+	s.t.Helper()
+	out := difference{}
+	s.eventually("config diff answers", func() error {
+		if err := s.commandOn(d, &out, "config", "diff", path); err != nil && len(out.Differences) == 0 {
+			return err
+		}
+		return nil
+	})
+	return out
+}
+
+// apply applies a base file at the version that config diff prints.
+func (s *system) apply(d *daemonProcess, path string) {
+	s.t.Helper()
+	seen := s.diff(d, path)
+	if seen.Version == 0 || len(seen.Differences) == 0 {
+		s.t.Fatalf("config diff of a changed file: %+v", seen)
+	}
+	if err := s.commandOn(d, nil, "config", "apply", path, "--expect-version", fmt.Sprint(seen.Version)); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// leavingLimit is the time after which a leaving target gets no new work: "a few seconds" of the specification, and
+// slack for a busy machine.
+const leavingLimit = 10 * time.Second
+
+// TestInvariantLeavingTarget guards against new work on a target that leaves, for a replica and for the primary, and
+// against writes that stop meanwhile.
+func TestInvariantLeavingTarget(t *testing.T) {
+	for _, leaving := range []int{3, 1} {
+		member := fmt.Sprintf("m%d", leaving)
+		t.Run(member, func(t *testing.T) {
+			t.Parallel()
+			s := startSystem(t, 3)
+			stop := make(chan struct{})
+			var since, until time.Time
+			go func() {
+				defer close(stop)
+				time.Sleep(2 * time.Second)
+				line := "address = " + s.targets[leaving-1] + "\n"
+				s.apply(s.daemons[0], s.edit("leaving.ini", line, line+"state = leaving\n"))
+				time.Sleep(leavingLimit)
+				since = time.Now()
+				time.Sleep(3 * time.Second)
+				until = time.Now()
+			}()
+			roamers := roam(t, s, 4, uint64(leaving), stop)
+			summarize(t, roamers)
+			s.checkRunOnce()
+			before, after, elsewhere := 0, 0, 0
+			for _, e := range s.events() {
+				if e.Kind != target.EventStatement || e.Workspace == "" {
+					continue
+				}
+				switch {
+				case e.Member == member && e.Time.Before(since):
+					before++
+				case e.Member == member && e.Time.Before(until):
+					after++
+				case e.Time.After(since) && e.Time.Before(until):
+					elsewhere++
+				}
+			}
+			t.Logf("statements on %s: %d before, %d after; elsewhere after: %d", member, before, after, elsewhere)
+			if before == 0 || elsewhere == 0 {
+				t.Errorf("%d statements ran on %s before it left, and %d elsewhere afterwards", before, member, elsewhere)
+			}
+			if after > 0 {
+				t.Errorf("%d statements ran on %s more than %v after it began to leave", after, member, leavingLimit)
+			}
+			for _, r := range roamers {
+				if r.lastOK.Before(since) {
+					t.Errorf("session %d: no write was done after %s left", r.id, member)
+				}
+			}
+		})
+	}
+}
