--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -133,14 +133,19 @@
 
 var nextPort atomic.Int32
 
+// portOffset differs between test processes, so that two that run at once on one machine do not choose the same port
+// between the check and its use.
+var portOffset = os.Getpid() * 211
+
 // freePort returns a port that no other test of this process uses.
 func freePort(t *testing.T) int {
 	t.Helper()
 	for {
-		port := firstPort + int(nextPort.Add(1))
-		if port > lastPort {
+		n := int(nextPort.Add(1))
+		if n > lastPort-firstPort {
 			t.Fatal("no port is left")
 		}
+		port := firstPort + (portOffset+n)%(lastPort-firstPort)
 		l, err := net.Listen("tcp", address(port))
 		if err == nil {
 			l.Close()
--- a/test/e2e/invariants_test.go
+++ b/test/e2e/invariants_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -505,8 +508,8 @@
 			s.checkRunOnce()
 			before, after, elsewhere := 0, 0, 0
 			for _, e := range s.events() {
-				if e.Kind != target.EventStatement || e.Workspace == "" {
-					continue
+				if e.Kind != target.EventStatement || !strings.Contains(e.SQL, " kv ") {
+					continue // a statement of the proxy
 				}
 				switch {
 				case e.Member == member && e.Time.Before(since):
@@ -532,3 +535,228 @@
 		})
 	}
 }
+
+// TestInvariantPlannedStop guards against a planned stop under load that loses requests, reads stale data, loses writes
+// or ends with an error.
+func TestInvariantPlannedStop(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, 3)
+	leaving := s.home()
+	var unanswered atomic.Int32
+	stop := make(chan struct{})
+	code := -1
+	go func() {
+		defer close(stop)
+		time.Sleep(3 * time.Second)
+		code = leaving.stop(t)
+		time.Sleep(2 * time.Second)
+	}()
+	// These callers repeat a request through another daemon when it is refused because of draining, or when its
+	// connection is refused. Every other request needs an answer.
+	var wg sync.WaitGroup
+	for caller := range 3 {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(roamPause):
+				}
+				for attempt := range len(s.daemons) {
+					q := s.statement(s.daemons[(n+attempt)%len(s.daemons)], "", insertSQL, fmt.Sprintf("caller-%d", caller), fmt.Sprint(n))
+					q.id = fmt.Sprintf("caller-%d-%d", caller, n)
+					a, err := q.do()
+					if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+						unanswered.Add(1)
+						t.Errorf("request %s through %s was not answered: %v", q.id, q.daemon.id, err)
+					}
+					if err == nil && a.Outcome == "" {
+						t.Errorf("request %s has no outcome: %+v", q.id, a)
+					}
+					if err == nil && a.Reason != "draining" {
+						break
+					}
+				}
+			}
+		})
+	}
+	roamers := roam(t, s, 4, 12, stop)
+	wg.Wait()
+	summarize(t, roamers)
+	s.checkRunOnce()
+	if code != 0 {
+		t.Errorf("the planned stop ended with exit code %d", code)
+	}
+	t.Logf("%d requests without an answer", unanswered.Load())
+	for _, r := range roamers {
+		if time.Since(r.lastOK) > patience/2 {
+			t.Errorf("session %d: no write was done after the stop", r.id)
+		}
+	}
+}
+
+// TestInvariantBadInput guards against bad input that runs, or that is refused without a clear reason and outcome.
+func TestInvariantBadInput(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, 3)
+	forbidden, _ := s.createKey("workshop")
+	good := `{"sql": "` + selectSQL + `", "args": ["bad"]}`
+	write := func(sql string) string { return `{"sql": "` + sql + `", "args": []}` }
+	cases := []struct {
+		name, service, body, session string
+		status                       int // 0 means any refusal
+		reason                       string
+	}{
+		{"broken JSON", "stock", `{"sql": "INSERT`, "", http.StatusBadRequest, "bad_request"},
+		{"no JSON", "stock", "INSERT INTO kv (key, value) VALUES ('bad', 'x')", "", http.StatusBadRequest, "bad_request"},
+		{"empty body", "stock", "", "", http.StatusBadRequest, "bad_request"},
+		{"no statement", "stock", "{}", "", http.StatusBadRequest, "bad_request"},
+		{"wrong type", "stock", `{"sql": 7}`, "", http.StatusBadRequest, "bad_request"},
+		{"body above 1 MiB", "stock", `{"sql": "` + insertSQL + `", "args": ["bad", "` + strings.Repeat("x", 1<<20) + `"]}`, "",
+			http.StatusRequestEntityTooLarge, "bad_request"},
+		{"session token that is no token", "stock", good, "AAAA", http.StatusBadRequest, "session_token_invalid"},
+		{"session token with other characters", "stock", good, "!!", http.StatusBadRequest, "session_token_invalid"},
+		{"unknown service", "nothing", good, "", http.StatusNotFound, "service_unknown"},
+		{"several statements", "stock", write("INSERT INTO kv (key, value) VALUES ('bad', 'x'); DELETE FROM kv WHERE key = 'bad'"),
+			"", 0, ""},
+		{"SET outside a transaction", "stock", write("SET statement_timeout = 1000"), "", 0, "session_state_refused"},
+		{"COMMIT as a statement", "stock", write("COMMIT"), "", 0, ""},
+	}
+	send := func(d *daemonProcess, key, service, session, body string) answer {
+		q, err := http.NewRequest(http.MethodPost, "http://"+d.caller+"/v1/services/"+service+"/statements", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		q.Header.Set("Authorization", "Bearer "+key)
+		if session != "" {
+			q.Header.Set("X-Session-Token", session)
+		}
+		r, err := client.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Body.Close()
+		text, _ := io.ReadAll(r.Body)
+		a := answer{}
+		if err := json.Unmarshal(text, &a); err != nil {
+			t.Errorf("the answer is not JSON: %s: %q", r.Status, text)
+		}
+		a.Status = r.StatusCode
+		return a
+	}
+	for _, d := range s.daemons {
+		for _, c := range cases {
+			a := send(d, s.key, c.service, c.session, c.body)
+			if a.Status < 400 || a.Status >= 500 || a.Outcome != "not_run" || a.Reason == "" || a.Detail == "" ||
+				(c.status != 0 && a.Status != c.status) || (c.reason != "" && a.Reason != c.reason) {
+				t.Errorf("%s through %s: %+v", c.name, d.id, a)
+			}
+		}
+	}
+	s.must(s.statement(s.daemons[0], "", insertSQL, "good", "x"))
+	s.expectValue(s.daemons[0], "bad", "")
+
+	// A workspace that loses the service is refused there.
+	s.apply(s.daemons[0], s.edit("forbidden.ini", "rate = 1000\nburst = 1000\nservices = stock\n",
+		"rate = 1000\nburst = 1000\nservices = other\n[service other]\nslots = 3\nconnections = 20\n"+
+			"[target other/db1]\naddress = "+s.targets[0]+"\ndata_centre = brest\n"))
+	for _, d := range s.daemons {
+		s.eventually("the service is forbidden through "+d.id, func() error {
+			a := send(d, forbidden, "stock", "", good)
+			if a.Status != http.StatusForbidden || a.Outcome != "not_run" || a.Reason != "service_forbidden" {
+				return fmt.Errorf("%+v", a)
+			}
+			return nil
+		})
+	}
+}
+
+// TestInvariantConfigurationNeverReverts guards against an accepted change that is lost when operators race or when the
+// store loses its answer, and against a refused change that takes effect.
+func TestInvariantConfigurationNeverReverts(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, 3)
+
+	// Two operators apply different files for the same version.
+	files := []string{s.edit("first.ini", "burst = 20\n", "burst = 21\n"), s.edit("second.ini", "burst = 20\n", "burst = 22\n")}
+	version := s.diff(s.daemons[0], files[0]).Version
+	var wg sync.WaitGroup
+	errs := make([]error, len(files))
+	for i, path := range files {
+		wg.Go(func() {
+			errs[i] = s.commandOn(s.daemons[i], nil, "config", "apply", path, "--expect-version", fmt.Sprint(version))
+		})
+	}
+	wg.Wait()
+	won := 0
+	if errs[0] != nil {
+		won = 1
+	}
+	if (errs[0] == nil) == (errs[1] == nil) {
+		t.Fatalf("two operators changed the same version: %v, %v", errs[0], errs[1])
+	}
+	t.Logf("the other operator was refused: %v", errs[1-won])
+	for _, d := range s.daemons {
+		s.eventually("the accepted change is in force on "+d.id, func() error {
+			if out := s.diff(d, files[won]); len(out.Differences) > 0 {
+				return fmt.Errorf("%v", out.Differences)
+			}
+			return nil
+		})
+	}
+
+	// The store loses the answers to the swap that creates a key.
+	s.platformFaults(map[string]any{"lose_answers": 2})
+	var created struct{ Key, KeyID string }
+	if err := s.commandOn(s.daemons[1], &created, "key", "create", "workshop", "--change-id", "lost-answer"); err != nil {
+		t.Errorf("a key was not created although the store only lost answers: %v", err)
+	}
+	s.platformFaults(map[string]any{})
+	if keys := s.keysOf(s.daemons[2], "workshop"); len(keys) != 2 {
+		t.Errorf("the workspace has keys %v, want two", keys)
+	}
+	for _, d := range s.daemons {
+		s.eventually("the key works through "+d.id, func() error {
+			q := s.statement(d, "", selectSQL, "kit")
+			q.key = created.Key
+			a, err := q.do()
+			if err == nil && a.Outcome != "done" {
+				err = fmt.Errorf("%+v", a)
+			}
+			return err
+		})
+	}
+
+	// The store is down: a change is refused, and nothing changes, then or later.
+	before := s.diff(s.daemons[0], files[1-won])
+	s.platformFaults(map[string]any{"down": true})
+	err := s.command(nil, "config", "apply", files[1-won], "--expect-version", fmt.Sprint(before.Version))
+	if err == nil || !strings.Contains(err.Error(), "not accepted") {
+		t.Errorf("a change while the store is down got %v", err)
+	}
+	s.platformFaults(map[string]any{})
+	time.Sleep(2 * time.Second)
+	for _, d := range s.daemons {
+		if out := s.diff(d, files[won]); out.Version != before.Version || len(out.Differences) > 0 {
+			t.Errorf("%s after the refused change: %+v, want version %d without differences", d.id, out, before.Version)
+		}
+	}
+}
+
+// keysOf returns the ids of a workspace's keys in the configuration in force.
+func (s *system) keysOf(d *daemonProcess, workspace string) []string {
+	s.t.Helper()
+	var shown struct {
+		Document struct {
+			Keys []struct{ ID, Workspace string }
+		}
+	}
+	s.eventually("config show answers", func() error { return s.commandOn(d, &shown, "config", "show") })
+	var ids []string
+	for _, k := range shown.Document.Keys {
+		if k.Workspace == workspace {
+			ids = append(ids, k.ID)
+		}
+	}
+	return ids
+}
