Plan the next roster as soon as one comes into force

Cause: after a planned stop of the host that held all share slots, the other host took up to a second to take the free slots, and refused requests inside the rate meanwhile.

--- a/server/follow.go
+++ b/server/follow.go
@@ -144,7 +144,7 @@
 
 // maintainRoster registers this host, and makes the changes of the roster that the members call for.
 func (s *Server) maintainRoster(ctx context.Context) {
-	for sleep(ctx, s.planPause()) {
+	for s.awaitRoster(ctx, s.planPause()) {
 		var next roster.Document
 		var reason string
 		changed := false
@@ -163,6 +163,20 @@
 	}
 }
 
+// awaitRoster waits until the roster changes, which may call for another change at once, or the pause is over. It reports
+// whether the context is still alive.
+func (s *Server) awaitRoster(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.rosterChanged:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // planPause returns the time to the next look at the roster.
 func (s *Server) planPause() time.Duration {
 	snap := s.snapshot.Load()
--- a/server/server.go
+++ b/server/server.go
@@ -64,7 +64,9 @@
 	draining atomic.Bool  // a planned stop has begun
 	refusing atomic.Bool  // new requests of callers are refused
 	drain    chan struct{}
-	drainNow sync.Once
+
+	rosterChanged chan struct{} // has a value after a new roster came into force
+	drainNow      sync.Once
 }
 
 // New returns a server that Run starts.
@@ -81,6 +83,8 @@
 		peers:       daemon.NewPeers(o.Daemon.PeerSecret),
 		control:     newControl(),
 		drain:       make(chan struct{}),
+
+		rosterChanged: make(chan struct{}, 1),
 	}
 	s.retry = newRetrier(s.metrics, s.decisions)
 	s.limiter = newLimiter(o.Daemon.Host, s.incarnation, roster.DefaultSlots, s, func(now time.Time) bool {
--- a/server/state.go
+++ b/server/state.go
@@ -166,6 +166,10 @@
 	c.roster, c.rosterAt, c.changed = d, now, true
 	c.server.limiter.setSlots(c.tenure.Update(now, d))
 	c.proofs.holdRoster(now, d)
+	select {
+	case c.server.rosterChanged <- struct{}{}:
+	default:
+	}
 	c.server.log.Info("roster: version in force", zap.Uint64("version", d.Version), zap.Int("hosts", len(d.Hosts)))
 	c.publish(now)
 }
