--- a/cli/dev.go
+++ b/cli/dev.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os/signal"
 	"strings"
 	"syscall"
@@ -48,7 +49,7 @@
 	log := zap.NewNop()
 	if c.Verbose {
 		var err error
-		if log, err = newLogger("info"); err != nil {
+		if log, _, err = newLogger("info"); err != nil {
 			return err
 		}
 	}
@@ -148,7 +149,33 @@
 	if err != nil {
 		return "", err
 	}
-	return r.Key, nil
+	return r.Key, s.awaitServing(ctx)
+}
+
+// awaitServing waits until all daemons tell the balancer that they accept requests.
+func (s *devSystem) awaitServing(ctx context.Context) error {
+	for _, d := range s.daemons {
+		for !healthy(ctx, d.settings.CallerListen) {
+			if ctx.Err() != nil {
+				return fmt.Errorf("daemon %s does not serve: %w", d.settings.Host, ctx.Err())
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func healthy(ctx context.Context, address string) bool {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode == http.StatusNoContent
 }
 
 // failed returns the error of a daemon that has stopped.
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -272,7 +272,7 @@
 
 type keyWithdraw struct {
 	connection
-	KeyID    string `arg:"" help:"Id of the key, as key create or config show prints it."`
+	KeyID    string `arg:"" help:"Id of the key, as key create or config show --output json prints it."`
 	ChangeID string `help:"Id of the change."`
 }
 
@@ -354,6 +354,7 @@
 	if err := api.Drain(e.ctx, &genoperator.DrainPayload{Authorization: c.authorization()}); err != nil {
 		return reached(err)
 	}
-	fmt.Fprintln(e.stdout, "The daemon is draining.")
-	return nil
+	return c.print(e.stdout, map[string]bool{"draining": true}, func(w io.Writer) {
+		fmt.Fprintln(w, "The daemon is draining.")
+	})
 }
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -34,14 +34,14 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLogger(settings.Log.Level)
+	log, level, err := newLogger(settings.Log.Level)
 	if err != nil {
 		return err
 	}
 	defer log.Sync()
 	ctx, stop := signal.NotifyContext(e.ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	s, err := server.New(server.Options{Daemon: settings.Daemon, Log: log})
+	s, err := server.New(server.Options{Daemon: settings.Daemon, Log: log, Level: level})
 	if err != nil {
 		return err
 	}
@@ -90,18 +90,19 @@
 	return config.File{Name: name, Text: string(text)}, err
 }
 
-// newLogger returns a logger that writes one JSON object a line to standard error.
-func newLogger(level string) (*zap.Logger, error) {
+// newLogger returns a logger that writes one JSON object a line to standard error, with its level.
+func newLogger(level string) (*zap.Logger, zap.AtomicLevel, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, err
+		return nil, zap.AtomicLevel{}, err
 	}
 	c := zap.NewProductionConfig()
 	c.Level = zap.NewAtomicLevelAt(parsed)
 	c.Sampling = nil
 	c.DisableCaller = true
 	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return c.Build()
+	log, err := c.Build()
+	return log, c.Level, err
 }
 
 // running is a daemon of the development mode.
--- a/config/document.go
+++ b/config/document.go
@@ -86,6 +86,14 @@
 // HasChange reports whether the change with the id took effect.
 func (d *Document) HasChange(id string) bool { return slices.Contains(d.Changes, id) }
 
+// ReusesChange reports whether the id was used for a change with another content. Ids have the form NAME.CONTENT.
+func (d *Document) ReusesChange(id string) bool {
+	name := id[:strings.LastIndex(id, ".")+1]
+	return name != "" && !d.HasChange(id) && slices.ContainsFunc(d.Changes, func(known string) bool {
+		return known[:strings.LastIndex(known, ".")+1] == name
+	})
+}
+
 // next returns a copy with the next version that remembers the change.
 func (d *Document) next(changeID string) *Document {
 	n := *d
--- a/config/settings.go
+++ b/config/settings.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/model"
@@ -129,6 +130,10 @@
 				Allowed: "the key is missing; a daemon needs it to start"})
 		}
 	}
+	if a, err := netip.ParseAddrPort(d.PeerListen); err == nil && a.Addr().IsUnspecified() {
+		invalid.Problems = append(invalid.Problems, Problem{File: file, Section: "daemon", Key: "peer_listen",
+			Value: d.PeerListen, Allowed: "an IP number that other hosts can reach, because it is announced to them"})
+	}
 	if len(invalid.Problems) > 0 {
 		return invalid
 	}
--- a/freshness/announce.go
+++ b/freshness/announce.go
@@ -95,12 +95,13 @@
 	}
 }
 
-// MaySwap returns nil when the swap may be sent. Ask right before sending it, with the time of that moment.
+// MaySwap returns nil when the swap may be sent. A roster without hosts, which the last host leaves behind at a planned
+// stop, needs no acknowledgements, since nobody can state an outage under it. Ask right before sending it, with the time of that moment.
 func (c *Change) MaySwap(now time.Time) error {
 	if now.Sub(c.started) > SwapWithin {
 		return ErrTooLate
 	}
-	if c.hosts.Version > 0 && c.acknowledged.count() < c.hosts.Majority() {
+	if len(c.hosts.IDs) > 0 && c.acknowledged.count() < c.hosts.Majority() {
 		return fmt.Errorf("%w: %d of %d hosts acknowledged", ErrNoMajority, c.acknowledged.count(), len(c.hosts.IDs))
 	}
 	return nil
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -425,3 +425,14 @@
 		t.Errorf("a cancelled change still holds up the roster: %v", err)
 	}
 }
+
+// TestEmptyRosterCanBeChanged guards against a fleet that cannot start again after a planned stop of all hosts.
+func TestEmptyRosterCanBeChanged(t *testing.T) {
+	change, err := NewChange(epoch, 1, Roster, 8, Hosts{Version: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := change.MaySwap(epoch); err != nil {
+		t.Errorf("the first host cannot register: %v", err)
+	}
+}
--- a/limit/spender.go
+++ b/limit/spender.go
@@ -26,6 +26,7 @@
 	Workspace  model.Workspace
 	Verdict    Verdict
 	RetryAfter time.Duration // for Refused: time after which a repetition may succeed
+	Scarce     bool          // for Refused: a broker said that its bucket is empty
 }
 
 // Spender decides on the requests of an entry host. It keeps a few granted tokens per workspace and asks brokers for
@@ -140,7 +141,7 @@
 		return d
 	}
 	if wait := c.notBefore.Sub(now); wait >= Wait {
-		d.Verdict, d.RetryAfter = Refused, wait
+		d.Verdict, d.RetryAfter, d.Scarce = Refused, wait, true
 		return d
 	}
 	c.waiters = append(c.waiters, waiter{ticket: ticket, deadline: now.Add(Wait)})
@@ -426,7 +427,7 @@
 	var out []Decision
 	for len(c.waiters) > 0 && !now.Before(c.waiters[0].deadline) {
 		d := Decision{Ticket: c.waiters[0].ticket, Workspace: c.workspace, Verdict: Refused}
-		d.RetryAfter = max(minRetry, c.notBefore.Sub(now))
+		d.RetryAfter, d.Scarce = max(minRetry, c.notBefore.Sub(now)), c.notBefore.After(now)
 		out = append(out, d)
 		c.waiters = c.waiters[1:]
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -116,16 +118,26 @@
 	return nil
 }
 
-// changeID returns the given change id or a new one.
-func changeID(given *string) (string, error) {
-	if given == nil || *given == "" {
-		return uuid.NewString(), nil
+// contentBytes is the length of the hash of a change's content that is part of its id.
+const contentBytes = 8
+
+// changeID returns the given change id or a new one, followed by a hash of what the change is. So a repetition is told
+// from another change that uses the same id by mistake.
+func changeID(given *string, content ...any) (string, error) {
+	id := uuid.NewString()
+	if given != nil && *given != "" {
+		id = *given
 	}
-	if len(*given) > config.MaxChangeIDLength {
+	if len(id) > config.MaxChangeIDLength {
 		return "", &genoperator.OperatorFailure{Name: "invalid", Reason: "change_id_too_long", Problems: []string{},
 			Detail: fmt.Sprintf("a change id has at most %d bytes", config.MaxChangeIDLength)}
 	}
-	return *given, nil
+	data, err := json.Marshal(content)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	sum := sha256.Sum256(data)
+	return fmt.Sprintf("%s.%x", id, sum[:contentBytes]), nil
 }
 
 // ConfigShow implements the goa service.
@@ -179,7 +191,7 @@
 	if err := s.authorize(p.Authorization); err != nil {
 		return nil, err
 	}
-	id, err := changeID(p.ChangeID)
+	id, err := changeID(p.ChangeID, "apply", p.Base, p.Overlays)
 	if err != nil {
 		return nil, err
 	}
@@ -194,30 +206,40 @@
 	if err := s.authorize(p.Authorization); err != nil {
 		return nil, err
 	}
-	id, err := changeID(p.ChangeID)
+	id, err := changeID(p.ChangeID, "key create", p.Workspace)
 	if err != nil {
 		return nil, err
 	}
 	if s.backend.Document(ctx).HasChange(id) {
-		return nil, &genoperator.OperatorFailure{Name: "conflict", Reason: "key_already_created", Problems: []string{},
-			Detail: "a key was created with this change id; it cannot be shown again, so withdraw it and create another"}
+		return nil, errKeyCreated()
 	}
 	k, record := s.backend.NewKey(model.Workspace(p.Workspace))
+	stored := false
 	change, err := s.change(ctx, id, func(d *config.Document) (*config.Document, error) {
+		stored = true
 		return d.CreateKey(record, id)
 	})
 	if err != nil {
 		return nil, err
 	}
+	if !stored {
+		return nil, errKeyCreated()
+	}
 	return &genoperator.KeyCreateResult{Key: k.Reveal(), KeyID: string(k.ID()), Change: change}, nil
 }
 
+// errKeyCreated reports that an earlier call with the same change id has created a key.
+func errKeyCreated() error {
+	return &genoperator.OperatorFailure{Name: "conflict", Reason: "key_already_created", Problems: []string{},
+		Detail: "a key was created with this change id; it cannot be shown again, so withdraw it and create another"}
+}
+
 // KeyWithdraw implements the goa service.
 func (s *service) KeyWithdraw(ctx context.Context, p *genoperator.KeyWithdrawPayload) (*genoperator.Change, error) {
 	if err := s.authorize(p.Authorization); err != nil {
 		return nil, err
 	}
-	id, err := changeID(p.ChangeID)
+	id, err := changeID(p.ChangeID, "key withdraw", p.KeyID)
 	if err != nil {
 		return nil, err
 	}
@@ -231,7 +253,7 @@
 	if err := s.authorize(p.Authorization); err != nil {
 		return nil, err
 	}
-	id, err := changeID(p.ChangeID)
+	id, err := changeID(p.ChangeID, "workspace set", p.Workspace, p.Rate, p.Burst, p.Services)
 	if err != nil {
 		return nil, err
 	}
@@ -263,6 +285,10 @@
 }
 
 func (s *service) change(ctx context.Context, id string, f ChangeFunc) (*genoperator.Change, error) {
+	if d := s.backend.Document(ctx); d.ReusesChange(id) {
+		return nil, &genoperator.OperatorFailure{Name: "conflict", Reason: "change_id_reused", Problems: []string{},
+			Detail: "the change id was used for another change; nothing was changed", Version: d.Version}
+	}
 	c, err := s.backend.Change(ctx, id, f)
 	if err != nil {
 		return nil, failure(err, s.backend.Document(ctx).Version)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -179,7 +179,7 @@
 	return d, true, nil
 }
 
-// Release frees the slots of a host that leaves. Others may use a slot that the host could use itself without a wait. The
+// Release frees the slots of a host that leaves and removes the host. Others may use a slot that the host could use itself without a wait. The
 // caller must have taken back all loans (limit.Holder.Lent) and given up the slots (limit.Holder.SetSlots) before the
 // change is sent to the store, and must not take the slots up again, whatever the answer.
 func Release(old Document, now time.Time, t *Tenure, changeID string) (Document, bool) {
@@ -194,9 +194,14 @@
 			changed = true
 		}
 	}
-	if !changed {
+	// The host no longer counts in majorities; otherwise the other host of a fleet of two could change nothing.
+	hosts := slices.DeleteFunc(slices.Clone(d.Hosts), func(h Host) bool {
+		return h.ID == t.host && h.Incarnation == t.incarnation
+	})
+	if !changed && len(hosts) == len(d.Hosts) {
 		return old, false
 	}
+	d.Hosts = hosts
 	return d, true
 }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -299,3 +299,23 @@
 		t.Errorf("%d change ids are kept", len(d.Changes))
 	}
 }
+
+// TestReleaseRemovesTheHost guards against a fleet of two in which the host that stays can change nothing, because the
+// one that left still counts in majorities.
+func TestReleaseRemovesTheHost(t *testing.T) {
+	d, _, err := roster.Register(roster.New(4), roster.Host{ID: "a", Incarnation: 1}, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	released, ok := roster.Release(d, start, roster.NewTenure("a", 1), "release")
+	if _, registered := released.Host("a"); !ok || registered {
+		t.Errorf("the host is still registered: %+v", released)
+	}
+	data, err := released.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := roster.Parse(data); err != nil {
+		t.Errorf("a roster without hosts cannot be read: %v", err)
+	}
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -230,6 +230,9 @@
 	if d.Verdict == limit.Admitted {
 		return model.Result{}
 	}
+	if !d.Scarce {
+		s.metrics.RefusedInsideRate(w)
+	}
 	r := model.NotRun(model.ReasonRateExceeded, fmt.Sprintf("workspace %q is at its rate and burst", w))
 	r.RetryAfter = max(d.RetryAfter, time.Millisecond)
 	return r
--- a/server/group.go
+++ b/server/group.go
@@ -28,6 +28,7 @@
 	machine *failover.Machine
 	dial    func(address string) *target.ControlMember
 	members map[model.TargetID]*memberConnections
+	wanted  map[model.TargetID]bool // targets of the configuration
 	publish func(failover.View, *routing.Samples)
 	replace func(model.TargetID)      // closes the connections for traffic of a target
 	idle    func(model.TargetID) bool // nothing runs on a target
@@ -37,6 +38,7 @@
 	metrics *metrics.Metrics
 	log     *zap.Logger
 	stopped bool
+	began   bool      // writes were acknowledged since this host is home
 	lost    time.Time // time at which writes stopped being acknowledged, zero while they are
 }
 
@@ -72,23 +74,30 @@
 	return members
 }
 
-// connect opens control connections for new targets and closes those of targets that are gone or have moved.
+// connect opens control connections for new targets and replaces those of targets that have moved.
 func (g *groupControl) connect(s config.Service) {
-	wanted := map[model.TargetID]string{}
+	g.wanted = map[model.TargetID]bool{}
 	for _, t := range s.Targets {
-		wanted[t.ID] = t.Address
+		g.wanted[t.ID] = true
+		if m := g.members[t.ID]; m != nil && m.address != t.Address {
+			m.close()
+			delete(g.members, t.ID)
+		}
+		if g.members[t.ID] == nil {
+			g.members[t.ID] = &memberConnections{address: t.Address, current: g.dial(t.Address)}
+		}
 	}
+}
+
+// disconnect closes the control connections of removed targets, when the machine no longer needs them for majorities of
+// the old list.
+func (g *groupControl) disconnect() {
 	for id, m := range g.members {
-		if wanted[id] != m.address {
+		if !g.wanted[id] {
 			m.close()
 			delete(g.members, id)
 		}
 	}
-	for id, address := range wanted {
-		if g.members[id] == nil {
-			g.members[id] = &memberConnections{address: address, current: g.dial(address)}
-		}
-	}
 }
 
 // configure follows a change of the configuration. Targets that were removed keep their connections until the machine
@@ -111,9 +120,13 @@
 // tick lets the machine do what is due. A primary that is held back for a handover and runs nothing any more is reported
 // as idle, so that the handover need not wait.
 func (g *groupControl) tick(now time.Time) {
-	if v := g.machine.View(); v.Held && g.idle(v.Primary) {
+	v := g.machine.View()
+	if v.Held && g.idle(v.Primary) {
 		g.handle(now, failover.PrimaryIdle{Term: v.Term})
 	}
+	if v.Settled {
+		g.disconnect()
+	}
 	g.handle(now, failover.Tick{})
 }
 
@@ -204,9 +217,12 @@
 
 func (g *groupControl) measureGap(now time.Time, v failover.View) {
 	switch {
-	case !v.Writable && g.lost.IsZero():
+	case !v.Writable && g.lost.IsZero() && g.began:
 		g.lost = now
 		g.log.Warn("failover: writes wait", zap.String("reason", v.Reason), zap.Uint64("term", v.Term))
+	case v.Writable && !g.began:
+		g.began = true
+		g.log.Info("failover: writes begin", zap.String("primary", string(v.Primary)), zap.Uint64("term", v.Term))
 	case v.Writable && !g.lost.IsZero():
 		gap := now.Sub(g.lost)
 		g.lost = time.Time{}
--- a/server/home.go
+++ b/server/home.go
@@ -66,11 +66,12 @@
 func (h *home) configure(s config.Service, replicaWait time.Duration) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	reopen := h.settings.Name != "" && !sameAccess(h.settings, s)
 	h.settings, h.wait = s, replicaWait
 	wanted := map[model.TargetID]bool{}
 	for _, t := range s.Targets {
 		wanted[t.ID] = true
-		if err := h.configureTarget(t, s.Slots); err != nil {
+		if err := h.configureTarget(t, s, reopen); err != nil {
 			return err
 		}
 	}
@@ -83,18 +84,28 @@
 	return nil
 }
 
-func (h *home) configureTarget(t config.Target, slots int) error {
+// sameAccess reports whether connections that were opened with one version of the settings may serve another one.
+func sameAccess(a, b config.Service) bool {
+	return a.User == b.User && a.Password == b.Password && a.Database == b.Database
+}
+
+func (h *home) configureTarget(t config.Target, s config.Service, reopen bool) error {
 	known := h.targets[t.ID]
 	if known != nil && known.address == t.Address {
-		known.slots = slots
-		known.queue.setSlots(slots)
+		known.slots = s.Slots
+		known.queue.setSlots(s.Slots)
+		known.traffic.Load().SetLimit(trafficConnections(s))
+		if reopen {
+			old := known.traffic.Swap(&trafficBox{h.dial(t.Address)})
+			go old.Close()
+		}
 		return nil
 	}
-	queue, err := newSlotQueue(slots)
+	queue, err := newSlotQueue(s.Slots)
 	if err != nil {
 		return err
 	}
-	added := &homeTarget{id: t.ID, address: t.Address, slots: slots, queue: queue}
+	added := &homeTarget{id: t.ID, address: t.Address, slots: s.Slots, queue: queue}
 	added.traffic.Store(&trafficBox{h.dial(t.Address)})
 	h.targets[t.ID] = added
 	if known != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -37,6 +37,7 @@
 type Options struct {
 	Daemon   config.Daemon
 	Log      *zap.Logger
+	Level    zap.AtomicLevel      // level of the log, set by the configuration; the zero value leaves the level alone
 	Registry *prometheus.Registry // a new one when nil
 	Store    platform.Store       // a client of Daemon.PlatformURL when nil
 	Hosts    platform.HostLister  // a client of Daemon.PlatformURL when nil
@@ -204,7 +205,7 @@
 	return server
 }
 
-// operatorHandler serves operators, metrics and the log level.
+// operatorHandler serves operators and metrics.
 func (s *Server) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.options.Registry, promhttp.HandlerOpts{}))
--- a/server/state.go
+++ b/server/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/waxwingspindle/waxwingspindle/config"
 	"github.com/waxwingspindle/waxwingspindle/freshness"
@@ -140,6 +141,7 @@
 	}
 	c.document, c.settings, c.keys, c.tokens = d, settings, keys, tokens
 	c.server.decisions.setSample(settings.Log.DecisionSample)
+	c.server.setLevel(settings.Log.Level)
 	c.server.limiter.setLimits(limitsOf(settings))
 	c.table.SetPayload(payload(d.Version))
 	c.proofs.host.Hold(now, d.Version)
@@ -150,6 +152,16 @@
 	return nil
 }
 
+// setLevel sets the level of the log.
+func (s *Server) setLevel(level string) {
+	if s.options.Level == (zap.AtomicLevel{}) {
+		return
+	}
+	if parsed, err := zapcore.ParseLevel(level); err == nil {
+		s.options.Level.SetLevel(parsed)
+	}
+}
+
 func limitsOf(s *config.Settings) map[model.Workspace]limit.Limit {
 	limits := map[model.Workspace]limit.Limit{}
 	for name, w := range s.Workspaces {
--- a/test/e2e/operate_test.go
+++ b/test/e2e/operate_test.go
@@ -25,7 +25,7 @@
 }
 
 // runCommand runs the command line with exactly these arguments.
-func runCommand(t *testing.T, args ...string) commandResult {
+func runCommand(t testing.TB, args ...string) commandResult {
 	t.Helper()
 	cmd := exec.Command(filepath.Join(binaries, "waxwingspindle"), args...)
 	var stdout, stderr bytes.Buffer
@@ -37,13 +37,13 @@
 }
 
 // runAt runs the command line against a daemon.
-func runAt(t *testing.T, d *daemonProcess, args ...string) commandResult {
+func runAt(t testing.TB, d *daemonProcess, args ...string) commandResult {
 	t.Helper()
 	return runCommand(t, append(args, "--operator", "http://"+d.operator, "--token", operatorToken)...)
 }
 
 // want checks the exit code and that the output contains the texts.
-func (r commandResult) want(t *testing.T, code int, texts ...string) commandResult {
+func (r commandResult) want(t testing.TB, code int, texts ...string) commandResult {
 	t.Helper()
 	if r.code != code {
 		t.Fatalf("exit code %d, want %d\nstdout: %s\nstderr: %s", r.code, code, r.stdout, r.stderr)
@@ -57,7 +57,7 @@
 }
 
 // decode reads JSON output.
-func (r commandResult) decode(t *testing.T, to any) {
+func (r commandResult) decode(t testing.TB, to any) {
 	t.Helper()
 	if err := json.Unmarshal([]byte(r.stdout), to); err != nil {
 		t.Fatalf("%v in output %q", err, r.stdout)
@@ -102,7 +102,7 @@
 }
 
 // unchanged runs a step and checks that the configuration in force is the same afterwards.
-func (s *system) unchanged(t *testing.T, step func()) {
+func (s *system) unchanged(t testing.TB, step func()) {
 	t.Helper()
 	version, base := s.inForce()
 	step()
@@ -120,7 +120,7 @@
 	s := startSystem(t, 3)
 	for _, step := range []struct {
 		name string
-		run  func(*testing.T, *system)
+		run  func(testing.TB, *system)
 	}{
 		{"usage", operateUsage},
 		{"unreachable daemon and wrong token", operateNoAccess},
@@ -143,7 +143,7 @@
 	}
 }
 
-func operateUsage(t *testing.T, s *system) {
+func operateUsage(t testing.TB, s *system) {
 	runCommand(t, "--help").want(t, cli.ExitOK, "config apply", "key create", "workspace set", "drain")
 	runCommand(t, "config", "apply", "--help").want(t, cli.ExitOK, "--expect-version")
 	runCommand(t, "--version").want(t, cli.ExitOK, cli.Version)
@@ -155,7 +155,7 @@
 	runCommand(t, "config", "check", s.base+".missing").want(t, cli.ExitUsage, s.base+".missing")
 }
 
-func operateNoAccess(t *testing.T, s *system) {
+func operateNoAccess(t testing.TB, s *system) {
 	operator := "http://" + s.daemons[0].operator
 	for _, args := range [][]string{
 		{"status"}, {"drain"}, {"config", "show"}, {"config", "diff", s.base},
@@ -172,7 +172,7 @@
 	s.must(s.statement(s.daemons[0], "", selectSQL, "any"))
 }
 
-func operateStatus(t *testing.T, s *system) {
+func operateStatus(t testing.TB, s *system) {
 	var status struct {
 		Host, State          string
 		ConfigurationVersion uint64
@@ -192,7 +192,7 @@
 		"service stock: home "+status.Services[0].Home)
 }
 
-func operateInvalid(t *testing.T, s *system) {
+func operateInvalid(t testing.TB, s *system) {
 	notNumber := s.edited("slots = 3", "slots = many")
 	unknown := s.edited("slots = 3", "slots = 3\nslotz = 3")
 	for name, text := range map[string]string{notNumber: `key "slots" has value "many"`, unknown: `key "slotz"`} {
@@ -206,7 +206,7 @@
 }
 
 // applyWithoutCheck sends a file to the daemon without the check of the command line.
-func applyWithoutCheck(t *testing.T, s *system, name string) {
+func applyWithoutCheck(t testing.TB, s *system, name string) {
 	t.Helper()
 	base, err := os.ReadFile(name)
 	if err != nil {
@@ -239,7 +239,7 @@
 	}
 }
 
-func operateApply(t *testing.T, s *system) {
+func operateApply(t testing.TB, s *system) {
 	d, next := s.daemons[0], s.edited(rateOf(1000), rateOf(900))
 	version, _ := s.inForce()
 	expect := fmt.Sprint(version)
@@ -261,7 +261,7 @@
 	runAt(t, d, "config", "apply", next, "--expect-version", fmt.Sprint(version+1)).want(t, cli.ExitOK, "Nothing to change")
 }
 
-func operateConflict(t *testing.T, s *system) {
+func operateConflict(t testing.TB, s *system) {
 	version, _ := s.inForce()
 	first, second := s.edited(rateOf(900), rateOf(800)), s.edited(rateOf(900), rateOf(700))
 	expect := fmt.Sprint(version)
@@ -277,7 +277,7 @@
 
 // operateRace applies two files at once through different daemons: exactly one is accepted, and the other operator sees
 // the difference.
-func operateRace(t *testing.T, s *system) {
+func operateRace(t testing.TB, s *system) {
 	const rounds = 3
 	for round := range rounds {
 		version, base := s.inForce()
@@ -304,7 +304,7 @@
 	}
 }
 
-func operateWorkspace(t *testing.T, s *system) {
+func operateWorkspace(t testing.TB, s *system) {
 	d := s.daemons[2]
 	runAt(t, d, "workspace", "set", "school", "--rate", "70", "--burst", "30").want(t, cli.ExitOK,
 		"[workspace school] rate: 50 -> 70", "[workspace school] burst: 20 -> 30")
@@ -318,7 +318,7 @@
 	})
 }
 
-func operateKeys(t *testing.T, s *system) {
+func operateKeys(t testing.TB, s *system) {
 	var created struct {
 		Key, KeyID string
 		Change     changed
@@ -348,7 +348,7 @@
 
 // operateOutage checks that changes are refused while the store is down, that statements go on, and that the commands that
 // only read answer from the configuration in force.
-func operateOutage(t *testing.T, s *system) {
+func operateOutage(t testing.TB, s *system) {
 	d := s.daemons[0]
 	version, base := s.inForce()
 	next := s.edited(workshopRate.FindString(base), rateOf(500))
@@ -380,7 +380,7 @@
 	})
 }
 
-func operateDrain(t *testing.T, s *system) {
+func operateDrain(t testing.TB, s *system) {
 	d := s.daemons[2]
 	runAt(t, d, "drain").want(t, cli.ExitOK, "draining")
 	select {
