Run what waits on a replaced primary again on the new one

Cause: writes that waited for an answer of a primary that was cut off held on until the end of their time (3 s in the tests), although the new primary took writes after 1.1 s; the pool cannot tell a silent connection from a slow statement when the target cannot be asked. Ruled out: detection and promotion, which took 1.1 s in the same logs. Change: the connections to a primary are closed when another one is published; the request ledger makes the repetition safe.

--- a/server/group.go
+++ b/server/group.go
@@ -38,8 +38,9 @@
 	metrics *metrics.Metrics
 	log     *zap.Logger
 	stopped bool
-	began   bool      // writes were acknowledged since this host is home
-	lost    time.Time // time at which writes stopped being acknowledged, zero while they are
+	primary model.TargetID // last known primary
+	began   bool           // writes were acknowledged since this host is home
+	lost    time.Time      // time at which writes stopped being acknowledged, zero while they are
 }
 
 // memberConnections are the control connections of one target.
@@ -213,6 +214,20 @@
 	}
 	g.measureGap(now, v)
 	g.publish(v, g.samples.Clone())
+	g.abandon(v.Primary)
+}
+
+// abandon closes the connections for traffic of a primary that was replaced. What waits there for an answer ends as
+// unknown and is run again on the new primary, where the request ledger decides whether it has run. Without this, writes
+// on a primary that was cut off waited until the end of their time.
+func (g *groupControl) abandon(primary model.TargetID) {
+	if primary == "" || primary == g.primary {
+		return
+	}
+	if g.primary != "" {
+		g.replace(g.primary)
+	}
+	g.primary = primary
 }
 
 func (g *groupControl) measureGap(now time.Time, v failover.View) {
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -173,14 +173,23 @@
 	targets       []string
 	groupAdmin    string
 	daemons       []*daemonProcess
-	base          string         // base file
-	frozen        *daemonProcess // stopped by a fault
+	platformURLs  map[string]string // base URL of the platform for a daemon, when it has one of its own
+	base          string            // base file
+	frozen        *daemonProcess    // stopped by a fault
 	key           string
 	keyID         string
 }
 
 // startSystem starts a system, applies a configuration and creates a key.
 func startSystem(t testing.TB, daemons int, groupArgs ...string) *system {
+	t.Helper()
+	s := startPeers(t, groupArgs...)
+	s.startDaemons(daemons)
+	return s
+}
+
+// startPeers starts the platform and the group of a system.
+func startPeers(t testing.TB, groupArgs ...string) *system {
 	t.Helper()
 	s := &system{t: t, dir: t.TempDir()}
 	platform, admin := address(freePort(t)), address(freePort(t))
@@ -193,6 +202,12 @@
 	s.groupAdmin = "http://" + groupAdmin
 	s.group = startProcess(t, "group", "standin-target",
 		append([]string{"--listen", strings.Join(s.targets, ","), "--admin", groupAdmin}, groupArgs...)...)
+	return s
+}
+
+// startDaemons starts the daemons of a system, applies a configuration and creates a key.
+func (s *system) startDaemons(daemons int) {
+	s.t.Helper()
 	s.writeBase()
 	for i := range daemons {
 		s.daemons = append(s.daemons, s.startDaemon(fmt.Sprintf("host-%d", i+1)))
@@ -201,7 +216,6 @@
 	for _, d := range s.daemons {
 		s.awaitServing(d)
 	}
-	return s
 }
 
 // awaitServing waits until a daemon tells the balancer that it accepts requests.
@@ -243,10 +257,19 @@
 		peer: address(freePort(s.t))}
 	s.listHosts(append(s.daemons, d)...)
 	d.process = startProcess(s.t, id, "waxwingspindle", "serve", "--config", s.base, "--host", id,
-		"--caller-listen", d.caller, "--operator-listen", d.operator, "--peer-listen", d.peer)
+		"--caller-listen", d.caller, "--operator-listen", d.operator, "--peer-listen", d.peer,
+		"--platform-url", s.platformOf(id))
 	return d
 }
 
+// platformOf returns the base URL of the platform for a daemon.
+func (s *system) platformOf(id string) string {
+	if url, ok := s.platformURLs[id]; ok {
+		return url
+	}
+	return s.platformURL
+}
+
 // listHosts sets the platform's list of hosts.
 func (s *system) listHosts(daemons ...*daemonProcess) {
 	s.t.Helper()
