--- a/test/e2e/capacity_test.go
+++ b/test/e2e/capacity_test.go
@@ -43,8 +43,8 @@
 		resident: number(pages) * float64(os.Getpagesize()) / 1e6}
 }
 
-// controlBytes returns the bytes of membership messages that a daemon has sent.
-func (d *daemonProcess) controlBytes(b testing.TB) float64 {
+// metric returns the value of a metric of a daemon, or 0 when it has none. The name includes its labels.
+func (d *daemonProcess) metric(b testing.TB, name string) float64 {
 	b.Helper()
 	r, err := client.Get("http://" + d.operator + "/metrics")
 	if err != nil {
@@ -56,14 +56,22 @@
 		b.Fatal(err)
 	}
 	for line := range strings.Lines(string(text)) {
-		if strings.HasPrefix(line, "waxwingspindle_control_bytes_total") {
-			n, _ := strconv.ParseFloat(strings.Fields(line)[1], 64)
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			if err != nil {
+				b.Fatal(err)
+			}
 			return n
 		}
 	}
 	return 0
 }
 
+// controlBytes returns the bytes of membership messages that a daemon has sent.
+func (d *daemonProcess) controlBytes(b testing.TB) float64 {
+	return d.metric(b, `waxwingspindle_control_bytes_total{kind="membership"}`)
+}
+
 // BenchmarkIdleFleet measures what a daemon spends for control when no caller sends anything: processor time, memory and
 // bytes of membership messages.
 func BenchmarkIdleFleet(b *testing.B) {
@@ -174,3 +182,22 @@
 	after := s.daemons[0].usage(b)
 	b.ReportMetric((after.resident-before.resident)*1000/connections, "KB/connection")
 }
+
+// BenchmarkReplicaShare measures the share of reads that replicas serve, for sessions that write half of the time, at
+// several replication lags.
+func BenchmarkReplicaShare(b *testing.B) {
+	for _, lag := range []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond} {
+		b.Run(fmt.Sprintf("lag=%v", lag), func(b *testing.B) {
+			s := startSystem(b, 3, "--replication-lag", lag.String())
+			stop := make(chan struct{})
+			time.AfterFunc(5*time.Second, func() { close(stop) })
+			roam(b, s, 8, 1, stop)
+			var replica, primary float64
+			for _, d := range s.daemons {
+				replica += d.metric(b, `waxwingspindle_reads_total{role="replica",service="stock"}`)
+				primary += d.metric(b, `waxwingspindle_reads_total{role="primary",service="stock"}`)
+			}
+			b.ReportMetric(100*replica/(replica+primary), "%replica")
+		})
+	}
+}
--- a/test/e2e/session_test.go
+++ b/test/e2e/session_test.go
@@ -38,7 +38,7 @@
 
 // roamer is a session that goes to another daemon with each request.
 type roamer struct {
-	t       *testing.T
+	t       testing.TB
 	system  *system
 	rng     *rand.Rand
 	id      int
@@ -58,7 +58,7 @@
 )
 
 // roam runs sessions until stop is closed, and checks the history of each.
-func roam(t *testing.T, s *system, sessions int, seed uint64, stop <-chan struct{}) []*roamer {
+func roam(t testing.TB, s *system, sessions int, seed uint64, stop <-chan struct{}) []*roamer {
 	t.Helper()
 	roamers := make([]*roamer, sessions)
 	var wg sync.WaitGroup
