Ask callers to close their connections before a leaving host closes them

Ruled out: requests that were being served; Shutdown waits for these. Change: a leaving host answers with Connection: close during the grace time and for 1 s more, in which it refuses, and closes what is left after that.

--- a/server/server.go
+++ b/server/server.go
@@ -176,7 +176,7 @@
 	background.Go(func() { s.follow(inner) })
 	background.Go(func() { s.transaction.run(inner) })
 	background.Go(func() { rpcListener.Serve(inner, sockets.peers) })
-	callers := s.serveHTTP(sockets.callers, caller.NewHandler(s))
+	callers := s.serveHTTP(sockets.callers, s.closing(caller.NewHandler(s)))
 	operators := s.serveHTTP(sockets.operators, s.operatorHandler())
 	s.log.Info("server: started", zap.String("data_centre", string(s.options.Daemon.DataCentre)),
 		zap.String("callers", s.options.Daemon.CallerListen))
--- a/server/shutdown.go
+++ b/server/shutdown.go
@@ -15,6 +15,20 @@
 // handoverWait is the time that other hosts get to learn that this host leaves, before it stops being home.
 const handoverWait = 500 * time.Millisecond
 
+// lingerTime is the time in which a leaving host still answers requests, with a refusal, before it closes the connections
+// of callers. An idle connection that is closed just when its caller sends a request leaves the request without an answer.
+const lingerTime = time.Second
+
+// closing asks callers to close their connections while the host is leaving, so that few are left to be closed by it.
+func (s *Server) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // startDrain begins a planned stop.
 func (s *Server) startDrain() { s.drainNow.Do(func() { close(s.drain) }) }
 
@@ -32,7 +46,7 @@
 	s.control.post(s.state.leave)
 	sleep(ctx, max(timing.DrainGrace, handoverWait))
 	s.refusing.Store(true)
-	callers.SetKeepAlivesEnabled(false)
+	sleep(ctx, lingerTime)
 	err := callers.Shutdown(ctx)
 	if err != nil {
 		s.log.Warn("server: requests of callers did not finish within the drain limit", zap.Int64("running",
