--- a/server/changes.go
+++ b/server/changes.go
@@ -256,7 +256,8 @@
 			out[h] = out[h] || c.Version >= version
 		}
 	}
-	add(daemon.Confirmation{Version: snap.version, Hosts: append(snap.confirmed, s.options.Daemon.Host)})
+	self := []model.HostID{s.options.Daemon.Host}
+	add(daemon.Confirmation{Version: snap.version, Hosts: slices.Concat(snap.confirmed, self)})
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	for _, root := range snap.roots {
