--- a/server/home.go
+++ b/server/home.go
@@ -34,7 +34,7 @@
 type homeTarget struct {
 	id      model.TargetID
 	address string
-	slots   int
+	slots   atomic.Int64
 	queue   *slotQueue
 	traffic atomic.Pointer[trafficBox]
 }
@@ -92,7 +92,7 @@
 func (h *home) configureTarget(t config.Target, s config.Service, reopen bool) error {
 	known := h.targets[t.ID]
 	if known != nil && known.address == t.Address {
-		known.slots = s.Slots
+		known.slots.Store(int64(s.Slots))
 		known.queue.setSlots(s.Slots)
 		known.traffic.Load().SetLimit(trafficConnections(s))
 		if reopen {
@@ -105,7 +105,8 @@
 	if err != nil {
 		return err
 	}
-	added := &homeTarget{id: t.ID, address: t.Address, slots: s.Slots, queue: queue}
+	added := &homeTarget{id: t.ID, address: t.Address, queue: queue}
+	added.slots.Store(int64(s.Slots))
 	added.traffic.Store(&trafficBox{h.dial(t.Address)})
 	h.targets[t.ID] = added
 	if known != nil {
@@ -197,7 +198,7 @@
 		}
 		s := t.queue.stats()
 		out.Targets = append(out.Targets, routing.Target{ID: m.Target, Alive: m.Known && m.Alive, Leaving: m.Leaving,
-			Replicated: m.Replicated, AdoptedTerm: m.AdoptedTerm, Position: m.Position, Running: s.Running + s.Queued, Slots: t.slots})
+			Replicated: m.Replicated, AdoptedTerm: m.AdoptedTerm, Position: m.Position, Running: s.Running + s.Queued, Slots: int(t.slots.Load())})
 	}
 	return out, g.changed
 }
