--- a/server/transactions.go
+++ b/server/transactions.go
@@ -108,12 +108,19 @@
 	if err != nil {
 		return daemon.BeginReply{Result: txnRefusal(err)}
 	}
-	var answer target.Answer
-	p.transaction, answer = on.traffic.Load().Begin(ctx, false)
+	transaction, answer := on.traffic.Load().Begin(ctx, false)
 	if answer.Result.Outcome != model.OutcomeDone {
 		t.remove(q.Service, lease)
 		return daemon.BeginReply{Result: answer.Result}
 	}
+	t.mu.Lock()
+	p.transaction = transaction
+	kept := t.table(q.Service).Release(time.Now(), lease)
+	t.mu.Unlock()
+	if !kept {
+		t.rollBack(p)
+		return daemon.BeginReply{Result: model.NotRun(model.ReasonTransactionLost, "the host is leaving")}
+	}
 	return t.opened(q, lease)
 }
 
@@ -128,7 +135,6 @@
 	if err != nil {
 		panic("a transaction handle cannot be sealed: " + err.Error())
 	}
-	t.release(q.Service, lease)
 	t.server.decisions.decision("placement: transaction pins a connection", zap.String("service", string(q.Service)),
 		zap.String("workspace", string(q.Caller.Workspace)), zap.Uint64("transaction", uint64(lease.ID)))
 	return daemon.BeginReply{Result: model.Done(), Handle: text}
@@ -228,13 +234,14 @@
 
 // rollBack rolls a transaction back whose caller has gone, and closes its connection when that fails.
 func (t *transactions) rollBack(p *pinned) {
-	if p.transaction == nil {
+	transaction := p.transaction
+	if transaction == nil {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 		defer cancel()
-		p.transaction.Rollback(ctx)
+		transaction.Rollback(ctx)
 	}()
 }
 
