Keep the rule for the last of several attempts in one place, and drop dead code

The entry host and the home each had the rule that an attempt which may have run makes the outcome unknown; both now call lastResult. Behaviour is unchanged.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -72,17 +72,6 @@
 	return *reply, nil
 }
 
-// Forget closes the connection to an address.
-func (p *Peers) Forget(address string) {
-	p.mu.Lock()
-	old := p.peers[address]
-	delete(p.peers, address)
-	p.mu.Unlock()
-	if old != nil {
-		old.close()
-	}
-}
-
 // Close closes all connections.
 func (p *Peers) Close() {
 	p.mu.Lock()
--- a/server/entry.go
+++ b/server/entry.go
@@ -332,10 +332,7 @@
 		result := s.callHome(a, call)
 		mayHaveRun = mayHaveRun || result.Outcome == model.OutcomeUnknown
 		if result.Outcome == model.OutcomeDone || !s.retry.again(ctx, a.service, kind, result, attempts) {
-			if mayHaveRun && result.Outcome == model.OutcomeNotRun {
-				return model.Unknown(result.Reason, "an earlier attempt may have run; last attempt: "+result.Detail)
-			}
-			return result
+			return lastResult(result, mayHaveRun)
 		}
 	}
 }
--- a/server/home.go
+++ b/server/home.go
@@ -362,20 +362,12 @@
 		}
 		mayHaveRun = mayHaveRun || r.Result.Outcome == model.OutcomeUnknown
 		if r.Result.Outcome == model.OutcomeDone || !h.retry.again(ctx, h.service, retry.KindWrite, r.Result, attempts) {
-			return lastReply(r, mayHaveRun)
+			r.Result = lastResult(r.Result, mayHaveRun)
+			return r
 		}
 	}
 }
 
-// lastReply keeps the outcome true: when an earlier attempt may have run, a later attempt that did not run proves
-// nothing about it.
-func lastReply(r daemon.ExecuteReply, mayHaveRun bool) daemon.ExecuteReply {
-	if mayHaveRun && r.Result.Outcome == model.OutcomeNotRun {
-		r.Result = model.Unknown(r.Result.Reason, "an earlier attempt may have run; last attempt: "+r.Result.Detail)
-	}
-	return r
-}
-
 func (h *home) writeOnce(ctx context.Context, q daemon.ExecuteRequest) daemon.ExecuteReply {
 	d, refused := h.chooseWrite(ctx, q.Mark)
 	if refused.Outcome != 0 {
--- a/server/retrier.go
+++ b/server/retrier.go
@@ -51,6 +51,15 @@
 	return sleep(ctx, d.Delay)
 }
 
+// lastResult keeps the outcome true: when an earlier attempt may have run, a later attempt that did not run proves nothing
+// about it.
+func lastResult(r model.Result, mayHaveRun bool) model.Result {
+	if mayHaveRun && r.Outcome == model.OutcomeNotRun {
+		return model.Unknown(r.Reason, "an earlier attempt may have run; last attempt: "+r.Detail)
+	}
+	return r
+}
+
 // sleep waits and reports whether the context is still alive.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/server/snapshot.go
+++ b/server/snapshot.go
@@ -32,7 +32,6 @@
 	proofKind    string
 	servingUntil time.Time // keyed requests are served before this time
 	proofAt      time.Time // time that the proof dates from
-	leaving      bool      // this host has announced that it leaves
 }
 
 // fresh reports whether the host may serve keyed requests: it has a configuration and a roster, and a proof that
--- a/server/state.go
+++ b/server/state.go
@@ -399,7 +399,7 @@
 
 // rebuild returns a snapshot without the proof of freshness.
 func (c *controlState) rebuild() snapshot {
-	s := snapshot{roster: c.roster.Version, members: c.table.Members(), homes: c.homes, leaving: c.leaving,
+	s := snapshot{roster: c.roster.Version, members: c.table.Members(), homes: c.homes,
 		addresses: map[model.HostID]string{}, hosts: rosterHosts(c.roster), roots: c.proofs.roots}
 	_, s.confirmed = c.proofs.host.Confirmed()
 	if c.document != nil {
