--- a/cli/cli.go
+++ b/cli/cli.go
@@ -33,13 +33,14 @@
 type app struct {
 	Version kong.VersionFlag `help:"Print the version."`
 
-	Serve     serveCommand `cmd:"" help:"Run a daemon."`
-	Dev       devCommand   `cmd:"" help:"Run daemons, platform and databases in one process, to try things out."`
-	Config    configGroup  `cmd:"" help:"Check, compare, apply and show the configuration."`
-	Key       keyGroup     `cmd:"" help:"Create and withdraw callers' keys."`
-	Workspace wsGroup      `cmd:"" help:"Change workspaces."`
-	Status    statusCmd    `cmd:"" help:"Show the state of a daemon and of what it sees."`
-	Drain     drainCmd     `cmd:"" help:"Start a planned stop of a daemon."`
+	Serve     serveCommand   `cmd:"" help:"Run a daemon."`
+	Gateway   gatewayCommand `cmd:"" help:"Run a host on a platform with a metadata store and a line protocol."`
+	Dev       devCommand     `cmd:"" help:"Run daemons, platform and databases in one process, to try things out."`
+	Config    configGroup    `cmd:"" help:"Check, compare, apply and show the configuration."`
+	Key       keyGroup       `cmd:"" help:"Create and withdraw callers' keys."`
+	Workspace wsGroup        `cmd:"" help:"Change workspaces."`
+	Status    statusCmd      `cmd:"" help:"Show the state of a daemon and of what it sees."`
+	Drain     drainCmd       `cmd:"" help:"Start a planned stop of a daemon."`
 }
 
 type configGroup struct {
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,365 @@
+// Package fleet is the control side of a host: it registers the host in the metadata store, follows the configuration,
+// the registered targets, the other hosts and the decisions about primaries, and takes its turn as the leader, which
+// replaces primaries and divides rate limits. One goroutine owns the control state; calls run in others and report back.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/frontend"
+	"github.com/waxwingspindle/waxwingspindle/metastore"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
+)
+
+const (
+	// hostLease is the time for which a host may use primaries after it was last heard by the store. It outlasts usual
+	// outages of the store, and bounds how long a replacement waits for a host that is cut off.
+	hostLease = 8 * time.Second
+	// leaderLease is the time after which another host takes over from a silent leader.
+	leaderLease = 3 * time.Second
+	// renewInterval is the time between renewals of leases; a renewal costs a tenth of a read.
+	renewInterval = 700 * time.Millisecond
+	// leaseMargin is the part of a lease that is not used, for clocks that run at different rates.
+	leaseMargin = 100 * time.Millisecond
+	// callTimeout bounds a call of the store. A slow store takes 0.4 s.
+	callTimeout = 1200 * time.Millisecond
+	// watchWait is the longest wait of a watch.
+	watchWait = 20 * time.Second
+	// retryInterval is the time between two attempts of a failing call.
+	retryInterval = 250 * time.Millisecond
+	// reportInterval is the time between two reports to the leader.
+	reportInterval = 300 * time.Millisecond
+)
+
+// Decoders translate the items of the platform.
+type Decoders struct {
+	ConfigurationKey string
+	TargetPrefix     string
+	Configuration    func(value []byte) (*catalog.Catalog, error)
+	Target           func(id string, value []byte) (catalog.Target, error)
+}
+
+// Prober asks targets for their state. The context has a deadline.
+type Prober interface {
+	Status(ctx context.Context, t catalog.Target) (primacy.Status, error)
+	Demote(ctx context.Context, t catalog.Target, term uint64) (primacy.Status, error)
+	Close()
+}
+
+// Promoter orders promotions. After an error the order may take effect all the same.
+type Promoter interface {
+	Promote(ctx context.Context, service model.Service, target model.TargetID, fence uint64) error
+}
+
+// Config is what an agent works with.
+type Config struct {
+	Self     Host
+	Store    metastore.Store
+	Decoders Decoders
+	Prober   Prober
+	Promoter Promoter
+	Server   *frontend.Server
+	Log      *zap.Logger
+}
+
+// Agent is the control side of one host.
+type Agent struct {
+	Config
+	peers  *peers
+	view   atomic.Pointer[view]
+	events chan func(*control)
+	ready  atomic.Bool
+
+	leaderMu sync.Mutex
+	leading  *leadership // nil while another host leads
+}
+
+// control is the state of the control goroutine.
+type control struct {
+	agent   *Agent
+	view    *view
+	lease   metastore.Lease
+	removed map[model.TargetID]time.Time // entries that have disappeared, with the time
+	asking  bool                         // an attempt to become the leader is under way
+}
+
+// New returns an agent that does nothing until Run.
+func New(c Config) *Agent {
+	a := &Agent{Config: c, peers: newPeers(), events: make(chan func(*control), 256)}
+	a.view.Store(newView())
+	return a
+}
+
+func newView() *view {
+	return &view{catalog: &catalog.Catalog{}, targets: map[model.TargetID]catalog.Target{},
+		hosts: map[model.HostID]Host{}, docs: map[model.Service]versioned[primacy.Document]{}}
+}
+
+// Ready reports whether the host can serve callers.
+func (a *Agent) Ready() bool { return a.ready.Load() }
+
+// Run follows the store until the context ends.
+func (a *Agent) Run(ctx context.Context) {
+	c := &control{agent: a, view: newView(), removed: map[model.TargetID]time.Time{}}
+	go a.follow(ctx, a.Decoders.ConfigurationKey, (*control).applyConfiguration)
+	go a.follow(ctx, a.Decoders.TargetPrefix, (*control).applyTargets)
+	go a.register(ctx)
+	go a.reportLoop(ctx)
+	ticker := time.NewTicker(retryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-a.events:
+			event(c)
+		case <-ticker.C:
+			c.removeExpired()
+			c.seekLeadership(ctx)
+		}
+	}
+}
+
+// post hands an event to the control goroutine.
+func (a *Agent) post(ctx context.Context, event func(*control)) {
+	select {
+	case a.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// change is a step of a watched prefix: all items, or the events since the last step.
+type change struct {
+	whole  bool
+	events []metastore.Event
+}
+
+// follow lists a prefix and watches it, and lists it again after a gap.
+func (a *Agent) follow(ctx context.Context, prefix string, apply func(*control, change)) {
+	dep := dependency{log: a.Log, name: "store watch of " + prefix}
+	for ctx.Err() == nil {
+		items, revision, err := a.list(ctx, prefix)
+		if dep.observe(err); err != nil {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		events := make([]metastore.Event, 0, len(items))
+		for _, item := range items {
+			events = append(events, metastore.Event{Item: item})
+		}
+		a.post(ctx, func(c *control) { apply(c, change{whole: true, events: events}) })
+		a.watch(ctx, prefix, revision, apply, &dep)
+	}
+}
+
+// watch follows a prefix from a revision until its history is gone.
+func (a *Agent) watch(ctx context.Context, prefix string, revision uint64, apply func(*control, change),
+	dep *dependency) {
+	for ctx.Err() == nil {
+		events, next, err := a.Store.Watch(ctx, prefix, revision, watchWait)
+		if errors.Is(err, metastore.ErrCompacted) {
+			return
+		}
+		if dep.observe(err); err != nil {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		revision = next
+		if len(events) > 0 {
+			a.post(ctx, func(c *control) { apply(c, change{events: events}) })
+		}
+	}
+}
+
+func (a *Agent) list(ctx context.Context, prefix string) ([]metastore.Item, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return a.Store.List(ctx, prefix)
+}
+
+// applyConfiguration takes over a newer configuration.
+func (c *control) applyConfiguration(ch change) {
+	for _, e := range ch.events {
+		if !e.Removed && e.Key == c.agent.Decoders.ConfigurationKey {
+			c.takeConfiguration(e.Value)
+		}
+	}
+}
+
+func (c *control) takeConfiguration(value []byte) {
+	next, err := c.agent.Decoders.Configuration(value)
+	if err != nil {
+		c.agent.Log.Error("configuration: rejected", zap.Error(err))
+		return
+	}
+	if next.Version > c.view.catalog.Version {
+		c.view.catalog, c.view.rawConfig = next, value
+		c.publish()
+	}
+}
+
+// applyTargets takes over changes of the registered targets.
+func (c *control) applyTargets(ch change) {
+	now := boottime.Now()
+	listed := map[model.TargetID]bool{}
+	for _, e := range ch.events {
+		name := strings.TrimPrefix(e.Key, c.agent.Decoders.TargetPrefix)
+		id := model.TargetID(name)
+		if e.Removed {
+			c.markRemoved(id, now)
+			continue
+		}
+		t, err := c.agent.Decoders.Target(name, e.Value)
+		if err != nil {
+			c.agent.Log.Warn("targets: entry ignored", zap.String("key", e.Key), zap.Error(err))
+			c.markRemoved(id, now)
+			continue
+		}
+		listed[id] = true
+		delete(c.removed, id)
+		if known, ok := c.view.targets[id]; !ok || known != t {
+			c.agent.Log.Info("targets: entry in force", zap.String("target", name), zap.Uint64("revision", e.Revision),
+				zap.String("service", string(t.Service)), zap.Bool("draining", t.State == catalog.Draining),
+				zap.Bool("says_primary", t.SaysPrimary), zap.Int64("born", t.Born))
+		}
+		c.view.targets[id] = t
+	}
+	if ch.whole {
+		for id := range c.view.targets {
+			if !listed[id] {
+				c.markRemoved(id, now)
+			}
+		}
+	}
+	c.removeExpired()
+	c.publish()
+}
+
+// markRemoved notes that an entry has disappeared. A target that announced its end is removed at once.
+func (c *control) markRemoved(id model.TargetID, now time.Time) {
+	t, known := c.view.targets[id]
+	if _, noted := c.removed[id]; !known || noted {
+		return
+	}
+	c.removed[id] = now
+	if t.State == catalog.Draining {
+		c.removed[id] = now.Add(-removalGrace)
+	}
+}
+
+// removeExpired removes targets whose entries have been missing for long enough.
+func (c *control) removeExpired() {
+	now, changed := boottime.Now(), false
+	for id, since := range c.removed {
+		if now.Sub(since) >= removalGrace {
+			c.agent.Log.Info("targets: removed", zap.String("target", string(id)), zap.Duration("missing", now.Sub(since)))
+			delete(c.removed, id)
+			delete(c.view.targets, id)
+			changed = true
+		}
+	}
+	if changed {
+		c.publish()
+	}
+}
+
+// applyOwn takes over changes of the product's own keys.
+func (c *control) applyOwn(ch change) {
+	if ch.whole {
+		c.view.hosts, c.view.leader = map[model.HostID]Host{}, nil
+	}
+	for _, e := range ch.events {
+		if err := c.view.applyOwn(e); err != nil {
+			c.agent.Log.Error("store: value ignored", zap.String("key", e.Key), zap.Error(err))
+		}
+	}
+	c.publish()
+}
+
+// takeDocument takes over a decision that the leader has sent.
+func (c *control) takeDocument(doc primacy.Document) {
+	if known := c.view.docs[doc.Service]; doc.Epoch > known.value.Epoch {
+		c.view.docs[doc.Service] = versioned[primacy.Document]{doc, known.revision}
+		c.publish()
+	}
+}
+
+// publish brings the view in force.
+func (c *control) publish() {
+	v := c.view.clone()
+	a := c.agent
+	a.view.Store(v)
+	for _, doc := range v.docs {
+		go a.fence(doc.value)
+	}
+	a.Server.SetCatalog(v.catalog, len(v.hosts))
+	if v.catalog.Version == 0 {
+		return
+	}
+	for service := range v.catalog.Services {
+		a.Server.SetTargets(service, v.of(service), func(id model.TargetID) int {
+			return v.connectionLimit(a.Self.ID, service, id)
+		})
+	}
+}
+
+// fence puts a decision in force. If it closes the use of a primary and the leader has not asked for that itself, the
+// confirmation is written to the store.
+func (a *Agent) fence(doc primacy.Document) {
+	a.Server.SetDocument(doc)
+}
+
+// dependency logs once when a dependency is lost and once when it is back.
+type dependency struct {
+	log  *zap.Logger
+	name string
+	lost time.Time
+}
+
+func (d *dependency) observe(err error) {
+	switch {
+	case err != nil && d.lost.IsZero():
+		d.lost = time.Now()
+		d.log.Warn("dependency: lost", zap.String("dependency", d.name), zap.Error(err))
+	case err == nil && !d.lost.IsZero():
+		d.log.Info("dependency: regained", zap.String("dependency", d.name), zap.Duration("after", time.Since(d.lost)))
+		d.lost = time.Time{}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func mustEncode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("fleet: a document cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+// hostList returns the registered hosts in the order of their ids.
+func (v *view) hostList() []Host {
+	list := make([]Host, 0, len(v.hosts))
+	for _, h := range v.hosts {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
--- /dev/null
+++ b/fleet/peers.go
@@ -0,0 +1,212 @@
+package fleet
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/metastore"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/share"
+)
+
+var (
+	errNoLeader  = errors.New("no leader is known")
+	errNotLeader = errors.New("this host is not the leader")
+	errTimeout   = errors.New("the peer did not answer in time")
+	errStarted   = errors.New("this host has another incarnation")
+)
+
+// peerDialTimeout bounds the opening of a connection to another host, which takes a few milliseconds.
+const peerDialTimeout = 300 * time.Millisecond
+
+// peers keeps a connection to each host that was called.
+type peers struct {
+	mu      sync.Mutex
+	clients map[string]*rpc.Client
+}
+
+func newPeers() *peers { return &peers{clients: map[string]*rpc.Client{}} }
+
+// call calls a method of another host. A connection that gave no answer in time is closed.
+func (p *peers) call(h Host, method string, args, reply any, timeout time.Duration) error {
+	client, err := p.client(h.Address)
+	if err != nil {
+		return err
+	}
+	done := client.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
+	select {
+	case call := <-done:
+		var refused rpc.ServerError
+		if call.Error != nil && !errors.As(call.Error, &refused) {
+			p.drop(h.Address, client)
+		}
+		return call.Error
+	case <-time.After(timeout):
+		p.drop(h.Address, client)
+		return errTimeout
+	}
+}
+
+func (p *peers) client(address string) (*rpc.Client, error) {
+	p.mu.Lock()
+	client := p.clients[address]
+	p.mu.Unlock()
+	if client != nil {
+		return client, nil
+	}
+	conn, err := net.DialTimeout("tcp", address, peerDialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.clients[address]; other != nil {
+		_ = conn.Close() // another goroutine was faster
+		return other, nil
+	}
+	client = rpc.NewClient(conn)
+	p.clients[address] = client
+	return client, nil
+}
+
+func (p *peers) drop(address string, client *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients[address] == client {
+		delete(p.clients, address)
+	}
+	_ = client.Close() // it may be closed already
+}
+
+// RenewRequest asks the leader to renew a lease.
+type RenewRequest struct{ Lease metastore.Lease }
+
+// ReportRequest is what a host tells the leader at intervals.
+type ReportRequest struct {
+	Host          Host
+	Share         share.Report
+	Opinions      map[model.Service]primacy.Opinion
+	Configuration int64 // version in force
+	Epochs        map[model.Service]uint64
+}
+
+// ReportAnswer brings a host what it does not have yet.
+type ReportAnswer struct {
+	Granted       share.Granted
+	Configuration []byte // empty if the host has the same version
+	Documents     []primacy.Document
+}
+
+// FenceRequest asks a host to put a decision in force.
+type FenceRequest struct {
+	Incarnation model.Incarnation // of the host that is asked
+	Document    primacy.Document
+}
+
+// Peer is the service for other hosts.
+type Peer struct{ agent *Agent }
+
+// ServePeers serves other hosts until the listener is closed.
+func (a *Agent) ServePeers(l net.Listener) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Peer", &Peer{a}); err != nil {
+		return err
+	}
+	go server.Accept(l)
+	return nil
+}
+
+// Renew renews a lease for a host that the store turns away.
+func (p *Peer) Renew(r RenewRequest, _ *struct{}) error {
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := contextWithTimeout(callTimeout)
+		defer cancel()
+		done <- p.agent.Store.KeepAlive(ctx, r.Lease)
+	}()
+	return <-done
+}
+
+// Fence puts a decision in force. When it returns nil, this host uses no older one.
+func (p *Peer) Fence(r FenceRequest, _ *struct{}) error {
+	a := p.agent
+	if r.Incarnation != a.Self.Incarnation {
+		return errStarted
+	}
+	a.Server.SetDocument(r.Document)
+	select {
+	case a.events <- func(c *control) { c.takeDocument(r.Document) }:
+	default: // the watch brings it as well
+	}
+	return nil
+}
+
+// Report takes a report and answers with what the host lacks.
+func (p *Peer) Report(r ReportRequest, answer *ReportAnswer) error {
+	a := p.agent
+	a.leaderMu.Lock()
+	l := a.leading
+	a.leaderMu.Unlock()
+	if l == nil {
+		return errNotLeader
+	}
+	*answer = l.report(r)
+	return nil
+}
+
+// reportLoop reports to the leader.
+func (a *Agent) reportLoop(ctx contextDone) {
+	dep := dependency{log: a.Log, name: "leader"}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(reportInterval):
+			dep.observe(a.reportOnce())
+		}
+	}
+}
+
+func (a *Agent) reportOnce() error {
+	v := a.view.Load()
+	leader, ok := v.leaderHost()
+	if !ok {
+		return errNoLeader
+	}
+	sent := boottime.Now()
+	request := ReportRequest{Host: a.Self, Share: a.Server.Report(), Opinions: a.Server.Opinions(),
+		Configuration: v.catalog.Version, Epochs: map[model.Service]uint64{}}
+	request.Share.Host, request.Share.Incarnation = a.Self.ID, a.Self.Incarnation
+	for service, doc := range v.docs {
+		request.Epochs[service] = doc.value.Epoch
+	}
+	var answer ReportAnswer
+	if leader.ID == a.Self.ID {
+		if err := (&Peer{a}).Report(request, &answer); err != nil {
+			return err
+		}
+	} else if err := a.peers.call(leader, "Peer.Report", request, &answer, callTimeout); err != nil {
+		return err
+	}
+	a.Server.Grant(sent, answer.Granted)
+	if len(answer.Configuration) > 0 || len(answer.Documents) > 0 {
+		a.Log.Info("leader: brought what the store has not", zap.Int("documents", len(answer.Documents)),
+			zap.Int("configuration_bytes", len(answer.Configuration)))
+		a.events <- func(c *control) {
+			if len(answer.Configuration) > 0 {
+				c.takeConfiguration(answer.Configuration)
+			}
+			for _, doc := range answer.Documents {
+				c.takeDocument(doc)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/register.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/metastore"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// registration is a live registration of this host.
+type registration struct {
+	lease metastore.Lease
+	ttl   time.Duration
+}
+
+// register keeps this host registered until the context ends. Primaries may be used only after the decisions about them
+// were read while the registration was in the store, because the leader asks only registered hosts to stop using one.
+func (a *Agent) register(ctx context.Context) {
+	dep := dependency{log: a.Log, name: "store registration"}
+	for ctx.Err() == nil {
+		r, sent, err := a.enter(ctx)
+		if dep.observe(err); err != nil {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		followed, stop := context.WithCancel(ctx)
+		first := make(chan struct{})
+		var once atomic.Bool
+		go a.follow(followed, prefix, func(c *control, ch change) {
+			c.applyOwn(ch)
+			if !once.Swap(true) {
+				close(first)
+			}
+		})
+		select {
+		case <-first:
+			a.Log.Info("registration: in force", zap.Int64("lease", int64(r.lease)), zap.Duration("ttl", r.ttl))
+			a.keep(ctx, r, sent)
+		case <-ctx.Done():
+		}
+		stop()
+		a.Server.AllowPrimaries(time.Time{})
+	}
+}
+
+// enter writes the registration.
+func (a *Agent) enter(ctx context.Context) (registration, time.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	sent := boottime.Now()
+	lease, ttl, err := a.Store.Grant(ctx, hostLease)
+	if err != nil {
+		return registration{}, sent, err
+	}
+	_, err = a.Store.Commit(ctx, metastore.Txn{Puts: []metastore.Item{{Key: hostPrefix + string(a.Self.ID),
+		Value: mustEncode(a.Self), Lease: lease}}})
+	return registration{lease, ttl}, sent, err
+}
+
+// keep renews the registration until its lease has ended.
+func (a *Agent) keep(ctx context.Context, r registration, sent time.Time) {
+	dep := dependency{log: a.Log, name: "store lease"}
+	until := sent.Add(r.ttl - leaseMargin)
+	a.Server.AllowPrimaries(until)
+	a.ready.Store(true)
+	for ctx.Err() == nil {
+		sleep(ctx, renewInterval)
+		now := boottime.Now()
+		err := a.renew(ctx, r.lease)
+		if err != nil && !errors.Is(err, metastore.ErrLeaseEnded) {
+			if relayed := a.renewThroughLeader(r.lease); relayed == nil {
+				err = nil
+			}
+		}
+		dep.observe(err)
+		switch {
+		case err == nil:
+			until = now.Add(r.ttl - leaseMargin)
+			a.Server.AllowPrimaries(until)
+		case errors.Is(err, metastore.ErrLeaseEnded):
+			return
+		}
+	}
+}
+
+func (a *Agent) renew(ctx context.Context, lease metastore.Lease) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return a.Store.KeepAlive(ctx, lease)
+}
+
+// renewThroughLeader renews a lease through the leader, which may reach a store that turns this host away.
+func (a *Agent) renewThroughLeader(lease metastore.Lease) error {
+	leader, ok := a.view.Load().leaderHost()
+	if !ok || leader.ID == a.Self.ID {
+		return errNoLeader
+	}
+	return a.peers.call(leader, "Peer.Renew", RenewRequest{lease}, &struct{}{}, callTimeout)
+}
+
+// leaderHost returns the registration of the leader.
+func (v *view) leaderHost() (Host, bool) {
+	if v.leader == nil {
+		return Host{}, false
+	}
+	h, ok := v.hosts[v.leader.value.Host]
+	return h, ok && h.Incarnation == v.leader.value.Incarnation
+}
+
+// Leave ends this host's registration and leadership, so that nobody waits for it.
+func (a *Agent) Leave(ctx context.Context) {
+	a.Resign(ctx)
+	key := hostPrefix + string(a.Self.ID)
+	_, err := a.Store.Commit(ctx, metastore.Txn{Removes: []string{key}})
+	a.Log.Info("registration: removed", zap.Error(err))
+}
+
+// incarnationOf returns the incarnation of a registered host.
+func (v *view) incarnationOf(id model.HostID) model.Incarnation { return v.hosts[id].Incarnation }
--- /dev/null
+++ b/fleet/state.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/metastore"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
+)
+
+// Keys of the product in the store.
+const (
+	prefix        = "waxwingspindle/"
+	hostPrefix    = prefix + "hosts/"
+	primaryPrefix = prefix + "primary/"
+	leaderKey     = prefix + "leader"
+)
+
+const (
+	// removalGrace is the time for which a target whose entry disappeared is still used. Entries that lapsed during an
+	// outage of the store are back within two seconds of its return.
+	removalGrace = 2500 * time.Millisecond
+	// spareConnections are the connections of each target that no host may use for callers: one for the leader's probes,
+	// and one for a connection that is not closed yet when its successor is opened.
+	spareConnections = 2
+)
+
+// Host is the registration of a host.
+type Host struct {
+	ID          model.HostID
+	Incarnation model.Incarnation
+	Address     string // of its peer service
+	DataCentre  model.DataCentre
+	// Fenced has the epoch up to which the host has stopped using older decisions, by service. Hosts tell the leader
+	// directly; they write it here only if the leader does not reach them.
+	Fenced map[model.Service]uint64 `json:",omitempty"`
+}
+
+// Leader names the host that writes decisions about primaries. Its fence is the revision of the key.
+type Leader struct {
+	Host        model.HostID
+	Incarnation model.Incarnation
+}
+
+// versioned is a value with the revision of its key.
+type versioned[T any] struct {
+	value    T
+	revision uint64
+}
+
+// view is what this host knows from the store. The control goroutine owns one and publishes copies, which are not changed.
+type view struct {
+	catalog   *catalog.Catalog
+	rawConfig []byte
+	targets   map[model.TargetID]catalog.Target
+	hosts     map[model.HostID]Host
+	leader    *versioned[Leader]
+	docs      map[model.Service]versioned[primacy.Document]
+}
+
+func (v *view) clone() *view {
+	c := *v
+	c.targets, c.hosts, c.docs = maps.Clone(v.targets), maps.Clone(v.hosts), maps.Clone(v.docs)
+	return &c
+}
+
+// applyOwn takes over an item of the product's own prefix. A document is never replaced by an older one.
+func (v *view) applyOwn(e metastore.Event) error {
+	if id, ok := strings.CutPrefix(e.Key, hostPrefix); ok {
+		delete(v.hosts, model.HostID(id))
+		if e.Removed {
+			return nil
+		}
+		var h Host
+		err := json.Unmarshal(e.Value, &h)
+		v.hosts[model.HostID(id)] = h
+		return err
+	}
+	if e.Key == leaderKey {
+		if v.leader = nil; e.Removed {
+			return nil
+		}
+		var l Leader
+		err := json.Unmarshal(e.Value, &l)
+		v.leader = &versioned[Leader]{l, e.Revision}
+		return err
+	}
+	if service, ok := strings.CutPrefix(e.Key, primaryPrefix); ok && !e.Removed {
+		var doc primacy.Document
+		if err := json.Unmarshal(e.Value, &doc); err != nil {
+			return err
+		}
+		if doc.Epoch > v.docs[model.Service(service)].value.Epoch {
+			v.docs[model.Service(service)] = versioned[primacy.Document]{doc, e.Revision}
+		}
+	}
+	return nil
+}
+
+// of returns the registered targets of a service in the order of their ids.
+func (v *view) of(service model.Service) []catalog.Target {
+	var list []catalog.Target
+	for _, t := range v.targets {
+		if t.Service == service {
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b catalog.Target) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// connectionLimit returns the number of connections that a host may hold to a target. The limits of all registered hosts
+// add up to what the target allows, less the spare ones; what cannot be divided goes to other hosts at each target.
+func (v *view) connectionLimit(self model.HostID, service model.Service, target model.TargetID) int {
+	available := v.catalog.Services[service].MaxConnections - spareConnections
+	hosts := slices.Sorted(maps.Keys(v.hosts))
+	n := max(len(hosts), 1)
+	limit := available / n
+	if rank, found := slices.BinarySearch(hosts, self); found {
+		offset := int(xxhash.Sum64String(string(target)) % uint64(n))
+		if (rank+offset)%n < available%n {
+			limit++
+		}
+	}
+	return max(limit, 1)
+}
--- /dev/null
+++ b/frontend/metrics.go
@@ -0,0 +1,43 @@
+package frontend
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// Metrics are the collectors of a server.
+type Metrics struct {
+	answers *prometheus.CounterVec
+	latency prometheus.Histogram
+	opens   *prometheus.CounterVec
+}
+
+// NewMetrics returns collectors that are registered with the registry.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "waxwingspindle_session_answers_total",
+			Help: "Answers to callers' statements by code."}, []string{"code"}),
+		latency: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "waxwingspindle_session_statement_seconds",
+			Help: "Time from a caller's statement to its answer.", Buckets: prometheus.ExponentialBuckets(.002, 2, 12)}),
+		opens: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "waxwingspindle_target_connections_opened_total",
+			Help: "Attempts to open a connection to a target by result."}, []string{"service", "result"}),
+	}
+	r.MustRegister(m.answers, m.latency, m.opens)
+	return m
+}
+
+func (m *Metrics) answered(code Code, took time.Duration) {
+	m.answers.WithLabelValues(code.String()).Inc()
+	m.latency.Observe(took.Seconds())
+}
+
+func (m *Metrics) opened(service model.Service, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.opens.WithLabelValues(string(service), result).Inc()
+}
--- /dev/null
+++ b/frontend/service.go
@@ -0,0 +1,387 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/pool"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/routing"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection; it takes 12 ms, and a slot of a busy target becomes free within a
+	// few statements.
+	dialTimeout = 500 * time.Millisecond
+	// plannedGrace is the time for which transactions on a primary that is replaced as planned may go on. Callers of other
+	// transactions wait meanwhile.
+	plannedGrace = 400 * time.Millisecond
+	// unknownLag stands for the lag of a replica that is behind every known position of its primary.
+	unknownLag = time.Minute
+)
+
+// errNoPermission means that the host may not use the primary at the moment. Nothing was sent.
+var errNoPermission = errors.New("this host may not use the primary now")
+
+// service runs the statements of one service on its targets.
+type service struct {
+	server *Server
+	name   model.Service
+	log    *zap.Logger
+
+	mu         sync.Mutex
+	pool       *pool.Pool
+	conns      map[pool.ConnID]*targetConn
+	waiters    map[pool.Ticket]chan<- grant
+	nextTicket pool.Ticket
+	targets    map[model.TargetID]catalog.Target
+	doc        primacy.Document
+	samples    *routing.Samples // positions of the primary of doc
+	reached    time.Time        // last answer of the primary of doc
+	failing    time.Time        // first failure since then
+}
+
+// targetConn is an open connection with the session state that it carries.
+type targetConn struct {
+	id        pool.ConnID
+	target    catalog.Target
+	workspace model.Workspace
+	conn      Conn
+	values    map[string]string
+	prepared  map[string]bool
+}
+
+// grant is the answer to a request for a connection.
+type grant struct {
+	conn    *targetConn
+	refused pool.Refusal
+}
+
+func newService(server *Server, name model.Service) *service {
+	return &service{server: server, name: name, log: server.log.With(zap.String("service", string(name))),
+		pool: pool.New(server.dataCentre), conns: map[pool.ConnID]*targetConn{},
+		waiters: map[pool.Ticket]chan<- grant{}, targets: map[model.TargetID]catalog.Target{}, samples: &routing.Samples{}}
+}
+
+// perform carries out actions of the pool. The lock is held.
+func (s *service) perform(actions []pool.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case pool.Grant:
+			s.answerWaiter(a.Ticket, grant{conn: s.conns[a.Conn]})
+		case pool.Refuse:
+			s.answerWaiter(a.Ticket, grant{refused: a.Reason})
+		case pool.Open:
+			go s.open(a, s.targets[a.Target])
+		case pool.Close:
+			s.close(a.Conn)
+		}
+	}
+}
+
+func (s *service) answerWaiter(ticket pool.Ticket, g grant) {
+	if waiter, ok := s.waiters[ticket]; ok {
+		delete(s.waiters, ticket)
+		waiter <- g
+	}
+}
+
+func (s *service) close(id pool.ConnID) {
+	if c := s.conns[id]; c != nil {
+		delete(s.conns, id)
+		go c.conn.Close()
+	}
+}
+
+// open opens a connection for the pool.
+func (s *service) open(a pool.Open, t catalog.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	sent := boottime.Now()
+	conn, position, err := s.server.dialer.Dial(ctx, t, a.Workspace)
+	s.server.metrics.opened(s.name, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	if err != nil {
+		s.log.Warn("target: connection failed", zap.String("target", string(t.ID)),
+			zap.String("workspace", string(a.Workspace)), zap.Error(err))
+		var refused *RefusedError
+		if !errors.As(err, &refused) || refused.Code == WrongTarget {
+			s.observeFailure(now, t.ID)
+		}
+		s.perform(s.pool.Opened(now, a.Conn, false))
+		return
+	}
+	if current := s.targets[t.ID]; current.Born != t.Born || current.Address != t.Address {
+		go conn.Close()
+		s.perform(s.pool.Opened(now, a.Conn, false))
+		return
+	}
+	s.conns[a.Conn] = &targetConn{id: a.Conn, target: t, workspace: a.Workspace, conn: conn,
+		values: map[string]string{}, prepared: map[string]bool{}}
+	s.observe(sent, now, t.ID, position)
+	s.perform(s.pool.Opened(now, a.Conn, true))
+}
+
+// observe takes over the position that a target answered to a question sent at the given time. The lock is held.
+func (s *service) observe(sent, now time.Time, id model.TargetID, position model.Position) {
+	if id == s.doc.Primary {
+		s.reached, s.failing = now, time.Time{}
+		if s.doc.Open && s.server.mayUsePrimary(sent) {
+			s.samples.Add(sent, position)
+		}
+		return
+	}
+	lag := unknownLag
+	if at, proven := s.samples.ProvenAt(position.Term, position); proven {
+		lag = now.Sub(at)
+	} else if s.samples.Latest().IsZero() {
+		return
+	}
+	s.pool.ObserveLag(now, id, lag)
+}
+
+// observeFailure records that the target could not be used. The lock is held.
+func (s *service) observeFailure(now time.Time, id model.TargetID) {
+	if id == s.doc.Primary && s.failing.IsZero() {
+		s.failing = now
+	}
+}
+
+// acquire waits for a connection. The request's ticket is filled in.
+func (s *service) acquire(r pool.Request) grant {
+	waiter := make(chan grant, 1)
+	s.mu.Lock()
+	s.nextTicket++
+	r.Ticket = s.nextTicket
+	s.waiters[r.Ticket] = waiter
+	s.perform(s.pool.Push(boottime.Now(), r))
+	s.mu.Unlock()
+	return <-waiter
+}
+
+// release returns a connection to the pool, or closes it if it is broken.
+func (s *service) release(c *targetConn, broken bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	if s.conns[c.id] != c {
+		broken = true // it was fenced meanwhile
+	}
+	if broken {
+		s.close(c.id)
+		s.observeFailure(now, c.target.ID)
+	}
+	s.perform(s.pool.Release(now, c.id, broken))
+}
+
+// run sends a command on a connection, together with what brings the connection to the state of the session. Commands
+// for the primary are sent only while this host may use it in the given epoch.
+func (s *service) run(c *targetConn, sess *sessionState, command Command, epoch uint64, deadline time.Time) (Reply, bool,
+	error) {
+	sent := boottime.Now()
+	if epoch != 0 {
+		s.mu.Lock()
+		allowed := s.doc.Open && s.doc.Epoch == epoch && s.conns[c.id] == c && s.server.mayUsePrimary(sent)
+		s.mu.Unlock()
+		if !allowed {
+			return Reply{}, false, errNoPermission
+		}
+	}
+	commands := c.prepare(sess, &command)
+	replies, left, err := c.conn.Run(deadline, commands)
+	if err != nil {
+		return Reply{}, left, err
+	}
+	for i, reply := range replies[:len(replies)-1] {
+		if reply.Code != Success {
+			return Reply{}, true, errors.New("the target refused to set up the connection: " +
+				commands[i].Name + " " + reply.Code.String())
+		}
+	}
+	reply := replies[len(replies)-1]
+	s.mu.Lock()
+	s.observe(sent, boottime.Now(), c.target.ID, reply.Position)
+	s.mu.Unlock()
+	return reply, true, nil
+}
+
+// prepare returns the commands that run a command with the values and prepared statements of a session. It changes the
+// name of a prepared statement to the one on this connection.
+func (c *targetConn) prepare(sess *sessionState, command *Command) []Command {
+	var commands []Command
+	add := func(kind Kind, name, args string) {
+		commands = append(commands, Command{Statement: Statement{ID: internalID, Kind: kind, Name: name, Args: args}})
+	}
+	if command.Kind == Commit || command.Kind == Rollback {
+		return []Command{*command}
+	}
+	for name := range c.values {
+		if _, wanted := sess.values[name]; !wanted {
+			add(Reset, "", "")
+			clear(c.values)
+			clear(c.prepared)
+			break
+		}
+	}
+	for name, value := range sess.values {
+		if current, set := c.values[name]; !set || current != value {
+			add(Set, name, value)
+			c.values[name] = value
+		}
+	}
+	if command.Kind == Execute {
+		p := sess.prepared[command.Name]
+		command.Name = p.remoteName()
+		if !c.prepared[command.Name] {
+			add(p.kind, command.Name, p.shape)
+			c.prepared[command.Name] = true
+		}
+	}
+	return append(commands, *command)
+}
+
+// setTargets replaces the registered targets. limit is the number of connections that this host may hold per target.
+func (s *service) setTargets(targets []catalog.Target, limit func(model.TargetID) int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	next := make(map[model.TargetID]catalog.Target, len(targets))
+	list := make([]pool.Target, 0, len(targets))
+	for _, t := range targets {
+		next[t.ID] = t
+		// The primary takes work until another target has taken over.
+		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
+		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: limit(t.ID), Draining: draining})
+	}
+	for id, old := range s.targets {
+		if t, still := next[id]; still && (t.Born != old.Born || t.Address != old.Address) {
+			s.breakConnections(now, id)
+		}
+	}
+	s.targets = next
+	s.perform(s.pool.SetTargets(now, list))
+}
+
+// breakConnections closes all connections to a target. What runs on them fails. The lock is held.
+func (s *service) breakConnections(now time.Time, id model.TargetID) {
+	s.perform(s.pool.CloseTarget(id))
+	for connID, c := range s.conns {
+		if c.target.ID == id {
+			s.close(connID)
+			s.perform(s.pool.Forget(now, connID))
+		}
+	}
+}
+
+// running reports whether a connection to the target is in use. The lock is held.
+func (s *service) running(id model.TargetID) bool {
+	for _, c := range s.conns {
+		if c.target.ID == id && s.pool.Busy(c.id) {
+			return true
+		}
+	}
+	return false
+}
+
+// setDocument takes over a decision about the primary. When it returns, nothing of an older decision is in use any more.
+func (s *service) setDocument(doc primacy.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if doc.Epoch <= s.doc.Epoch {
+		return
+	}
+	now := boottime.Now()
+	old := s.doc
+	s.log.Info("primary: decision in force", zap.Uint64("epoch", doc.Epoch), zap.Bool("open", doc.Open),
+		zap.String("target", string(doc.Primary)), zap.Uint64("term", doc.Term), zap.String("cause", string(doc.Cause)))
+	s.doc = doc
+	s.samples = &routing.Samples{}
+	s.reached, s.failing = now, time.Time{}
+	if doc.Open {
+		if old.Open && old.Primary != doc.Primary {
+			s.breakConnections(now, old.Primary)
+		}
+		s.perform(s.pool.SetPrimary(now, doc.Primary))
+		return
+	}
+	s.perform(s.pool.SetPrimary(now, ""))
+	if old.Primary == "" {
+		return
+	}
+	if doc.Planned {
+		s.awaitIdle(old.Primary)
+	}
+	if s.doc.Epoch == doc.Epoch {
+		s.breakConnections(boottime.Now(), old.Primary)
+	}
+}
+
+// awaitIdle waits until no connection to the target is in use, for plannedGrace at most. The lock is held, but not while
+// it waits.
+func (s *service) awaitIdle(id model.TargetID) {
+	const step = 5 * time.Millisecond
+	for waited := time.Duration(0); waited < plannedGrace && s.running(id); waited += step {
+		s.mu.Unlock()
+		time.Sleep(step)
+		s.mu.Lock()
+	}
+}
+
+// opinion returns how this host sees the primary.
+func (s *service) opinion() primacy.Opinion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	o := primacy.Opinion{Epoch: s.doc.Epoch, Reached: now.Sub(s.reached)}
+	if !s.failing.IsZero() {
+		o.Unreachable = max(now.Sub(s.failing), 1)
+	}
+	return o
+}
+
+// tick refuses requests that have waited too long.
+func (s *service) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.perform(s.pool.Tick(boottime.Now()))
+}
+
+// target returns a registered target.
+func (s *service) target(id model.TargetID) (catalog.Target, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.targets[id]
+	return t, ok
+}
+
+// primaryEpoch returns the epoch of the open decision about the primary, or false while there is none.
+func (s *service) primaryEpoch() (epoch uint64, primary model.TargetID, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.doc.Epoch, s.doc.Primary, s.doc.Open
+}
+
+// freshness returns the position that a read must find, and the time from which that data is, for a read that may be as
+// old as since and must see the mark of its session. It reports false if only the primary is known to be fresh enough.
+func (s *service) freshness(since time.Time, mark mark) (model.Position, time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, position, found := s.samples.Oldest(since)
+	if !found {
+		return model.Position{}, time.Time{}, false
+	}
+	if mark.epoch != s.doc.Epoch || slices.Max([]uint64{mark.position.Offset, position.Offset}) == position.Offset {
+		return position, at, true // whatever survived of an earlier epoch precedes every position of this one
+	}
+	return mark.position, mark.at, true
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gopkg.in/ini.v1"
+)
+
+// drainPart is the part of the time before the process is killed that a planned stop may use. Half of it is owed to open
+// transactions, and the end needs a few calls.
+const drainPart = 0.75
+
+// Settings are what a host's process has to know to start.
+type Settings struct {
+	Host       string `ini:"name"`
+	DataCentre string `ini:"data_centre"`
+	MemoryMB   int64  `ini:"memory_mb"`
+
+	Callers     string `ini:"callers"`      // address that callers connect to
+	Health      string `ini:"health"`       // address of the readiness check
+	PeerAddress string `ini:"peer_address"` // IP address for other hosts
+	PeerPorts   string `ini:"peer_ports"`   // first and last port, separated by a comma
+
+	Store  string `ini:"store"`  // address of the metadata store
+	Duties string `ini:"duties"` // address for orders of promotion
+
+	DrainSeconds float64 `ini:"drain_seconds"` // time between the request to stop and the kill
+}
+
+// Peers returns the address for other hosts.
+func (s Settings) Peers() string { return s.PeerAddress + ":" + s.port(0) }
+
+// Metrics returns the address of the metrics.
+func (s Settings) Metrics() string { return s.PeerAddress + ":" + s.port(1) }
+
+// port returns a port of the range that is free for the product.
+func (s Settings) port(n int) string {
+	var first int
+	if _, err := fmt.Sscanf(s.PeerPorts, "%d", &first); err != nil {
+		return ""
+	}
+	return fmt.Sprint(first + n)
+}
+
+// Drain returns the longest time that a planned stop may take.
+func (s Settings) Drain() time.Duration { return time.Duration(s.DrainSeconds * drainPart * float64(time.Second)) }
+
+// ReadSettings reads and checks a settings file. Keys that are not known are ignored.
+func ReadSettings(path string) (Settings, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return Settings{}, trace.Wrap(err, "the settings file cannot be read")
+	}
+	var s Settings
+	if err := file.Section("host").StrictMapTo(&s); err != nil {
+		return Settings{}, trace.Wrap(err, "section [host]")
+	}
+	return s, s.check()
+}
+
+func (s Settings) check() error {
+	var faults []string
+	if s.Host == "" {
+		faults = append(faults, "name is missing")
+	}
+	if s.DataCentre == "" {
+		faults = append(faults, "data_centre is missing")
+	}
+	addresses := []struct{ name, value string }{{"callers", s.Callers}, {"health", s.Health}, {"store", s.Store},
+		{"duties", s.Duties}, {"peer_address with peer_ports", s.Peers()}}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			faults = append(faults, fmt.Sprintf("%s: %q is not an IP address with a port", a.name, a.value))
+		}
+	}
+	if s.DrainSeconds < 0 {
+		faults = append(faults, "drain_seconds is negative")
+	}
+	if len(faults) > 0 {
+		return trace.BadParameter("settings: %s", strings.Join(faults, "; "))
+	}
+	return nil
+}
--- a/platform/platform.go
+++ b/kvclient/kvclient.go
@@ -1,5 +1,5 @@
-// Package platform is the client of the platform's key-value service and of its list of hosts.
-package platform
+// Package kvclient is the client of the platform's key-value service and of its list of hosts.
+package kvclient
 
 import (
 	"context"
--- /dev/null
+++ b/primacy/primacy.go
@@ -0,0 +1,196 @@
+// Package primacy decides which target of a service is its primary. The decision is a document in the metadata store that
+// one host, the leader, writes. A host uses a primary only while the document is open and while the host's own lease in
+// the store is live; the leader closes the document and waits until every other host has confirmed that, or has lost its
+// lease, before it has another target promoted. So no write is acknowledged by a primary that has been replaced. The
+// package is pure.
+package primacy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const (
+	// unreachableTime is the time without any answer after which a primary is replaced. New connections to a live target
+	// take 12 ms, and two probes fit into it.
+	unreachableTime = 800 * time.Millisecond
+	// opinionAge is the age up to which a host's view of a primary counts; hosts report every 250 ms.
+	opinionAge = time.Second
+)
+
+// Document is the decision about the primary of one service. Documents are ordered by Epoch.
+type Document struct {
+	Service model.Service
+	Epoch   uint64
+	// Open documents allow hosts to use Primary. A closed one names the primary that is being replaced.
+	Open    bool
+	Primary model.TargetID
+	Born    int64  // start of the primary; a later start of the same target is another primary
+	Term    uint64 // term in which Primary leads
+	// Planned replacements let running transactions end first.
+	Planned bool
+	Cause   Cause
+}
+
+// Cause tells why a primary is replaced.
+type Cause string
+
+// Causes of a replacement.
+const (
+	CauseNone        Cause = ""
+	CauseFirst       Cause = "no_primary_known"
+	CauseDraining    Cause = "draining"
+	CauseGone        Cause = "not_registered"
+	CauseRestarted   Cause = "restarted_without_data"
+	CauseDemoted     Cause = "not_primary"
+	CauseUnreachable Cause = "unreachable"
+)
+
+// Opinion is how a host sees the primary of a service.
+type Opinion struct {
+	Epoch       uint64
+	Reached     time.Duration // age of the last answer of the primary, or negative if there was none in this epoch
+	Unreachable time.Duration // for how long attempts have failed without an answer between; zero if the last one succeeded
+}
+
+// View is what the leader knows of the primary of a service.
+type View struct {
+	Listed   bool // it is registered
+	Draining bool
+	Born     int64
+	// Status is the last answer to the leader's own question, and Silent the time for which it has had none.
+	StatusKnown bool
+	IsPrimary   bool
+	Term        uint64
+	Silent      time.Duration
+	Opinions    []Opinion // of the other hosts, none older than opinionAge
+}
+
+// OpinionAge is the age up to which the leader should count a host's opinion.
+func OpinionAge() time.Duration { return opinionAge }
+
+// Check returns why the primary of an open document has to be replaced, or CauseNone.
+func Check(doc Document, v View) Cause {
+	switch {
+	case doc.Primary == "":
+		return CauseFirst
+	case !v.Listed:
+		return CauseGone
+	case v.Born != doc.Born:
+		return CauseRestarted
+	case v.Draining:
+		return CauseDraining
+	case v.StatusKnown && !v.IsPrimary && v.Term >= doc.Term:
+		return CauseDemoted
+	}
+	if lost(doc, v) {
+		return CauseUnreachable
+	}
+	return CauseNone
+}
+
+// lost reports whether at least half of the hosts that have an opinion, the leader included, have not reached the
+// primary for unreachableTime. A leader that is cut off from a primary which serves the others replaces nothing.
+func lost(doc Document, v View) bool {
+	against, in := 0, 0
+	if v.Silent >= unreachableTime {
+		against++
+	} else {
+		in++
+	}
+	for _, o := range v.Opinions {
+		switch {
+		case o.Epoch != doc.Epoch:
+		case o.Unreachable >= unreachableTime:
+			against++
+		case o.Unreachable == 0 && o.Reached >= 0 && o.Reached < unreachableTime:
+			in++
+		}
+	}
+	return against > 0 && against >= in
+}
+
+// Status is what a target says of itself.
+type Status struct {
+	Primary  bool
+	Term     uint64
+	Received model.Position // replicas may have received more than they have applied
+}
+
+// Candidate is a target that answered the leader after the document was closed.
+type Candidate struct {
+	ID         model.TargetID
+	Born       int64
+	DataCentre model.DataCentre
+	Draining   bool
+	IsPrimary  bool
+	Term       uint64
+	Received   model.Position
+}
+
+// Group is what the leader knows of the targets of a service while it replaces the primary.
+type Group struct {
+	Old          model.TargetID
+	OldBorn      int64 // start of the old primary at which it led
+	OldTerm      uint64
+	Targets      int // registered targets
+	SyncReplicas int
+	Candidates   []Candidate // those that answered
+}
+
+// Choice is the result of Choose.
+type Choice struct {
+	Target   Candidate
+	Promoted bool // it already leads a later term, so nothing has to be promoted
+	Final    bool // false if no target can be promoted without losing acknowledged commits
+}
+
+// Choose picks the next primary. A target that already leads a later term is taken as it is. Otherwise it is the one that
+// received most. With synchronous replicas so many targets must answer that one of them has every acknowledged commit.
+func Choose(g Group) Choice {
+	list := slices.Clone(g.Candidates)
+	slices.SortFunc(list, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.Term, a.Term), compareReceived(b, a), cmp.Compare(a.ID, b.ID))
+	})
+	for _, c := range list {
+		if c.IsPrimary && c.Term > g.OldTerm {
+			return Choice{Target: c, Promoted: true, Final: true}
+		}
+	}
+	replicas := slices.DeleteFunc(list, func(c Candidate) bool { return c.ID == g.Old && c.Born == g.OldBorn })
+	slices.SortStableFunc(replicas, func(a, b Candidate) int {
+		return cmp.Or(compareReceived(b, a), compareDraining(a, b), cmp.Compare(a.ID, b.ID))
+	})
+	others := g.Targets - 1
+	if len(replicas) == 0 || g.SyncReplicas > 0 && len(replicas) < others-g.SyncReplicas+1 {
+		return Choice{}
+	}
+	return Choice{Target: replicas[0], Final: true}
+}
+
+func compareReceived(a, b Candidate) int {
+	return cmp.Or(cmp.Compare(a.Received.Term, b.Received.Term), cmp.Compare(a.Received.Offset, b.Received.Offset))
+}
+
+func compareDraining(a, b Candidate) int {
+	switch {
+	case a.Draining == b.Draining:
+		return 0
+	case a.Draining:
+		return 1
+	}
+	return -1
+}
+
+// CaughtUp reports whether a candidate has received everything that the old primary has, if the old one answered.
+func (g Group) CaughtUp(c Candidate) bool {
+	for _, old := range g.Candidates {
+		if old.ID == g.Old && old.Born == g.OldBorn {
+			return compareReceived(c, old) >= 0
+		}
+	}
+	return true
+}
--- a/routing/samples.go
+++ b/routing/samples.go
@@ -61,6 +61,25 @@
 	return time.Time{}, false
 }
 
+// Oldest returns the oldest sample that was taken at or after since. A target at its position has everything that the
+// primary had acknowledged at that time, and the oldest one is the easiest to reach for a replica.
+func (s *Samples) Oldest(since time.Time) (at time.Time, position model.Position, found bool) {
+	for _, sample := range s.list {
+		if !sample.at.Before(since) {
+			return sample.at, sample.position, true
+		}
+	}
+	return time.Time{}, model.Position{}, false
+}
+
+// Latest returns the time of the newest sample, or the zero time.
+func (s *Samples) Latest() time.Time {
+	if len(s.list) == 0 {
+		return time.Time{}
+	}
+	return s.list[len(s.list)-1].at
+}
+
 // thin removes every second sample of the older half.
 func (s *Samples) thin() {
 	kept := s.list[:0]
--- a/server/changes.go
+++ b/server/changes.go
@@ -17,9 +17,9 @@
 	"github.com/waxwingspindle/waxwingspindle/freshness"
 	genoperator "github.com/waxwingspindle/waxwingspindle/gen/operator"
 	"github.com/waxwingspindle/waxwingspindle/key"
+	"github.com/waxwingspindle/waxwingspindle/kvclient"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/operator"
-	"github.com/waxwingspindle/waxwingspindle/platform"
 )
 
 const (
@@ -52,7 +52,7 @@
 
 // readDocument reads the newest document with its revision from the store.
 func (s *Server) readDocument(ctx context.Context) (*config.Document, uint64, error) {
-	e, err := s.options.Store.Get(ctx, platform.KeyConfiguration)
+	e, err := s.options.Store.Get(ctx, kvclient.KeyConfiguration)
 	s.metrics.StoreCall("get", err)
 	if err != nil {
 		return nil, 0, err
@@ -143,7 +143,7 @@
 	if err != nil {
 		return nil, false, &operator.NotAcceptedError{Why: err.Error()}
 	}
-	swapped, err := s.options.Store.Swap(ctx, platform.KeyConfiguration, revision, data)
+	swapped, err := s.options.Store.Swap(ctx, kvclient.KeyConfiguration, revision, data)
 	s.metrics.StoreCall("swap", err)
 	if err != nil {
 		*sent = true
--- a/server/follow.go
+++ b/server/follow.go
@@ -11,8 +11,8 @@
 
 	"github.com/waxwingspindle/waxwingspindle/config"
 	"github.com/waxwingspindle/waxwingspindle/freshness"
+	"github.com/waxwingspindle/waxwingspindle/kvclient"
 	"github.com/waxwingspindle/waxwingspindle/membership"
-	"github.com/waxwingspindle/waxwingspindle/platform"
 	"github.com/waxwingspindle/waxwingspindle/roster"
 )
 
@@ -135,7 +135,7 @@
 		listed := make([]membership.ListedHost, len(list))
 		for i, h := range list {
 			listed[i] = membership.ListedHost{ID: h.ID, DataCentre: h.DataCentre, RPCAddress: h.Address,
-				GossipAddress: h.Address, Leaving: h.State == platform.HostLeaving}
+				GossipAddress: h.Address, Leaving: h.State == kvclient.HostLeaving}
 		}
 		s.control.post(func(now time.Time) { s.state.hostList(now, listed) })
 		sleep(ctx, hostListInterval)
@@ -233,7 +233,7 @@
 		s.log.Error("roster: version cannot be encoded", zap.Error(err))
 		return false
 	}
-	e, err := s.options.Store.Get(ctx, platform.KeyRoster)
+	e, err := s.options.Store.Get(ctx, kvclient.KeyRoster)
 	s.metrics.StoreCall("get", err)
 	if err != nil || !precedes(e.Value, next) {
 		return false
@@ -243,7 +243,7 @@
 		s.log.Warn("roster: change not made", zap.String("reason", reason), zap.Error(err))
 		return false
 	}
-	swapped, err := s.options.Store.Swap(ctx, platform.KeyRoster, e.Revision, data)
+	swapped, err := s.options.Store.Swap(ctx, kvclient.KeyRoster, e.Revision, data)
 	s.metrics.StoreCall("swap", err)
 	if err == nil && !swapped {
 		s.cancel(change)
--- a/server/proofs.go
+++ b/server/proofs.go
@@ -10,16 +10,16 @@
 	"github.com/waxwingspindle/waxwingspindle/config"
 	"github.com/waxwingspindle/waxwingspindle/daemon"
 	"github.com/waxwingspindle/waxwingspindle/freshness"
+	"github.com/waxwingspindle/waxwingspindle/kvclient"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/placement"
-	"github.com/waxwingspindle/waxwingspindle/platform"
 	"github.com/waxwingspindle/waxwingspindle/roster"
 )
 
 // documents maps the documents of the proofs to the keys in the store.
 var documents = map[freshness.Document]string{
-	freshness.Configuration: platform.KeyConfiguration,
-	freshness.Roster:        platform.KeyRoster,
+	freshness.Configuration: kvclient.KeyConfiguration,
+	freshness.Roster:        kvclient.KeyRoster,
 }
 
 // proofs relays documents and the proofs that they are fresh. Only the control goroutine uses it.
--- a/server/server.go
+++ b/server/server.go
@@ -19,10 +19,10 @@
 	"github.com/waxwingspindle/waxwingspindle/caller"
 	"github.com/waxwingspindle/waxwingspindle/config"
 	"github.com/waxwingspindle/waxwingspindle/daemon"
+	"github.com/waxwingspindle/waxwingspindle/kvclient"
 	"github.com/waxwingspindle/waxwingspindle/metrics"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/operator"
-	"github.com/waxwingspindle/waxwingspindle/platform"
 	"github.com/waxwingspindle/waxwingspindle/roster"
 )
 
@@ -39,8 +39,8 @@
 	Log      *zap.Logger
 	Level    zap.AtomicLevel      // level of the log, set by the configuration; the zero value leaves the level alone
 	Registry *prometheus.Registry // a new one when nil
-	Store    platform.Store       // a client of Daemon.PlatformURL when nil
-	Hosts    platform.HostLister  // a client of Daemon.PlatformURL when nil
+	Store    kvclient.Store       // a client of Daemon.PlatformURL when nil
+	Hosts    kvclient.HostLister  // a client of Daemon.PlatformURL when nil
 }
 
 // Server is a daemon.
@@ -104,7 +104,7 @@
 	if o.Store != nil && o.Hosts != nil {
 		return nil
 	}
-	client, err := platform.NewClient(o.Daemon.PlatformURL)
+	client, err := kvclient.NewClient(o.Daemon.PlatformURL)
 	if err != nil {
 		return err
 	}
