Hand out rate tokens from one bucket at the leader, and notice missed store events

Now three quarters of each limit are one bucket at the leader. A host that does not reach it uses its equal part, which the leader leaves out.

Reports to the leader now return the revisions of its last changes, and a host that lags lists again.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -35,14 +34,15 @@
 	leaseMargin = 100 * time.Millisecond
 	// callTimeout bounds a call of the store. A slow store takes 0.4 s.
 	callTimeout = 1200 * time.Millisecond
-	// watchWait is the longest wait of a watch.
-	watchWait = 20 * time.Second
 	// retryInterval is the time between two attempts of a failing call.
 	retryInterval = 250 * time.Millisecond
 	// reportInterval is the time between two reports to the leader.
 	reportInterval = 300 * time.Millisecond
 )
 
+// queuedEvents bounds the events that wait for the control goroutine; each takes microseconds.
+const queuedEvents = 256
+
 // Decoders translate the items of the platform.
 type Decoders struct {
 	ConfigurationKey string
@@ -82,6 +82,10 @@
 	events chan func(*control)
 	ready  atomic.Bool
 
+	leaderHeard atomic.Int64 // boot time in nanoseconds of the last report that the leader answered
+	followMu    sync.Mutex
+	followers   map[string]*follower // by prefix
+
 	leaderMu sync.Mutex
 	leading  *leadership // nil while another host leads
 }
@@ -97,8 +101,10 @@
 
 // New returns an agent that does nothing until Run.
 func New(c Config) *Agent {
-	a := &Agent{Config: c, peers: newPeers(), events: make(chan func(*control), 256)}
+	a := &Agent{Config: c, peers: newPeers(), events: make(chan func(*control), queuedEvents),
+		followers: map[string]*follower{}}
 	a.view.Store(newView())
+	c.Server.SetBroker(a.takeTokens)
 	return a
 }
 
@@ -140,49 +146,6 @@
 	}
 }
 
-// change is a step of a watched prefix: all items, or the events since the last step.
-type change struct {
-	whole  bool
-	events []metastore.Event
-}
-
-// follow lists a prefix and watches it, and lists it again after a gap.
-func (a *Agent) follow(ctx context.Context, prefix string, apply func(*control, change)) {
-	dep := dependency{log: a.Log, name: "store watch of " + prefix}
-	for ctx.Err() == nil {
-		items, revision, err := a.list(ctx, prefix)
-		if dep.observe(err); err != nil {
-			sleep(ctx, retryInterval)
-			continue
-		}
-		events := make([]metastore.Event, 0, len(items))
-		for _, item := range items {
-			events = append(events, metastore.Event{Item: item})
-		}
-		a.post(ctx, func(c *control) { apply(c, change{whole: true, events: events}) })
-		a.watch(ctx, prefix, revision, apply, &dep)
-	}
-}
-
-// watch follows a prefix from a revision until its history is gone.
-func (a *Agent) watch(ctx context.Context, prefix string, revision uint64, apply func(*control, change),
-	dep *dependency) {
-	for ctx.Err() == nil {
-		events, next, err := a.Store.Watch(ctx, prefix, revision, watchWait)
-		if errors.Is(err, metastore.ErrCompacted) {
-			return
-		}
-		if dep.observe(err); err != nil {
-			sleep(ctx, retryInterval)
-			continue
-		}
-		revision = next
-		if len(events) > 0 {
-			a.post(ctx, func(c *control) { apply(c, change{events: events}) })
-		}
-	}
-}
-
 func (a *Agent) list(ctx context.Context, prefix string) ([]metastore.Item, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -115,7 +115,7 @@
 	run, stop := context.WithCancel(ctx)
 	defer stop()
 	l := &leadership{agent: a, lease: lease, fence: fence, stop: stop, until: sent.Add(ttl - leaseMargin),
-		broker:   share.NewBroker(boottime.Now(), false),
+		broker:   share.NewBroker(),
 		opinions: map[model.HostID]opinion{}, watched: map[model.Service]bool{}}
 	a.Log.Info("leader: this host leads", zap.Uint64("fence", fence))
 	a.setLeading(l)
@@ -181,10 +181,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.opinions[r.Host.ID] = opinion{now, r.Opinions}
-	answer := ReportAnswer{Granted: l.broker.Report(now, r.Share)}
-	if l.allHeard(v) {
-		l.broker.Known()
-	}
+	l.broker.SetLimits(v.catalog.Limits, len(v.hosts))
+	l.broker.Report(now, r.Host.ID, r.Alone)
+	answer := ReportAnswer{Revisions: l.agent.revisions()}
 	if r.Configuration < v.catalog.Version {
 		answer.Configuration = v.rawConfig
 	}
@@ -196,16 +195,6 @@
 	return answer
 }
 
-// allHeard reports whether every registered host has reported, so that no other one can hold a part of a limit.
-func (l *leadership) allHeard(v *view) bool {
-	for id, h := range v.hosts {
-		if !l.broker.Heard(id, h.Incarnation) {
-			return false
-		}
-	}
-	return true
-}
-
 // supervise starts a supervisor for each service of the configuration.
 func (l *leadership) supervise(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -13,7 +13,6 @@
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
-	"github.com/waxwingspindle/waxwingspindle/share"
 )
 
 var (
@@ -23,6 +22,12 @@
 	errStarted   = errors.New("this host has another incarnation")
 )
 
+// tokenTimeout bounds a question to the broker; its caller waits, and an answer takes some milliseconds.
+const tokenTimeout = 60 * time.Millisecond
+
+// reportTimeout bounds a report; the leader answers at once.
+const reportTimeout = 500 * time.Millisecond
+
 // peerDialTimeout bounds the opening of a connection to another host, which takes a few milliseconds.
 const peerDialTimeout = 300 * time.Millisecond
 
@@ -91,7 +96,7 @@
 // ReportRequest is what a host tells the leader at intervals.
 type ReportRequest struct {
 	Host          Host
-	Share         share.Report
+	Alone         bool // the host has not heard the leader for too long
 	Opinions      map[model.Service]primacy.Opinion
 	Configuration int64 // version in force
 	Epochs        map[model.Service]uint64
@@ -99,9 +104,10 @@
 
 // ReportAnswer brings a host what it does not have yet.
 type ReportAnswer struct {
-	Granted       share.Granted
 	Configuration []byte // empty if the host has the same version
-	Documents     []primacy.Document
+	// Revisions are the last changes that the leader knows of, by prefix of keys.
+	Revisions map[string]uint64
+	Documents []primacy.Document
 }
 
 // FenceRequest asks a host to put a decision in force.
@@ -161,6 +167,48 @@
 	return nil
 }
 
+// TokenRequest asks the broker for tokens of a workspace's limit.
+type TokenRequest struct {
+	Workspace model.Workspace
+	Tokens    float64
+}
+
+// TokenAnswer is the broker's answer.
+type TokenAnswer struct {
+	Granted float64
+	Wait    time.Duration
+}
+
+// Take hands out tokens of a workspace's limit.
+func (p *Peer) Take(r TokenRequest, answer *TokenAnswer) error {
+	p.agent.leaderMu.Lock()
+	l := p.agent.leading
+	p.agent.leaderMu.Unlock()
+	if l == nil || !l.valid() {
+		return errNotLeader
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answer.Granted, answer.Wait = l.broker.Take(boottime.Now(), r.Workspace, r.Tokens)
+	return nil
+}
+
+// takeTokens takes tokens from the broker, which is the leader.
+func (a *Agent) takeTokens(workspace model.Workspace, n float64) (float64, time.Duration, error) {
+	leader, ok := a.view.Load().leaderHost()
+	if !ok {
+		return 0, 0, errNoLeader
+	}
+	request, answer := TokenRequest{workspace, n}, TokenAnswer{}
+	var err error
+	if leader.ID == a.Self.ID {
+		err = (&Peer{a}).Take(request, &answer)
+	} else {
+		err = a.peers.call(leader, "Peer.Take", request, &answer, tokenTimeout)
+	}
+	return answer.Granted, answer.Wait, err
+}
+
 // reportLoop reports to the leader.
 func (a *Agent) reportLoop(ctx contextDone) {
 	dep := dependency{log: a.Log, name: "leader"}
@@ -170,6 +218,9 @@
 			return
 		case <-time.After(reportInterval):
 			dep.observe(a.reportOnce())
+			if a.followsAlone() {
+				a.interruptWatches()
+			}
 		}
 	}
 }
@@ -181,9 +232,8 @@
 		return errNoLeader
 	}
 	sent := boottime.Now()
-	request := ReportRequest{Host: a.Self, Share: a.Server.Report(), Opinions: a.Server.Opinions(),
+	request := ReportRequest{Host: a.Self, Alone: a.Server.Alone(), Opinions: a.Server.Opinions(),
 		Configuration: v.catalog.Version, Epochs: map[model.Service]uint64{}}
-	request.Share.Host, request.Share.Incarnation = a.Self.ID, a.Self.Incarnation
 	for service, doc := range v.docs {
 		request.Epochs[service] = doc.value.Epoch
 	}
@@ -192,10 +242,12 @@
 		if err := (&Peer{a}).Report(request, &answer); err != nil {
 			return err
 		}
-	} else if err := a.peers.call(leader, "Peer.Report", request, &answer, callTimeout); err != nil {
+	} else if err := a.peers.call(leader, "Peer.Report", request, &answer, reportTimeout); err != nil {
 		return err
 	}
-	a.Server.Grant(sent, answer.Granted)
+	a.Server.BrokerAnswered(sent)
+	a.leaderHeard.Store(sent.UnixNano())
+	a.compareRevisions(answer.Revisions)
 	if len(answer.Configuration) > 0 || len(answer.Documents) > 0 {
 		a.Log.Info("leader: brought what the store has not", zap.Int("documents", len(answer.Documents)),
 			zap.Int("configuration_bytes", len(answer.Configuration)))
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -26,6 +26,10 @@
 	fallbackTimeout = time.Second
 )
 
+// TakeTokens takes up to n tokens of a workspace's limit from the broker. Without a token the wait tells when there may be
+// one.
+type TakeTokens func(workspace model.Workspace, n float64) (granted float64, wait time.Duration, err error)
+
 // Server serves the callers of one host.
 type Server struct {
 	dataCentre model.DataCentre
@@ -42,8 +46,9 @@
 	services map[model.Service]*service
 	sessions map[*session]CallerConn
 
-	limitMu sync.Mutex
-	limiter *share.Limiter
+	takeTokens TakeTokens
+	limitMu    sync.Mutex
+	limiter    *share.Limiter
 }
 
 // New returns a server without a configuration, which refuses everything.
@@ -127,25 +132,22 @@
 
 func (s *Server) mayUsePrimary(now time.Time) bool { return now.UnixNano() < s.primaryUntil.Load() }
 
-// Report returns this host's report to the broker of the rate limits.
-func (s *Server) Report() share.Report {
+// Alone reports whether this host has not heard the broker of the rate limits for too long.
+func (s *Server) Alone() bool {
 	s.limitMu.Lock()
 	defer s.limitMu.Unlock()
-	return s.limiter.Report(boottime.Now())
+	return s.limiter.Alone(boottime.Now())
 }
 
-// Grant takes over the broker's answer to a report that was sent at the given time.
-func (s *Server) Grant(sent time.Time, g share.Granted) {
+// BrokerAnswered records that the broker has answered a report that was sent at the given time.
+func (s *Server) BrokerAnswered(sent time.Time) {
 	s.limitMu.Lock()
 	defer s.limitMu.Unlock()
-	s.limiter.Grant(boottime.Now(), sent, g)
+	s.limiter.Answered(boottime.Now(), sent)
 }
 
-func (s *Server) admit(now time.Time, workspace model.Workspace, longest time.Duration) (bool, time.Duration) {
-	s.limitMu.Lock()
-	defer s.limitMu.Unlock()
-	return s.limiter.Admit(now, workspace, longest)
-}
+// SetBroker sets how tokens are taken from the broker.
+func (s *Server) SetBroker(take TakeTokens) { s.takeTokens = take }
 
 // Open checks the database and the key of a new session. It returns Success, or the code to refuse the session with.
 func (s *Server) Open(database, key string) Code {
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -21,9 +21,6 @@
 const internalID = "-"
 
 const (
-	// longestAdmission is the longest wait for a token of the rate limit. It is short beside every latency target, so that
-	// a refused caller can come back in time.
-	longestAdmission = 50 * time.Millisecond
 	// maxAttempts bounds the attempts to run one statement inside its timeout.
 	maxAttempts = 5
 	// retryPause is the time before another attempt at a busy target, about the time of one statement.
@@ -221,7 +218,7 @@
 }
 
 // admit checks the route, the key and the rate at the begin of an operation.
-func (s *session) admit(now time.Time) (catalog.Route, model.Workspace, *service, Answer) {
+func (s *session) admit() (catalog.Route, model.Workspace, *service, Answer) {
 	c := s.server.catalog()
 	route, known := c.Routes[s.database]
 	if !known {
@@ -232,14 +229,11 @@
 		return route, "", nil, refuse(Unauthenticated, "unknown key")
 	}
 	svc := s.server.service(route.Service)
-	admitted, wait := s.server.admit(now, workspace, min(longestAdmission, route.LatencyTarget/4))
+	admitted, wait := s.server.admit(workspace, min(longestAdmission, route.LatencyTarget/4))
 	if !admitted {
 		return route, workspace, nil, refuse(Busy, "the rate of the workspace is used up; retry after "+
 			wait.Round(time.Millisecond).String())
 	}
-	if wait > 0 {
-		time.Sleep(wait)
-	}
 	return route, workspace, svc, Answer{}
 }
 
@@ -248,7 +242,7 @@
 	if s.txn != nil {
 		return refuse(Malformed, "a transaction is open")
 	}
-	_, _, svc, refusal := s.admit(now)
+	_, _, svc, refusal := s.admit()
 	if refusal.Code != Success {
 		return refusal
 	}
@@ -283,7 +277,7 @@
 	if s.txn != nil {
 		return s.runInTxn(now, st)
 	}
-	route, workspace, svc, refusal := s.admit(now)
+	route, workspace, svc, refusal := s.admit()
 	if refusal.Code != Success {
 		return refusal
 	}
--- a/share/share.go
+++ b/share/share.go
@@ -1,13 +1,15 @@
-// Package share divides the rate and burst of each workspace over the hosts. One host, the broker, gives every host a
-// fraction of each limit in proportion to what its callers ask for; a host that the broker does not reach falls back to a
-// small fixed part. The fractions that are out at any moment add up to at most one. The package is pure.
+// Package share divides the rate and burst of each workspace over the hosts. A small fixed part of each limit belongs to the
+// hosts equally; the rest is one bucket at the broker, from which hosts take tokens when their own part is used up. A host
+// that does not reach the broker uses its equal part of the whole limit instead, and the broker leaves that much out. The
+// tokens of all hosts together never exceed the limit. The package is pure.
 //
-// The load that it answers: callers of a workspace that sit on few hosts, so that equal parts would refuse requests inside
-// the limit, and a workspace that asks for many times its rate.
+// The load that it answers: callers of a workspace that sit on few hosts, so that equal parts would refuse operations
+// inside the limit, small workspaces whose equal parts are below one operation a second, and a workspace that asks for many
+// times its rate.
 package share
 
 import (
-	"maps"
+	"math"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/catalog"
@@ -15,253 +17,223 @@
 )
 
 const (
-	// fixedPart is the part of a limit that is divided equally and needs no broker. A quarter leaves three quarters to
-	// follow the callers.
+	// fixedPart is the part of a limit that is divided equally while hosts reach the broker. It spares most operations a
+	// question to the broker when a workspace uses a quarter of its rate.
 	fixedPart = 0.25
-	// Validity is the time for which a host may use a fraction, from the time at which it asked. It outlasts the usual
-	// outages of the store, during which no new broker can be chosen.
-	Validity = 10 * time.Second
-	// validityMargin is added by the broker for clocks that run at different rates.
-	validityMargin = 200 * time.Millisecond
-	// idleWeight is what a host without demand counts in the division, as a part of the mean demand, so that a first
-	// request finds a token.
-	idleWeight = 0.3
-	// demandDecay is the part of the previous demand that a report keeps; a change of load shows after about three
-	// reports.
-	demandDecay = 0.7
+	// heardFor is the time for which a report proves to the broker that a host uses its fixed part only. It is shorter than
+	// aloneAfter, so that the broker leaves the host's equal part out before the host uses it.
+	heardFor = 700 * time.Millisecond
+	// aloneAfter is the time without an answer of the broker after which a host uses its equal part of the whole limit. It
+	// is three reports.
+	aloneAfter = 1100 * time.Millisecond
+	// prefetch is the time whose demand a host takes from the broker at once; it bounds the questions to some ten a second
+	// for each workspace.
+	prefetch = 60 * time.Millisecond
+	// lentFor is the time for which tokens of the broker are kept.
+	lentFor = time.Second
+	// emptyFor is the longest time for which a host does not ask again after the broker had no token.
+	emptyFor = 30 * time.Millisecond
 )
 
-// Demand is the number of operations that callers of a host asked for since its last report, by workspace.
-type Demand map[model.Workspace]float64
+// Limits are the limits of all workspaces.
+type Limits map[model.Workspace]catalog.Limit
 
-// Fractions are the parts of the limits that a host may use beyond its fixed part, by workspace.
-type Fractions map[model.Workspace]float64
-
-// Report is what a host tells the broker.
-type Report struct {
-	Host        model.HostID
-	Incarnation model.Incarnation
-	Received    uint64 // number of the last grant that the host received from this broker
-	Held        Fractions
-	Demand      Demand
+type bucket struct {
+	level   float64
+	updated time.Time
 }
 
-// Granted is the broker's answer to a report.
-type Granted struct {
-	Number    uint64
-	Fractions Fractions
+// refill adds what a rate has brought since the last refill, up to the burst. At least one token fits.
+func (b *bucket) refill(now time.Time, rate, burst float64) {
+	if elapsed := now.Sub(b.updated).Seconds(); elapsed > 0 && !b.updated.IsZero() {
+		b.level += elapsed * rate
+	}
+	if now.After(b.updated) {
+		b.updated = now
+	}
+	b.level = min(b.level, max(1, burst))
 }
 
-type borrower struct {
-	incarnation model.Incarnation
-	number      uint64
-	demand      Demand
-	latest      Fractions // the last grant
-	previous    Fractions // what the host may still use until it confirms the last grant
-	until       time.Time
+// untilToken returns the time until the bucket has a token.
+func (b *bucket) untilToken(rate float64) time.Duration {
+	if rate <= 0 {
+		return time.Second
+	}
+	return time.Duration(max(0, 1-b.level) / rate * float64(time.Second))
 }
 
-// Broker divides the limits. It is not safe for concurrent use.
+// Broker hands out what is not divided. It is not safe for concurrent use.
 type Broker struct {
-	hosts    map[model.HostID]*borrower
-	openFrom time.Time // until then hosts may hold fractions that this broker has not heard of
-}
-
-// NewBroker returns a broker. Unless it is the first broker of all, other hosts may hold fractions of an earlier one, so
-// it only renews what hosts report until those have expired.
-func NewBroker(now time.Time, first bool) *Broker {
-	b := &Broker{hosts: map[model.HostID]*borrower{}}
-	if !first {
-		b.openFrom = now.Add(Validity + validityMargin)
-	}
-	return b
+	limits  Limits
+	hosts   int
+	heard   map[model.HostID]time.Time // last report of a host that uses its fixed part only
+	buckets map[model.Workspace]*bucket
 }
 
-// Known tells the broker that it has heard of every host that can hold a fraction, so that it need not wait for old ones
-// to expire.
-func (b *Broker) Known() { b.openFrom = time.Time{} }
-
-// Heard reports whether the incarnation of the host has reported to this broker.
-func (b *Broker) Heard(host model.HostID, incarnation model.Incarnation) bool {
-	h := b.hosts[host]
-	return h != nil && h.incarnation == incarnation
+// NewBroker returns a broker with empty buckets. It regards every host as alone until it reports.
+func NewBroker() *Broker {
+	return &Broker{heard: map[model.HostID]time.Time{}, buckets: map[model.Workspace]*bucket{}, hosts: 1}
 }
 
-// Report takes the report of a host and returns its new fractions.
-func (b *Broker) Report(now time.Time, r Report) Granted {
-	h := b.hosts[r.Host]
-	if h == nil || h.incarnation != r.Incarnation {
-		h = &borrower{incarnation: r.Incarnation, demand: Demand{}, latest: r.Held}
-		b.hosts[r.Host] = h
-	}
-	if r.Received == h.number {
-		h.previous = nil
-	}
-	h.observe(r.Demand)
-	b.expire(now)
-	next := Fractions{}
-	for workspace := range h.demand {
-		wanted := (1 - fixedPart) * b.weight(h, workspace)
-		next[workspace] = max(0, min(wanted, 1-fixedPart-b.outstanding(h, workspace)))
-		if now.Before(b.openFrom) {
-			next[workspace] = min(next[workspace], h.holds(workspace))
-		}
-	}
-	h.previous = h.upper()
-	h.latest = next
-	h.number++
-	h.until = now.Add(Validity + validityMargin)
-	return Granted{Number: h.number, Fractions: next}
-}
+// SetLimits replaces the limits and the number of registered hosts.
+func (b *Broker) SetLimits(limits Limits, hosts int) { b.limits, b.hosts = limits, max(hosts, 1) }
 
-func (h *borrower) observe(d Demand) {
-	for workspace := range h.demand {
-		h.demand[workspace] *= demandDecay
-	}
-	for workspace, n := range d {
-		h.demand[workspace] += n
+// Report takes a report of a host. A host that is alone uses its equal part of the whole limit.
+func (b *Broker) Report(now time.Time, host model.HostID, alone bool) {
+	if alone {
+		delete(b.heard, host)
+		return
 	}
+	b.heard[host] = now
 }
 
-// holds returns the greatest fraction of a workspace that the host may be using.
-func (h *borrower) holds(workspace model.Workspace) float64 {
-	return max(h.latest[workspace], h.previous[workspace])
-}
-
-func (h *borrower) upper() Fractions {
-	all := maps.Clone(h.latest)
-	if all == nil {
-		all = Fractions{}
-	}
-	for workspace, f := range h.previous {
-		all[workspace] = max(all[workspace], f)
+// Take hands out up to n tokens, whole ones. Without a token the wait tells when there may be one.
+func (b *Broker) Take(now time.Time, workspace model.Workspace, n float64) (granted float64, wait time.Duration) {
+	limit := b.limits[workspace]
+	part := b.part(now)
+	k := b.buckets[workspace]
+	if k == nil {
+		k = &bucket{}
+		b.buckets[workspace] = k
 	}
-	return all
+	k.refill(now, part*limit.PerSecond, part*limit.Burst)
+	granted = math.Floor(min(n, k.level))
+	k.level -= granted
+	return granted, k.untilToken(part * limit.PerSecond)
 }
 
-func (b *Broker) outstanding(except *borrower, workspace model.Workspace) float64 {
-	sum := 0.0
-	for _, h := range b.hosts {
-		if h != except {
-			sum += h.holds(workspace)
+// part returns the part of the limits that no host uses on its own.
+func (b *Broker) part(now time.Time) float64 {
+	connected := 0
+	for host, at := range b.heard {
+		if now.Sub(at) > heardFor {
+			delete(b.heard, host)
+			continue
 		}
+		connected++
 	}
-	return sum
+	connected = min(connected, b.hosts)
+	alone := float64(b.hosts-connected) / float64(b.hosts)
+	return max(0, 1-alone-fixedPart*float64(connected)/float64(b.hosts))
 }
 
-func (b *Broker) weight(h *borrower, workspace model.Workspace) float64 {
-	total := 0.0
-	for _, other := range b.hosts {
-		total += other.demand[workspace]
-	}
-	if total == 0 {
-		return 1 / float64(len(b.hosts))
-	}
-	idle := idleWeight * total / float64(len(b.hosts))
-	return (h.demand[workspace] + idle) / (total * (1 + idleWeight))
+type account struct {
+	bucket
+	lent      float64 // tokens of the broker
+	lentUntil time.Time
+	empty     time.Time // until then the broker is not asked
+	demand    float64   // operations a second, averaged
+	seen      time.Time
 }
 
-func (b *Broker) expire(now time.Time) {
-	maps.DeleteFunc(b.hosts, func(_ model.HostID, h *borrower) bool {
-		return !h.until.IsZero() && now.After(h.until)
-	})
-}
-
-type bucket struct {
-	level   float64
-	updated time.Time
+// Verdict is the answer to an operation that wants to start.
+type Verdict struct {
+	Admitted bool
+	// Ask is the number of tokens to ask the broker for, if the operation is not admitted yet.
+	Ask float64
+	// Wait is the time until this host will have a token of its own.
+	Wait time.Duration
 }
 
 // Limiter admits the operations of one host. It is not safe for concurrent use.
 type Limiter struct {
-	limits    map[model.Workspace]catalog.Limit
-	hosts     int
-	fractions Fractions
-	until     time.Time
-	received  uint64
-	buckets   map[model.Workspace]*bucket
-	demand    Demand
+	limits   Limits
+	hosts    int
+	answered time.Time // when the last report that the broker answered was sent
+	accounts map[model.Workspace]*account
 }
 
-// NewLimiter returns a limiter without limits, which admits nothing.
+// NewLimiter returns a limiter without limits, which admits everything.
 func NewLimiter() *Limiter {
-	return &Limiter{hosts: 1, buckets: map[model.Workspace]*bucket{}, demand: Demand{}}
+	return &Limiter{hosts: 1, accounts: map[model.Workspace]*account{}}
 }
 
 // SetLimits replaces the limits and the number of hosts that the fixed part is divided by.
-func (l *Limiter) SetLimits(now time.Time, limits map[model.Workspace]catalog.Limit, hosts int) {
-	for workspace := range limits {
-		l.refill(now, workspace)
+func (l *Limiter) SetLimits(now time.Time, limits Limits, hosts int) {
+	for workspace := range l.limits {
+		l.account(now, workspace) // what has come in so far came in at the old rate
 	}
 	l.limits, l.hosts = limits, max(hosts, 1)
 }
 
-// Grant takes over an answer of the broker to a question that was asked at the given time.
-func (l *Limiter) Grant(now, asked time.Time, g Granted) {
+// Answered records that the broker has answered a report that was sent at the given time.
+func (l *Limiter) Answered(now, sent time.Time) {
 	for workspace := range l.limits {
-		l.refill(now, workspace)
+		l.account(now, workspace)
 	}
-	l.fractions, l.until, l.received = g.Fractions, asked.Add(Validity), g.Number
+	l.answered = sent
 }
 
-// Report returns the report for the broker and starts to count demand anew.
-func (l *Limiter) Report(now time.Time) Report {
-	r := Report{Received: l.received, Demand: l.demand}
-	if now.Before(l.until) {
-		r.Held = l.fractions
-	}
-	l.demand = make(Demand, len(l.limits))
-	for workspace := range l.limits {
-		l.demand[workspace] = 0
-	}
-	return r
-}
+// Alone reports whether the host uses its equal part of the whole limit.
+func (l *Limiter) Alone(now time.Time) bool { return now.Sub(l.answered) > aloneAfter }
 
-// Admit takes a token for an operation of the workspace. The operation may start after the returned wait; it is refused
-// when no token comes within the longest wait, and then the wait tells when one will.
-func (l *Limiter) Admit(now time.Time, workspace model.Workspace, longest time.Duration) (bool, time.Duration) {
+// Admit takes a token for an operation of the workspace. An operation that is not admitted may ask the broker, add what it
+// gets, and try Take.
+func (l *Limiter) Admit(now time.Time, workspace model.Workspace) Verdict {
 	limit, known := l.limits[workspace]
 	if !known {
-		return true, 0 // only callers of public routes have no workspace with a limit
+		return Verdict{Admitted: true} // only callers of public routes have no workspace with a limit
 	}
-	l.demand[workspace]++
-	b := l.refill(now, workspace)
-	if b.level >= 1 {
-		b.level--
-		return true, 0
+	a := l.account(now, workspace)
+	a.count(now)
+	if l.Take(now, workspace) {
+		return Verdict{Admitted: true}
 	}
-	rate := l.fraction(now, workspace) * limit.PerSecond
-	if rate <= 0 {
-		return false, time.Second
+	v := Verdict{Wait: a.untilToken(l.part(now) * limit.PerSecond)}
+	if !l.Alone(now) && now.After(a.empty) {
+		v.Ask = math.Ceil(1 + a.demand*prefetch.Seconds())
 	}
-	wait := time.Duration((1 - b.level) / rate * float64(time.Second))
-	if wait > longest {
-		return false, wait
+	return v
+}
+
+// Take takes a token if there is one.
+func (l *Limiter) Take(now time.Time, workspace model.Workspace) bool {
+	a := l.account(now, workspace)
+	switch {
+	case a.lent >= 1 && now.Before(a.lentUntil):
+		a.lent--
+	case a.level >= 1:
+		a.level--
+	default:
+		return false
 	}
-	b.level--
-	return true, wait
+	return true
 }
 
-// Fraction returns the part of the workspace's limit that this host may use now.
-func (l *Limiter) fraction(now time.Time, workspace model.Workspace) float64 {
-	f := fixedPart / float64(l.hosts)
-	if now.Before(l.until) {
-		f += l.fractions[workspace]
+// Lend adds tokens of the broker. If there were none, the broker is not asked again for a moment.
+func (l *Limiter) Lend(now time.Time, workspace model.Workspace, granted float64, wait time.Duration) {
+	a := l.account(now, workspace)
+	if granted == 0 {
+		a.empty = now.Add(min(wait, emptyFor))
+		return
+	}
+	if now.After(a.lentUntil) {
+		a.lent = 0
 	}
-	return f
+	a.lent += granted
+	a.lentUntil = now.Add(lentFor)
 }
 
-func (l *Limiter) refill(now time.Time, workspace model.Workspace) *bucket {
-	b := l.buckets[workspace]
-	if b == nil {
-		b = &bucket{updated: now}
-		l.buckets[workspace] = b
+func (l *Limiter) part(now time.Time) float64 {
+	if l.Alone(now) {
+		return 1 / float64(l.hosts)
 	}
-	limit, f := l.limits[workspace], l.fraction(now, workspace)
-	if elapsed := now.Sub(b.updated).Seconds(); elapsed > 0 {
-		b.level += elapsed * f * limit.PerSecond
-		b.updated = now
+	return fixedPart / float64(l.hosts)
+}
+
+func (l *Limiter) account(now time.Time, workspace model.Workspace) *account {
+	a := l.accounts[workspace]
+	if a == nil {
+		a = &account{}
+		l.accounts[workspace] = a
 	}
-	b.level = min(b.level, max(1, f*limit.Burst))
-	return b
+	limit, part := l.limits[workspace], l.part(now)
+	a.refill(now, part*limit.PerSecond, part*limit.Burst)
+	return a
+}
+
+// count adds an operation to the average demand, which forgets half of the past in a second.
+func (a *account) count(now time.Time) {
+	a.demand = a.demand*math.Exp2(-now.Sub(a.seen).Seconds()) + math.Ln2
+	a.seen = now
 }
