Recover faster when all hosts lose power, and hand out rates without a gap when the leader stops

Cause: targets count the connections of dark hosts for 3 s, so the new processes got CONNLIMIT; tokens started at zero; and for 0.8 to 1.1 s after the leader had stopped, hosts had a tenth of each rate. Now idle connections are closed after 0.4 s, limits count hosts that left less than 10 s ago and pools are trimmed to them, a refused connection or errNotLeader proves at once that the broker is gone, and hosts start with 0.3 s of their equal part.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -37,7 +38,7 @@
 	// retryInterval is the time between two attempts of a failing call.
 	retryInterval = 250 * time.Millisecond
 	// reportInterval is the time between two reports to the leader.
-	reportInterval = 300 * time.Millisecond
+	reportInterval = 250 * time.Millisecond
 )
 
 // queuedEvents bounds the events that wait for the control goroutine; each takes microseconds.
@@ -96,6 +97,7 @@
 	view    *view
 	lease   metastore.Lease
 	removed map[model.TargetID]time.Time // entries that have disappeared, with the time
+	left    map[model.HostID]time.Time   // hosts whose registration has disappeared, with the time
 	asking  bool                         // an attempt to become the leader is under way
 }
 
@@ -118,7 +120,8 @@
 
 // Run follows the store until the context ends.
 func (a *Agent) Run(ctx context.Context) {
-	c := &control{agent: a, view: newView(), removed: map[model.TargetID]time.Time{}}
+	c := &control{agent: a, view: newView(), removed: map[model.TargetID]time.Time{},
+		left: map[model.HostID]time.Time{}}
 	go a.follow(ctx, a.Decoders.ConfigurationKey, (*control).applyConfiguration)
 	go a.follow(ctx, a.Decoders.TargetPrefix, (*control).applyTargets)
 	go a.register(ctx)
@@ -133,6 +136,9 @@
 			event(c)
 		case <-ticker.C:
 			c.removeExpired()
+			if len(c.left) > 0 {
+				c.noteLeft(c.view.hosts)
+			}
 			c.seekLeadership(ctx)
 		}
 	}
@@ -240,6 +246,7 @@
 
 // applyOwn takes over changes of the product's own keys.
 func (c *control) applyOwn(ch change) {
+	before := c.view.clone().hosts
 	if ch.whole {
 		c.view.hosts, c.view.leader = map[model.HostID]Host{}, nil
 	}
@@ -248,9 +255,30 @@
 			c.agent.Log.Error("store: value ignored", zap.String("key", e.Key), zap.Error(err))
 		}
 	}
+	c.noteLeft(before)
 	c.publish()
 }
 
+// noteLeft remembers hosts whose registration has disappeared, because most of them come back after a restart.
+func (c *control) noteLeft(before map[model.HostID]Host) {
+	now := boottime.Now()
+	for id := range before {
+		if _, registered := c.view.hosts[id]; !registered {
+			c.left[id] = now
+		}
+	}
+	for id, at := range c.left {
+		if _, registered := c.view.hosts[id]; registered || now.Sub(at) > returnGrace {
+			delete(c.left, id)
+		}
+	}
+	c.view.expected = slices.Sorted(maps.Keys(c.view.hosts))
+	for id := range c.left {
+		c.view.expected = append(c.view.expected, id)
+	}
+	slices.Sort(c.view.expected)
+}
+
 // takeDocument takes over a decision that the leader has sent.
 func (c *control) takeDocument(doc primacy.Document) {
 	if known := c.view.docs[doc.Service]; doc.Epoch > known.value.Epoch {
@@ -267,7 +295,7 @@
 	for _, doc := range v.docs {
 		go a.fence(doc.value)
 	}
-	a.Server.SetCatalog(v.catalog, len(v.hosts))
+	a.Server.SetCatalog(v.catalog, len(v.expected))
 	if v.catalog.Version == 0 {
 		return
 	}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -181,7 +181,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.opinions[r.Host.ID] = opinion{now, r.Opinions}
-	l.broker.SetLimits(v.catalog.Limits, len(v.hosts))
+	l.broker.SetLimits(v.catalog.Limits, len(v.expected))
 	l.broker.Report(now, r.Host.ID, r.Alone)
 	answer := ReportAnswer{Revisions: l.agent.revisions()}
 	if r.Configuration < v.catalog.Version {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -206,9 +207,18 @@
 	} else {
 		err = a.peers.call(leader, "Peer.Take", request, &answer, tokenTimeout)
 	}
+	a.noteBrokerGone(err)
 	return answer.Granted, answer.Wait, err
 }
 
+// noteBrokerGone stops to rely on the broker if an error proves that it hands out nothing any more: its process has ended,
+// or says that it does not lead.
+func (a *Agent) noteBrokerGone(err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) || err != nil && err.Error() == errNotLeader.Error() {
+		a.Server.BrokerGone()
+	}
+}
+
 // reportLoop reports to the leader.
 func (a *Agent) reportLoop(ctx contextDone) {
 	dep := dependency{log: a.Log, name: "leader"}
@@ -229,6 +239,7 @@
 	v := a.view.Load()
 	leader, ok := v.leaderHost()
 	if !ok {
+		a.Server.BrokerGone()
 		return errNoLeader
 	}
 	sent := boottime.Now()
@@ -243,6 +254,7 @@
 			return err
 		}
 	} else if err := a.peers.call(leader, "Peer.Report", request, &answer, reportTimeout); err != nil {
+		a.noteBrokerGone(err)
 		return err
 	}
 	a.Server.BrokerAnswered(sent)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -28,6 +28,9 @@
 	// removalGrace is the time for which a target whose entry disappeared is still used. Entries that lapsed during an
 	// outage of the store are back within two seconds of its return.
 	removalGrace = 2500 * time.Millisecond
+	// returnGrace is the time for which a host that has left still counts when connections and rates are divided. A restart
+	// takes a few seconds.
+	returnGrace = 10 * time.Second
 	// spareConnections are the connections of each target that no host may use for callers: one for the leader's probes,
 	// and one for a connection that is not closed yet when its successor is opened.
 	spareConnections = 2
@@ -62,6 +65,7 @@
 	rawConfig []byte
 	targets   map[model.TargetID]catalog.Target
 	hosts     map[model.HostID]Host
+	expected  []model.HostID // registered hosts and those that have left a short time ago, in order
 	leader    *versioned[Leader]
 	docs      map[model.Service]versioned[primacy.Document]
 }
@@ -117,14 +121,13 @@
 	return list
 }
 
-// connectionLimit returns the number of connections that a host may hold to a target. The limits of all registered hosts
+// connectionLimit returns the number of connections that a host may hold to a target. The limits of all expected hosts
 // add up to what the target allows, less the spare ones; what cannot be divided goes to other hosts at each target.
 func (v *view) connectionLimit(self model.HostID, service model.Service, target model.TargetID) int {
 	available := v.catalog.Services[service].MaxConnections - spareConnections
-	hosts := slices.Sorted(maps.Keys(v.hosts))
-	n := max(len(hosts), 1)
+	n := max(len(v.expected), 1)
 	limit := available / n
-	if rank, found := slices.BinarySearch(hosts, self); found {
+	if rank, found := slices.BinarySearch(v.expected, self); found {
 		offset := int(xxhash.Sum64String(string(target)) % uint64(n))
 		if (rank+offset)%n < available%n {
 			limit++
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -146,6 +146,13 @@
 	s.limiter.Answered(boottime.Now(), sent)
 }
 
+// BrokerGone records that the broker of the rate limits has stopped.
+func (s *Server) BrokerGone() {
+	s.limitMu.Lock()
+	defer s.limitMu.Unlock()
+	s.limiter.BrokerGone(boottime.Now())
+}
+
 // SetBroker sets how tokens are taken from the broker.
 func (s *Server) SetBroker(take TakeTokens) { s.takeTokens = take }
 
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -96,7 +96,7 @@
 		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) {
-				s.log.Debug("session: connection lost", zap.Error(err))
+				s.log.Info("session: connection lost", zap.Error(err))
 			}
 			return
 		}
@@ -104,6 +104,7 @@
 		answer := s.execute(start, statement)
 		s.record(statement, answer, boottime.Now().Sub(start))
 		if err := conn.WriteAnswer(answer, s.txnState()); err != nil {
+			s.log.Info("session: answer not delivered", zap.String("id", statement.ID), zap.Error(err))
 			return
 		}
 		if s.closeForDrain() {
@@ -139,7 +140,7 @@
 	}
 	s.log.Info("statement: failed", zap.String("id", statement.ID), zap.Stringer("code", a.Code),
 		zap.String("detail", a.Detail), zap.Duration("took", took), zap.String("database", s.database),
-		zap.Int64("configuration", s.server.catalog().Version))
+		zap.String("workspace", string(s.server.catalog().Keys[s.key])), zap.Int64("configuration", s.server.catalog().Version))
 }
 
 func (s *session) txnState() TxnState {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -29,6 +29,9 @@
 	// refusedPause is the time for which a target gets no new connection after a failed attempt. It is about ten
 	// handshakes.
 	refusedPause = 150 * time.Millisecond
+	// idleTime is the time after which an idle connection is closed, unless it is the only one to its target. A target
+	// counts the connections of hosts that lost power for three seconds, and has to take new ones meanwhile.
+	idleTime = 400 * time.Millisecond
 	// queuePerConnection bounds the statements that wait for each connection of the primary; at 25 ms a statement the last
 	// one waits about 0.3 s.
 	queuePerConnection = 12
@@ -157,16 +160,8 @@
 		next[t.ID] = known
 	}
 	p.targets = next
-	var actions []Action
-	p.conns = slices.DeleteFunc(p.conns, func(c *conn) bool {
-		t := next[c.target]
-		if c.state != idle || t != nil && !t.Draining {
-			return false
-		}
-		actions = append(actions, Close{c.id})
-		return true
-	})
-	return append(actions, p.schedule(now)...)
+	actions := p.closeWhere(func(c *conn) bool { return next[c.target] == nil || next[c.target].Draining })
+	return append(append(actions, p.trim()...), p.schedule(now)...)
 }
 
 // SetPrimary names the target that requests for the primary run on; an empty id holds them back.
@@ -238,6 +233,10 @@
 		p.remove(id)
 		return append([]Action{Close{id}}, p.schedule(now)...)
 	}
+	if p.count(c.target) > t.Limit {
+		p.remove(id)
+		return append([]Action{Close{id}}, p.schedule(now)...)
+	}
 	c.state, c.used = idle, now
 	return p.schedule(now)
 }
@@ -268,6 +267,9 @@
 		actions = append(actions, Refuse{r.Ticket, RefusedLate})
 		return true
 	})
+	actions = append(actions, p.closeWhere(func(c *conn) bool {
+		return now.Sub(c.used) > idleTime && p.count(c.target) > 1
+	})...)
 	return append(actions, p.schedule(now)...)
 }
 
@@ -299,9 +301,14 @@
 }
 
 func (p *Pool) closeIdle(id model.TargetID) []Action {
+	return p.closeWhere(func(c *conn) bool { return c.target == id })
+}
+
+// closeWhere closes the idle connections that match.
+func (p *Pool) closeWhere(match func(*conn) bool) []Action {
 	var actions []Action
 	p.conns = slices.DeleteFunc(p.conns, func(c *conn) bool {
-		if c.target != id || c.state != idle {
+		if c.state != idle || !match(c) {
 			return false
 		}
 		actions = append(actions, Close{c.id})
@@ -310,6 +317,22 @@
 	return actions
 }
 
+// trim closes idle connections above the limits, the least used ones first.
+func (p *Pool) trim() []Action {
+	var actions []Action
+	for id, t := range p.targets {
+		for p.count(id) > t.Limit {
+			victim := p.leastUsedIdle(id)
+			if victim == nil {
+				break
+			}
+			p.remove(victim.id)
+			actions = append(actions, Close{victim.id})
+		}
+	}
+	return actions
+}
+
 // schedule gives connections to waiting requests in order and opens connections for those that got none.
 func (p *Pool) schedule(now time.Time) []Action {
 	var actions []Action
--- a/share/share.go
+++ b/share/share.go
@@ -17,15 +17,19 @@
 )
 
 const (
-	// fixedPart is the part of a limit that is divided equally while hosts reach the broker. It spares most operations a
-	// question to the broker when a workspace uses a quarter of its rate.
-	fixedPart = 0.25
+	// fixedPart is the part of a limit that is divided equally while hosts reach the broker. More of it spares questions
+	// to the broker; less of it lies unused at hosts without callers of the workspace.
+	fixedPart = 0.1
 	// heardFor is the time for which a report proves to the broker that a host uses its fixed part only. It is shorter than
 	// aloneAfter, so that the broker leaves the host's equal part out before the host uses it.
-	heardFor = 700 * time.Millisecond
+	heardFor = 500 * time.Millisecond
 	// aloneAfter is the time without an answer of the broker after which a host uses its equal part of the whole limit. It
 	// is three reports.
-	aloneAfter = 1100 * time.Millisecond
+	aloneAfter = 800 * time.Millisecond
+	// startingPart is the part of its equal part of a second's rate that a host starts with. All hosts together start with
+	// a third of a second's rate after a crash of all, which stays inside the tenth by which a limit may be exceeded in
+	// five seconds.
+	startingPart = 0.3
 	// prefetch is the time whose demand a host takes from the broker at once; it bounds the questions to some ten a second
 	// for each workspace.
 	prefetch = 60 * time.Millisecond
@@ -214,6 +218,14 @@
 	a.lentUntil = now.Add(lentFor)
 }
 
+// BrokerGone records that the broker has stopped, so that nobody hands out the rest of the limits any more.
+func (l *Limiter) BrokerGone(now time.Time) {
+	for workspace := range l.limits {
+		l.account(now, workspace)
+	}
+	l.answered = time.Time{}
+}
+
 func (l *Limiter) part(now time.Time) float64 {
 	if l.Alone(now) {
 		return 1 / float64(l.hosts)
@@ -222,12 +234,13 @@
 }
 
 func (l *Limiter) account(now time.Time, workspace model.Workspace) *account {
+	limit, part := l.limits[workspace], l.part(now)
 	a := l.accounts[workspace]
 	if a == nil {
 		a = &account{}
+		a.level = startingPart * min(limit.PerSecond, limit.Burst) / float64(l.hosts)
 		l.accounts[workspace] = a
 	}
-	limit, part := l.limits[workspace], l.part(now)
 	a.refill(now, part*limit.PerSecond, part*limit.Burst)
 	return a
 }
