Do not close a draining primary while a host does not answer, and confirm through the store

Now a planned replacement waits until all hosts report, for 5 s at most. A host that the leader cannot reach confirms in its registration. A second caller of setDocument waits for the first one, so that no confirmation comes early.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,6 +37,8 @@
 	callTimeout = 1200 * time.Millisecond
 	// retryInterval is the time between two attempts of a failing call.
 	retryInterval = 250 * time.Millisecond
+	// confirmAfter is the time that the leader has to ask a host itself to stop using a primary.
+	confirmAfter = 250 * time.Millisecond
 	// reportInterval is the time between two reports to the leader.
 	reportInterval = 250 * time.Millisecond
 )
@@ -84,8 +86,14 @@
 	ready  atomic.Bool
 
 	leaderHeard atomic.Int64 // boot time in nanoseconds of the last report that the leader answered
-	followMu    sync.Mutex
-	followers   map[string]*follower // by prefix
+
+	confirmMu sync.Mutex               // guards the registration
+	lease     metastore.Lease          // of the registration, 0 while there is none
+	told      map[model.Service]uint64 // epochs that the leader has told this host itself
+	fenced    map[model.Service]uint64 // epochs that this host confirms through the store
+
+	followMu  sync.Mutex
+	followers map[string]*follower // by prefix
 
 	leaderMu sync.Mutex
 	leading  *leadership // nil while another host leads
@@ -104,7 +112,8 @@
 // New returns an agent that does nothing until Run.
 func New(c Config) *Agent {
 	a := &Agent{Config: c, peers: newPeers(), events: make(chan func(*control), queuedEvents),
-		followers: map[string]*follower{}}
+		followers: map[string]*follower{}, told: map[model.Service]uint64{},
+		fenced: map[model.Service]uint64{}}
 	a.view.Store(newView())
 	c.Server.SetBroker(a.takeTokens)
 	return a
@@ -306,10 +315,33 @@
 	}
 }
 
-// fence puts a decision in force. If it closes the use of a primary and the leader has not asked for that itself, the
-// confirmation is written to the store.
+// fence puts a decision in force. If it closes the use of a primary and the leader does not ask for that itself, it may not
+// reach this host, and the confirmation is written to the store.
 func (a *Agent) fence(doc primacy.Document) {
-	a.Server.SetDocument(doc)
+	if !a.Server.SetDocument(doc) || doc.Open {
+		return
+	}
+	time.Sleep(confirmAfter)
+	txn, needed := a.confirmation(doc)
+	if !needed {
+		return
+	}
+	ctx, cancel := contextWithTimeout(callTimeout)
+	defer cancel()
+	_, err := a.Store.Commit(ctx, txn)
+	a.Log.Info("primary: confirmed through the store", zap.String("service", string(doc.Service)),
+		zap.Uint64("epoch", doc.Epoch), zap.Error(err))
+}
+
+// confirmation returns the registration with the epoch of a closed decision, unless the leader has told this host itself.
+func (a *Agent) confirmation(doc primacy.Document) (txn metastore.Txn, needed bool) {
+	a.confirmMu.Lock()
+	defer a.confirmMu.Unlock()
+	if a.told[doc.Service] >= doc.Epoch || a.lease == 0 {
+		return metastore.Txn{}, false
+	}
+	a.fenced[doc.Service] = doc.Epoch
+	return a.registrationTxn(), true
 }
 
 // dependency logs once when a dependency is lost and once when it is back.
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -178,9 +178,9 @@
 	now := boottime.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.opinions[r.Host.ID] = opinion{now, r.Opinions}
+	l.opinions[r.Host] = opinion{now, r.Opinions}
 	l.broker.SetLimits(v.catalog.Limits, len(v.expected))
-	l.broker.Report(now, r.Host.ID, r.Alone)
+	l.broker.Report(now, r.Host, r.Alone)
 }
 
 // supervise starts a supervisor for each service of the configuration.
@@ -207,7 +207,8 @@
 	answered time.Time
 	status   primacy.Status
 	known    bool
-	epoch    uint64 // epoch that status belongs to
+	epoch    uint64    // epoch that status belongs to
+	draining time.Time // when the primary was first seen draining
 }
 
 func (s *supervisor) run(ctx context.Context) {
@@ -226,7 +227,12 @@
 func (s *supervisor) look(ctx context.Context, doc primacy.Document) primacy.View {
 	v := s.agent.view.Load()
 	t, listed := v.targets[doc.Primary]
-	view := primacy.View{Listed: listed, Draining: t.State == catalog.Draining, Born: t.Born}
+	view := primacy.View{Listed: listed, Draining: t.State == catalog.Draining, Born: t.Born, AllReport: true}
+	if !view.Draining {
+		s.draining = time.Time{}
+	} else if s.draining.IsZero() {
+		s.draining = boottime.Now()
+	}
 	if s.epoch != doc.Epoch {
 		s.epoch, s.known, s.answered, s.asked = doc.Epoch, false, boottime.Now(), time.Time{}
 	}
@@ -246,6 +252,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if view.Draining {
+		view.DrainingFor = now.Sub(s.draining)
+	}
+	for id := range v.hosts {
+		if now.Sub(s.opinions[id].at) > primacy.OpinionAge() {
+			view.AllReport = false
+		}
+	}
 	for id, o := range s.opinions {
 		if id != s.agent.Self.ID && now.Sub(o.at) <= primacy.OpinionAge() {
 			view.Opinions = append(view.Opinions, o.byTarget[s.service])
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -99,7 +99,7 @@
 
 // ReportRequest is what a host tells the leader at intervals.
 type ReportRequest struct {
-	Host      Host
+	Host      model.HostID
 	Alone     bool // the host has not heard the leader for too long
 	Opinions  map[model.Service]primacy.Opinion
 	Revisions map[string]uint64 // last changes of the store that the host knows, by prefix
@@ -145,6 +145,9 @@
 		return errStarted
 	}
 	a.Server.SetDocument(r.Document)
+	a.confirmMu.Lock()
+	a.told[r.Document.Service] = max(a.told[r.Document.Service], r.Document.Epoch)
+	a.confirmMu.Unlock()
 	select {
 	case a.events <- func(c *control) { c.takeDocument(r.Document) }:
 	default: // the watch brings it as well
@@ -246,7 +249,7 @@
 		return errNoLeader
 	}
 	sent := boottime.Now()
-	request := ReportRequest{Host: a.Self, Alone: a.Server.Alone(), Opinions: a.Server.Opinions(),
+	request := ReportRequest{Host: a.Self.ID, Alone: a.Server.Alone(), Opinions: a.Server.Opinions(),
 		Revisions: a.revisions()}
 	var answer SyncAnswer
 	var err error
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -58,11 +59,22 @@
 	if err != nil {
 		return registration{}, sent, err
 	}
-	_, err = a.Store.Commit(ctx, metastore.Txn{Puts: []metastore.Item{{Key: hostPrefix + string(a.Self.ID),
-		Value: mustEncode(a.Self), Lease: lease}}})
+	a.confirmMu.Lock()
+	a.lease = lease
+	txn := a.registrationTxn()
+	a.confirmMu.Unlock()
+	_, err = a.Store.Commit(ctx, txn)
 	return registration{lease, ttl}, sent, err
 }
 
+// registrationTxn returns the change that registers this host. The lock confirmMu is held.
+func (a *Agent) registrationTxn() metastore.Txn {
+	self := a.Self
+	self.Fenced = maps.Clone(a.fenced)
+	return metastore.Txn{Puts: []metastore.Item{{Key: hostPrefix + string(self.ID), Value: mustEncode(self),
+		Lease: a.lease}}}
+}
+
 // keep renews the registration until its lease has ended.
 func (a *Agent) keep(ctx context.Context, r registration, sent time.Time) {
 	dep := dependency{log: a.Log, name: "store lease"}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -115,8 +115,11 @@
 	s.service(name).setTargets(targets, limit)
 }
 
-// SetDocument takes over a decision about a primary. When it returns, this host uses no older one.
-func (s *Server) SetDocument(doc primacy.Document) { s.service(doc.Service).setDocument(doc) }
+// SetDocument takes over a decision about a primary and reports whether it is new. When it returns, this host uses no older
+// one.
+func (s *Server) SetDocument(doc primacy.Document) bool {
+	return s.service(doc.Service).setDocument(doc)
+}
 
 // Opinions returns how this host sees the primaries of its services.
 func (s *Server) Opinions() map[model.Service]primacy.Opinion {
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -24,6 +24,8 @@
 	// plannedGrace is the time for which transactions on a primary that is replaced as planned may go on. Callers of other
 	// transactions wait meanwhile.
 	plannedGrace = 400 * time.Millisecond
+	// fenceStep is the time between two looks whether a primary is still in use.
+	fenceStep = 5 * time.Millisecond
 	// unknownLag stands for the lag of a replica that is behind every known position of its primary.
 	unknownLag = time.Minute
 )
@@ -44,6 +46,7 @@
 	nextTicket pool.Ticket
 	targets    map[model.TargetID]catalog.Target
 	doc        primacy.Document
+	fenced     uint64           // epoch up to which nothing of older decisions is in use any more
 	samples    *routing.Samples // positions of the primary of doc
 	reached    time.Time        // last answer of the primary of doc
 	failing    time.Time        // first failure since then
@@ -78,6 +81,8 @@
 		case pool.Grant:
 			s.answerWaiter(a.Ticket, grant{conn: s.conns[a.Conn]})
 		case pool.Refuse:
+			s.log.Info("pool: request refused", zap.Stringer("reason", a.Reason), zap.Int("waiting", s.pool.Waiting()),
+				zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open), zap.Any("targets", s.pool.Load()))
 			s.answerWaiter(a.Ticket, grant{refused: a.Reason})
 		case pool.Open:
 			go s.open(a, s.targets[a.Target])
@@ -294,11 +299,12 @@
 }
 
 // setDocument takes over a decision about the primary. When it returns, nothing of an older decision is in use any more.
-func (s *service) setDocument(doc primacy.Document) {
+func (s *service) setDocument(doc primacy.Document) (fresh bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if doc.Epoch <= s.doc.Epoch {
-		return
+		s.awaitFenced(doc.Epoch)
+		return false
 	}
 	now := boottime.Now()
 	old := s.doc
@@ -311,28 +317,41 @@
 		if old.Open && old.Primary != doc.Primary {
 			s.breakConnections(now, old.Primary)
 		}
+		s.fenced = doc.Epoch
 		s.perform(s.pool.SetPrimary(now, doc.Primary))
-		return
+		return true
 	}
 	s.perform(s.pool.SetPrimary(now, ""))
 	if old.Primary == "" {
-		return
+		s.fenced = doc.Epoch
+		return true
 	}
 	if doc.Planned {
 		s.awaitIdle(old.Primary)
 	}
 	if s.doc.Epoch == doc.Epoch {
 		s.breakConnections(boottime.Now(), old.Primary)
+		s.fenced = doc.Epoch
+	}
+	return true
+}
+
+// awaitFenced waits until another goroutine that closes the use of a primary for an epoch is done with it. The lock is
+// held, but not while it waits.
+func (s *service) awaitFenced(epoch uint64) {
+	for s.fenced < epoch && s.doc.Epoch == epoch {
+		s.mu.Unlock()
+		time.Sleep(fenceStep)
+		s.mu.Lock()
 	}
 }
 
 // awaitIdle waits until no connection to the target is in use, for plannedGrace at most. The lock is held, but not while
 // it waits.
 func (s *service) awaitIdle(id model.TargetID) {
-	const step = 5 * time.Millisecond
-	for waited := time.Duration(0); waited < plannedGrace && s.running(id); waited += step {
+	for waited := time.Duration(0); waited < plannedGrace && s.running(id); waited += fenceStep {
 		s.mu.Unlock()
-		time.Sleep(step)
+		time.Sleep(fenceStep)
 		s.mu.Lock()
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -282,6 +282,36 @@
 // Waiting returns the number of requests without a connection.
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
+// TargetLoad is how a target's connections are used.
+type TargetLoad struct {
+	Target              model.TargetID
+	Limit               int
+	Opening, Idle, Busy int
+	Lag                 time.Duration // last known one
+}
+
+// Load returns the use of all targets.
+func (p *Pool) Load() []TargetLoad {
+	list := make([]TargetLoad, 0, len(p.targets))
+	for id, t := range p.targets {
+		load := TargetLoad{Target: id, Limit: t.Limit, Lag: t.lag}
+		for _, c := range p.conns {
+			switch {
+			case c.target != id:
+			case c.state == opening:
+				load.Opening++
+			case c.state == idle:
+				load.Idle++
+			default:
+				load.Busy++
+			}
+		}
+		list = append(list, load)
+	}
+	slices.SortFunc(list, func(a, b TargetLoad) int { return cmp.Compare(a.Target, b.Target) })
+	return list
+}
+
 // Connections returns the number of connections of any state.
 func (p *Pool) Connections() int { return len(p.conns) }
 
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -17,6 +17,9 @@
 	// unreachableTime is the time without any answer after which a primary is replaced. New connections to a live target
 	// take 12 ms, and two probes fit into it.
 	unreachableTime = 800 * time.Millisecond
+	// longestDelay is the time for which a planned replacement waits for hosts that do not answer. A draining target serves
+	// for seven seconds, and the lease of a lost host ends meanwhile.
+	longestDelay = 5 * time.Second
 	// opinionAge is the age up to which a host's view of a primary counts; hosts report every 250 ms.
 	opinionAge = time.Second
 )
@@ -58,9 +61,12 @@
 
 // View is what the leader knows of the primary of a service.
 type View struct {
-	Listed   bool // it is registered
-	Draining bool
-	Born     int64
+	Listed      bool // it is registered
+	Born        int64
+	Draining    bool
+	DrainingFor time.Duration
+	// AllReport tells that all registered hosts have reported lately, so that a replacement waits for none of them.
+	AllReport bool
 	// Status is the last answer to the leader's own question, and Silent the time for which it has had none.
 	StatusKnown bool
 	IsPrimary   bool
@@ -81,13 +87,12 @@
 		return CauseGone
 	case v.Born != doc.Born:
 		return CauseRestarted
-	case v.Draining:
-		return CauseDraining
 	case v.StatusKnown && !v.IsPrimary && v.Term >= doc.Term:
 		return CauseDemoted
-	}
-	if lost(doc, v) {
+	case lost(doc, v):
 		return CauseUnreachable
+	case v.Draining && (v.AllReport || v.DrainingFor >= longestDelay):
+		return CauseDraining
 	}
 	return CauseNone
 }
