Follow the store at the leader only, and relay changes to the other hosts

Now the leader relays changes in its answers to reports; three candidates follow the store while there is no leader, and the others ask them. A host lists its own prefix after it registered, and the leader after it closed a primary, so that one of them sees the other.

closeWhere counted connections while it removed them and closed the last one of a target; a test of the pool found it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -85,7 +85,9 @@
 	events chan func(*control)
 	ready  atomic.Bool
 
-	leaderHeard atomic.Int64 // boot time in nanoseconds of the last report that the leader answered
+	// Boot times in nanoseconds of the last fresh answer of a relaying host, and of the last answer of the store.
+	relayHeard, storeHeard atomic.Int64
+	leaderLost             atomic.Bool // the last report to the leader failed
 
 	confirmMu sync.Mutex               // guards the registration
 	lease     metastore.Lease          // of the registration, 0 while there is none
@@ -133,6 +135,7 @@
 		left: map[model.HostID]time.Time{}}
 	go a.follow(ctx, a.Decoders.ConfigurationKey, (*control).applyConfiguration)
 	go a.follow(ctx, a.Decoders.TargetPrefix, (*control).applyTargets)
+	go a.follow(ctx, prefix, (*control).applyOwn)
 	go a.register(ctx)
 	go a.reportLoop(ctx)
 	ticker := time.NewTicker(retryInterval)
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -5,25 +5,30 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
+	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
 const (
-	// longWatch is the wait of a watch while the leader tells this host what it has missed.
-	longWatch = 20 * time.Second
-	// shortWatch is the wait of a watch of the leader, and of hosts that do not reach it. A watch may miss changes without
-	// an error when the store drops its history; the next one reports the gap.
-	shortWatch = 700 * time.Millisecond
-	// leaderSilence is the time without an answer of the leader after which a host follows the store alone.
-	leaderSilence = time.Second
-	// relayAfter is the age of a change from which it is relayed to hosts that have not seen it. The store's own watches
-	// bring it within some milliseconds.
-	relayAfter = 150 * time.Millisecond
+	// watchWait is the wait of a watch. A watch may miss changes without an error when the store drops its history; the
+	// next one reports the gap.
+	watchWait = 800 * time.Millisecond
+	// freshFor is the time after the last answer of the store for which a host relays what it knows as fresh. It is longer
+	// than a watch.
+	freshFor = 1100 * time.Millisecond
+	// relaySilence is the time without a fresh answer of a relaying host after which a host follows the store itself. With
+	// freshFor it leaves one of the three seconds in which a configuration has to be in force.
+	relaySilence = 800 * time.Millisecond
+	// candidates is the number of hosts that follow the store while there is no leader; the others ask them.
+	candidates = 3
+	// relayCheck is the time between two looks whether the leader still answers.
+	relayCheck = 50 * time.Millisecond
 )
 
 // change is a step of a watched prefix: all items, or the events since the last step.
@@ -38,10 +43,8 @@
 	prefix string
 	apply  func(*control, change)
 
-	items     map[string]metastore.Item
-	revision  uint64    // of the last change that was seen
-	changedAt time.Time // when it was seen
-	interrupt func()    // ends the watch that waits; nil while none does
+	items    map[string]metastore.Item
+	revision uint64 // of the last change that was seen
 }
 
 // PrefixState is everything under a prefix as of a revision.
@@ -50,7 +53,8 @@
 	Items    []metastore.Item
 }
 
-// follow lists a prefix and watches it, and lists it again after a gap.
+// follow keeps up with a prefix. It lists and watches the prefix in the store while this host leads or does not reach the
+// leader; otherwise the leader relays changes, so that the calls of the store do not grow with the number of hosts.
 func (a *Agent) follow(ctx context.Context, prefix string, apply func(*control, change)) {
 	f := a.follower(prefix, apply)
 	dep := dependency{log: a.Log, name: "store watch of " + prefix}
@@ -58,10 +62,14 @@
 		items, revision, err := a.list(ctx, prefix)
 		if dep.observe(err); err != nil {
 			sleep(ctx, retryInterval)
-			continue
+		} else {
+			a.storeHeard.Store(boottime.Now().UnixNano())
+			f.replace(ctx, PrefixState{revision, items}, true)
+			f.watch(ctx, revision, &dep)
+		}
+		for ctx.Err() == nil && !a.followsStore() {
+			sleep(ctx, relayCheck)
 		}
-		f.replace(ctx, PrefixState{revision, items}, true)
-		f.watch(ctx, revision, &dep)
 	}
 }
 
@@ -78,47 +86,25 @@
 	return f
 }
 
-// watch follows the prefix from a revision until it has to be listed again.
+// watch follows the prefix from a revision until it has to be listed again or the leader relays changes.
 func (f *follower) watch(ctx context.Context, revision uint64, dep *dependency) {
-	for ctx.Err() == nil {
-		events, next, err := f.wait(ctx, revision)
-		switch {
-		case errors.Is(err, metastore.ErrCompacted):
+	for ctx.Err() == nil && f.agent.followsStore() {
+		events, next, err := f.agent.Store.Watch(ctx, f.prefix, revision, watchWait)
+		if errors.Is(err, metastore.ErrCompacted) {
 			f.agent.Log.Info("store: history is gone, listing again", zap.String("prefix", f.prefix),
 				zap.Uint64("revision", revision))
 			return
-		case errors.Is(err, context.Canceled):
-			continue
-		case err != nil:
-			dep.observe(err)
+		}
+		if dep.observe(err); err != nil {
 			sleep(ctx, retryInterval)
 			continue
 		}
-		dep.observe(nil)
+		f.agent.storeHeard.Store(boottime.Now().UnixNano())
 		revision = next
 		f.add(ctx, events, next)
 	}
 }
 
-// wait waits for changes. A long wait ends early when the leader falls silent.
-func (f *follower) wait(ctx context.Context, revision uint64) ([]metastore.Event, uint64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	wait := shortWatch
-	if !f.agent.followsAlone() {
-		wait = longWatch
-		f.setInterrupt(cancel)
-		defer f.setInterrupt(nil)
-	}
-	return f.agent.Store.Watch(ctx, f.prefix, revision, wait)
-}
-
-func (f *follower) setInterrupt(interrupt func()) {
-	f.agent.followMu.Lock()
-	defer f.agent.followMu.Unlock()
-	f.interrupt = interrupt
-}
-
 // add takes over events up to a revision, without those that another host has relayed before.
 func (f *follower) add(ctx context.Context, events []metastore.Event, revision uint64) {
 	f.agent.followMu.Lock()
@@ -132,7 +118,7 @@
 	}
 	apply := f.apply
 	if len(events) > 0 {
-		f.revision, f.changedAt = max(f.revision, revision), boottime.Now()
+		f.revision = max(f.revision, revision)
 	}
 	f.agent.followMu.Unlock()
 	if len(events) > 0 {
@@ -154,16 +140,36 @@
 		f.items[item.Key] = item
 		events = append(events, metastore.Event{Item: item})
 	}
-	f.revision, f.changedAt = state.Revision, boottime.Now()
+	f.revision = state.Revision
 	apply := f.apply
 	f.agent.followMu.Unlock()
 	f.agent.post(ctx, func(c *control) { apply(c, change{whole: true, events: events}) })
 	return true
 }
 
-// followsAlone reports whether this host must not rely on the leader to learn of missed changes.
-func (a *Agent) followsAlone() bool {
-	return a.isLeading() || boottime.Now().UnixNano()-a.leaderHeard.Load() > leaderSilence.Nanoseconds()
+// followsStore reports whether this host has to follow the store itself.
+func (a *Agent) followsStore() bool {
+	return a.isLeading() || a.leaderLost.Load() && a.isCandidate() || since(&a.relayHeard) > relaySilence
+}
+
+// isCandidate reports whether this host is one of those that follow the store while there is no leader.
+func (a *Agent) isCandidate() bool {
+	return slices.ContainsFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
+}
+
+// candidateHosts returns the first registered hosts, without the last leader.
+func (a *Agent) candidateHosts() []Host {
+	v := a.view.Load()
+	hosts := slices.DeleteFunc(v.hostList(), func(h Host) bool { return v.leader != nil && h.ID == v.leader.value.Host })
+	return hosts[:min(candidates, len(hosts))]
+}
+
+// relaysFresh reports whether this host follows the store and has heard it lately.
+func (a *Agent) relaysFresh() bool { return a.followsStore() && since(&a.storeHeard) < freshFor }
+
+// since returns the time since a boot time in nanoseconds.
+func since(at *atomic.Int64) time.Duration {
+	return time.Duration(boottime.Now().UnixNano() - at.Load())
 }
 
 // revisions returns the revisions of the last changes that this host knows, by prefix.
@@ -177,39 +183,31 @@
 	return revisions
 }
 
-// newerThan returns the state of the prefixes of which this host knows a later change for some time.
+// newerThan returns the state of the prefixes of which this host knows a later change.
 func (a *Agent) newerThan(known map[string]uint64) map[string]PrefixState {
 	a.followMu.Lock()
 	defer a.followMu.Unlock()
 	newer := map[string]PrefixState{}
 	for prefix, f := range a.followers {
-		if f.revision > known[prefix] && boottime.Now().Sub(f.changedAt) > relayAfter {
+		if f.revision > known[prefix] {
 			newer[prefix] = PrefixState{f.revision, slices.Collect(maps.Values(f.items))}
 		}
 	}
 	return newer
 }
 
-// adopt takes over what another host has seen of the store.
-func (a *Agent) adopt(ctx context.Context, from string, states map[string]PrefixState) {
-	for prefix, state := range states {
+// adopt takes over what another host has seen of the store, as it answered to a question sent at the given time.
+func (a *Agent) adopt(ctx context.Context, from model.HostID, sent time.Time, answer SyncAnswer) {
+	if answer.Fresh {
+		a.relayHeard.Store(sent.UnixNano())
+	}
+	for prefix, state := range answer.Newer {
 		a.followMu.Lock()
 		f := a.followers[prefix]
 		a.followMu.Unlock()
 		if f != nil && f.replace(ctx, state, false) {
-			a.Log.Info("store: state relayed by another host", zap.String("from", from), zap.String("prefix", prefix),
-				zap.Uint64("revision", state.Revision))
-		}
-	}
-}
-
-// interruptWatches ends long waits, because the leader does not answer any more.
-func (a *Agent) interruptWatches() {
-	a.followMu.Lock()
-	defer a.followMu.Unlock()
-	for _, f := range a.followers {
-		if f.interrupt != nil {
-			f.interrupt()
+			a.Log.Info("store: state relayed by another host", zap.String("from", string(from)),
+				zap.String("prefix", prefix), zap.Uint64("revision", state.Revision))
 		}
 	}
 }
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -358,6 +358,11 @@
 // awaitFenced waits until every registered host has stopped using the old primary, or is not registered any more.
 func (s *supervisor) awaitFenced(ctx context.Context, doc primacy.Document) bool {
 	confirmed := map[model.HostID]model.Incarnation{}
+	// A host that registers after this sees the closed decision when it reads the decisions.
+	if err := s.agent.refreshOwn(ctx); err != nil {
+		s.log.Warn("primary: hosts not listed", zap.Error(err))
+		return false
+	}
 	for ctx.Err() == nil && s.valid() {
 		hosts := s.agent.view.Load().hostList()
 		type result struct {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -106,7 +106,10 @@
 }
 
 // SyncAnswer brings a host what it has not seen of the store.
-type SyncAnswer struct{ Newer map[string]PrefixState }
+type SyncAnswer struct {
+	Newer map[string]PrefixState
+	Fresh bool // the host follows the store and has heard it lately
+}
 
 // FenceRequest asks a host to put a decision in force.
 type FenceRequest struct {
@@ -165,13 +168,13 @@
 		return errNotLeader
 	}
 	l.report(r)
-	answer.Newer = a.newerThan(r.Revisions)
+	answer.Newer, answer.Fresh = a.newerThan(r.Revisions), a.relaysFresh()
 	return nil
 }
 
 // Sync answers a host that reaches neither the leader nor the store.
 func (p *Peer) Sync(known map[string]uint64, answer *SyncAnswer) error {
-	answer.Newer = p.agent.newerThan(known)
+	answer.Newer, answer.Fresh = p.agent.newerThan(known), p.agent.relaysFresh()
 	return nil
 }
 
@@ -233,12 +236,10 @@
 		sleep(ctx, reportInterval)
 		err := a.reportOnce(ctx)
 		dep.observe(err)
+		a.leaderLost.Store(err != nil)
 		if err != nil {
 			a.syncWithPeer(ctx)
 		}
-		if a.followsAlone() {
-			a.interruptWatches()
-		}
 	}
 }
 
@@ -263,22 +264,22 @@
 		return err
 	}
 	a.Server.BrokerAnswered(sent)
-	a.leaderHeard.Store(sent.UnixNano())
-	a.adopt(ctx, string(leader.ID), answer.Newer)
+	a.adopt(ctx, leader.ID, sent, answer)
 	return nil
 }
 
-// syncWithPeer asks a host, chosen at random, what it has seen of the store.
+// syncWithPeer asks one of the candidates what it has seen of the store.
 func (a *Agent) syncWithPeer(ctx context.Context) {
-	hosts := slices.DeleteFunc(a.view.Load().hostList(), func(h Host) bool { return h.ID == a.Self.ID })
+	hosts := slices.DeleteFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
 	if len(hosts) == 0 {
 		return
 	}
 	h := hosts[rand.IntN(len(hosts))]
+	sent := boottime.Now()
 	var answer SyncAnswer
 	if err := a.peers.call(h, "Peer.Sync", a.revisions(), &answer, reportTimeout); err != nil {
 		a.Log.Info("peer: no answer", zap.String("peer", string(h.ID)), zap.Error(err))
 		return
 	}
-	a.adopt(ctx, string(h.ID), answer.Newer)
+	a.adopt(ctx, h.ID, sent, answer)
 }
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,26 +29,34 @@
 			sleep(ctx, retryInterval)
 			continue
 		}
-		followed, stop := context.WithCancel(ctx)
-		first := make(chan struct{})
-		var once atomic.Bool
-		go a.follow(followed, prefix, func(c *control, ch change) {
-			c.applyOwn(ch)
-			if !once.Swap(true) {
-				close(first)
-			}
-		})
-		select {
-		case <-first:
-			a.Log.Info("registration: in force", zap.Int64("lease", int64(r.lease)), zap.Duration("ttl", r.ttl))
-			a.keep(ctx, r, sent)
-		case <-ctx.Done():
+		if err := a.refreshOwn(ctx); err != nil {
+			a.Log.Warn("registration: decisions not read", zap.Error(err))
+			a.revoke(r.lease)
+			continue
 		}
-		stop()
+		a.Log.Info("registration: in force", zap.Int64("lease", int64(r.lease)), zap.Duration("ttl", r.ttl))
+		a.keep(ctx, r, sent)
 		a.Server.AllowPrimaries(time.Time{})
 	}
 }
 
+// refreshOwn reads the product's own keys and returns when they are in force.
+func (a *Agent) refreshOwn(ctx context.Context) error {
+	items, revision, err := a.list(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	a.follower(prefix, (*control).applyOwn).replace(ctx, PrefixState{revision, items}, true)
+	applied := make(chan struct{})
+	a.post(ctx, func(*control) { close(applied) })
+	select {
+	case <-applied:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // enter writes the registration.
 func (a *Agent) enter(ctx context.Context) (registration, time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -273,8 +273,8 @@
 		actions = append(actions, Refuse{r.Ticket, RefusedLate})
 		return true
 	})
-	actions = append(actions, p.closeWhere(func(c *conn) bool {
-		return now.Sub(c.used) > idleTime && p.count(c.target) > 1
+	actions = append(actions, p.closeLeastUsed(func(t *target, c *conn, count int) bool {
+		return count > 1 && now.Sub(c.used) > idleTime
 	})...)
 	return append(actions, p.schedule(now)...)
 }
@@ -353,13 +353,19 @@
 	return actions
 }
 
-// trim closes idle connections above the limits, the least used ones first.
+// trim closes idle connections above the limits.
 func (p *Pool) trim() []Action {
+	return p.closeLeastUsed(func(t *target, _ *conn, count int) bool { return count > t.Limit })
+}
+
+// closeLeastUsed closes the least used idle connections of each target while the condition holds for them and for the number
+// of connections to the target.
+func (p *Pool) closeLeastUsed(surplus func(t *target, c *conn, count int) bool) []Action {
 	var actions []Action
 	for id, t := range p.targets {
-		for p.count(id) > t.Limit {
+		for {
 			victim := p.leastUsedIdle(id)
-			if victim == nil {
+			if victim == nil || !surplus(t, victim, p.count(id)) {
 				break
 			}
 			p.remove(victim.id)
