Give workspaces homes: their statements run on few hosts, which keep their connections

Cause: a connection belongs to one workspace, and a host had two or three to a target for eight workspaces, so four of five statements reopened one: 12 ms of a slot for a statement of 24 ms. On the grown sites hosts outnumber the connections.

Every host computes the same plan from the rates of the workspaces; other hosts pass statements and whole transactions on, and run them themselves when a home does not answer. Ruled out: one home for a service, whose loss stops a third of all work.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,6 +81,7 @@
 type Agent struct {
 	Config
 	peers  *peers
+	homes  homes
 	view   atomic.Pointer[view]
 	events chan func(*control)
 	ready  atomic.Bool
@@ -113,11 +114,13 @@
 
 // New returns an agent that does nothing until Run.
 func New(c Config) *Agent {
-	a := &Agent{Config: c, peers: newPeers(), events: make(chan func(*control), queuedEvents),
+	a := &Agent{Config: c, peers: newPeers(),
+		homes: homes{outstanding: map[model.HostID]int{}, avoid: map[model.HostID]time.Time{}}, events: make(chan func(*control), queuedEvents),
 		followers: map[string]*follower{}, told: map[model.Service]uint64{},
 		fenced: map[model.Service]uint64{}}
 	a.view.Store(newView())
 	c.Server.SetBroker(a.takeTokens)
+	c.Server.SetForwarder(a)
 	return a
 }
 
@@ -301,6 +304,7 @@
 
 // publish brings the view in force.
 func (c *control) publish() {
+	c.view.plans = c.view.plan()
 	v := c.view.clone()
 	a := c.agent
 	a.view.Store(v)
@@ -312,9 +316,8 @@
 		return
 	}
 	for service := range v.catalog.Services {
-		a.Server.SetTargets(service, v.of(service), func(id model.TargetID) int {
-			return v.connectionLimit(a.Self.ID, service, id)
-		})
+		plan := v.plans[service]
+		a.Server.SetTargets(service, v.of(service), plan.Limit(a.Self.ID))
 	}
 }
 
--- /dev/null
+++ b/fleet/forward.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"errors"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/frontend"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const (
+	// avoidLost is the time for which nothing is passed on to a host that did not answer.
+	avoidLost = time.Second
+	// avoidDraining is the time for which nothing is passed on to a host that is about to stop, which takes some seconds.
+	avoidDraining = 5 * time.Second
+)
+
+// homes keeps what this host needs to choose among the homes of a workspace.
+type homes struct {
+	mu          sync.Mutex
+	outstanding map[model.HostID]int
+	avoid       map[model.HostID]time.Time
+}
+
+// Home implements frontend.Forwarder. This host comes first if it is a home; otherwise the home with the fewest statements
+// of this host does.
+func (a *Agent) Home(service model.Service, workspace model.Workspace) (model.HostID, bool) {
+	v := a.view.Load()
+	plan := v.plans[service]
+	first, spares := plan.Homes(workspace)
+	for _, list := range [][]model.HostID{first, spares} {
+		if host := a.leastBusy(v, list); host != "" {
+			return host, host == a.Self.ID
+		}
+	}
+	return "", true
+}
+
+func (a *Agent) leastBusy(v *view, list []model.HostID) model.HostID {
+	a.homes.mu.Lock()
+	defer a.homes.mu.Unlock()
+	now := boottime.Now()
+	var best model.HostID
+	for _, id := range list {
+		if id == a.Self.ID {
+			return id
+		}
+		if _, registered := v.hosts[id]; !registered || now.Before(a.homes.avoid[id]) {
+			continue
+		}
+		if best == "" || a.homes.outstanding[id] < a.homes.outstanding[best] {
+			best = id
+		}
+	}
+	return best
+}
+
+// Forward implements frontend.Forwarder.
+func (a *Agent) Forward(host model.HostID, f frontend.Forward, timeout time.Duration) (frontend.Forwarded, bool, error) {
+	h, registered := a.view.Load().hosts[host]
+	if !registered {
+		return frontend.Forwarded{}, false, errUnknownHost
+	}
+	f.Origin, f.Incarnation = a.Self.ID, a.Self.Incarnation
+	a.homes.count(host, 1)
+	defer a.homes.count(host, -1)
+	var answer frontend.Forwarded
+	err := a.peers.call(h, "Peer.Run", f, &answer, timeout)
+	var refused rpc.ServerError
+	var notSent *dialError
+	switch {
+	case err == nil:
+		return answer, true, nil
+	case errors.As(err, &refused):
+		a.homes.avoidFor(host, avoidDraining)
+		return answer, false, err
+	}
+	a.homes.avoidFor(host, avoidLost)
+	return answer, !errors.As(err, &notSent), err
+}
+
+func (h *homes) count(host model.HostID, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.outstanding[host] += n
+}
+
+func (h *homes) avoidFor(host model.HostID, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.avoid[host] = boottime.Now().Add(d)
+}
+
+// Run runs a statement for another host. An error means that it has not run.
+func (p *Peer) Run(f frontend.Forward, answer *frontend.Forwarded) error {
+	var err error
+	*answer, err = p.agent.Server.RunForwarded(f)
+	return err
+}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -17,13 +17,15 @@
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/socket"
 )
 
 var (
-	errNoLeader  = errors.New("no leader is known")
-	errNotLeader = errors.New("this host is not the leader")
-	errTimeout   = errors.New("the peer did not answer in time")
-	errStarted   = errors.New("this host has another incarnation")
+	errNoLeader    = errors.New("no leader is known")
+	errNotLeader   = errors.New("this host is not the leader")
+	errTimeout     = errors.New("the peer did not answer in time")
+	errUnknownHost = errors.New("the host is not registered")
+	errStarted     = errors.New("this host has another incarnation")
 )
 
 // tokenTimeout bounds a question to the broker; its caller waits, and an answer takes some milliseconds.
@@ -35,6 +37,11 @@
 // peerDialTimeout bounds the opening of a connection to another host, which takes a few milliseconds.
 const peerDialTimeout = 300 * time.Millisecond
 
+// dialError means that no connection could be opened, so nothing was sent.
+type dialError struct{ error }
+
+func (e *dialError) Unwrap() error { return e.error }
+
 // peers keeps a connection to each host that was called.
 type peers struct {
 	mu      sync.Mutex
@@ -70,9 +77,9 @@
 	if client != nil {
 		return client, nil
 	}
-	conn, err := net.DialTimeout("tcp", address, peerDialTimeout)
+	conn, err := socket.Dialer(peerDialTimeout).Dial("tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, &dialError{err}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -8,11 +8,10 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/placement"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
 )
 
@@ -67,6 +66,7 @@
 	expected []model.HostID // registered hosts and those that have left a short time ago, in order
 	leader   *versioned[Leader]
 	docs     map[model.Service]versioned[primacy.Document]
+	plans    map[model.Service]placement.Plan
 }
 
 func (v *view) clone() *view {
@@ -122,17 +122,15 @@
 	return list
 }
 
-// connectionLimit returns the number of connections that a host may hold to a target. The limits of all expected hosts
-// add up to what the target allows, less the spare ones; what cannot be divided goes to other hosts at each target.
-func (v *view) connectionLimit(self model.HostID, service model.Service, target model.TargetID) int {
-	available := v.catalog.Services[service].MaxConnections - spareConnections
-	n := max(len(v.expected), 1)
-	limit := available / n
-	if rank, found := slices.BinarySearch(v.expected, self); found {
-		offset := int(xxhash.Sum64String(string(target)) % uint64(n))
-		if (rank+offset)%n < available%n {
-			limit++
-		}
+// plan divides the workspaces of all services over the expected hosts. The rate of a workspace tells how much it asks for.
+func (v *view) plan() map[model.Service]placement.Plan {
+	weights := make(map[model.Workspace]float64, len(v.catalog.Limits))
+	for workspace, limit := range v.catalog.Limits {
+		weights[workspace] = limit.PerSecond
+	}
+	plans := make(map[model.Service]placement.Plan, len(v.catalog.Services))
+	for name, service := range v.catalog.Services {
+		plans[name] = placement.NewPlan(name, max(1, service.MaxConnections-spareConnections), weights, v.expected)
 	}
-	return max(limit, 1)
+	return plans
 }
--- /dev/null
+++ b/frontend/forward.go
@@ -0,0 +1,226 @@
+package frontend
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+const (
+	// maxForwards bounds the hosts that a statement is passed on to before this host runs it itself.
+	maxForwards = 2
+	// forwardMargin is added to the latency target when a read waits for another host, before it is run elsewhere.
+	forwardMargin = 150 * time.Millisecond
+)
+
+// ErrDraining refuses a forwarded statement because the host is about to stop. The statement has not run.
+var ErrDraining = errors.New("the host is about to stop")
+
+// Forwarder passes statements on to the hosts that keep connections for their workspaces.
+type Forwarder interface {
+	// Home returns the host that should run statements of a workspace on a service; local means this host.
+	Home(service model.Service, workspace model.Workspace) (host model.HostID, local bool)
+	// Forward lets a host run a statement. After an error, sent tells whether the statement may have run.
+	Forward(host model.HostID, f Forward, timeout time.Duration) (answer Forwarded, sent bool, err error)
+}
+
+// Forward is a statement that another host runs for a session of this one.
+type Forward struct {
+	Origin      model.HostID
+	Incarnation model.Incarnation
+	// Txn is the number of the transaction at the origin, or 0 for a statement on its own. Begin opens the transaction.
+	Txn      uint64
+	Begin    bool
+	ReadOnly bool
+
+	Statement Statement
+	Values    map[string]string
+	Prepared  map[string]Prepared // the prepared statement that is executed
+	Mark      Mark
+	MarkAge   time.Duration
+	Route     catalog.Route
+	Workspace model.Workspace
+	Writes    bool
+	Left      time.Duration // until the statement's timeout
+}
+
+// Forwarded is the answer of the host that ran a forwarded statement.
+type Forwarded struct {
+	Answer Answer
+	Mark   Mark
+}
+
+// txnKey names a transaction of another host's session.
+type txnKey struct {
+	origin      model.HostID
+	incarnation model.Incarnation
+	txn         uint64
+}
+
+// forwardRequest returns the request for a statement.
+func (s *session) forwardRequest(op operation, st Statement) Forward {
+	f := Forward{Statement: st, Values: s.state.values, Mark: s.mark, MarkAge: boottime.Now().Sub(s.mark.Made), Route: op.route, Workspace: op.workspace,
+		Writes: op.writes, Left: op.deadline.Sub(boottime.Now())}
+	if st.Kind == Execute {
+		f.Prepared = map[string]Prepared{st.Name: s.state.prepared[st.Name]}
+	}
+	if t := s.txn; t != nil {
+		f.Txn, f.Begin, f.ReadOnly = t.id, !t.onPeer, t.readOnly
+	}
+	return f
+}
+
+// forwardAlone lets another host run a statement on its own. It reports false if the statement should be tried elsewhere.
+func (s *session) forwardAlone(host model.HostID, op operation, st Statement) (Answer, bool) {
+	timeout := op.deadline.Sub(boottime.Now()) + answerMargin
+	if !op.writes {
+		timeout = min(timeout, op.route.LatencyTarget+forwardMargin)
+	}
+	result, sent, err := s.server.forwarder.Forward(host, s.forwardRequest(op, st), timeout)
+	if err == nil {
+		s.setMark(result.Mark)
+		return result.Answer, true
+	}
+	s.logForward(host, st, sent, err)
+	if sent && op.writes {
+		return refuse(InDoubt, "the answer of the host that ran the statement was lost"), true
+	}
+	return Answer{}, false
+}
+
+func (s *session) logForward(host model.HostID, st Statement, sent bool, err error) {
+	s.log.Info("forward: no answer", zap.String("id", st.ID), zap.String("to", string(host)), zap.Bool("sent", sent),
+		zap.Error(err))
+}
+
+// setMark takes over the mark of a host that ran a statement. Clocks of hosts are not compared.
+func (s *session) setMark(m Mark) {
+	if m.Epoch != s.mark.Epoch || m.Position != s.mark.Position {
+		s.mark = Mark{Epoch: m.Epoch, Position: m.Position, Made: boottime.Now()}
+	}
+}
+
+// forwardInTxn lets the host that has the transaction run a statement of it, or its commit. It reports false if the
+// transaction has not begun there and should begin elsewhere.
+func (s *session) forwardInTxn(op operation, st Statement) (Answer, bool) {
+	t := s.txn
+	result, sent, err := s.server.forwarder.Forward(t.peer, s.forwardRequest(op, st),
+		op.deadline.Sub(boottime.Now())+answerMargin)
+	if err == nil {
+		t.onPeer = true
+		s.setMark(result.Mark)
+		t.failed = result.Answer.Code != Success && st.Kind != Commit
+		t.wrote = t.wrote || op.writes
+		return result.Answer, true
+	}
+	s.logForward(t.peer, st, sent, err)
+	if !sent && !t.onPeer {
+		t.peer = ""
+		return Answer{}, false
+	}
+	t.onPeer = true // it may have begun there
+	s.rollback(t)
+	t.failed = true
+	if st.Kind == Commit && sent && t.wrote {
+		return refuse(InDoubt, "the answer of the host that has the transaction was lost"), true
+	}
+	return refuse(Aborted, "the host that has the transaction does not answer"), true
+}
+
+// rollbackOnPeer tells the host that has a transaction that it has ended.
+func (s *session) rollbackOnPeer(peer model.HostID, id uint64) {
+	f := Forward{Txn: id, Statement: Statement{ID: internalID, Kind: Rollback}, Left: rollbackTimeout}
+	if _, _, err := s.server.forwarder.Forward(peer, f, rollbackTimeout); err != nil {
+		s.log.Info("forward: rollback not confirmed, the transaction ends when it stays idle",
+			zap.String("to", string(peer)), zap.Error(err))
+	}
+}
+
+// RunForwarded runs a statement for another host. It fails with ErrDraining, and then nothing has run.
+func (s *Server) RunForwarded(f Forward) (Forwarded, error) {
+	now := boottime.Now()
+	s.forwardsRunning.Add(1)
+	defer s.forwardsRunning.Add(-1)
+	if f.Txn == 0 {
+		if s.Draining() {
+			return Forwarded{}, ErrDraining
+		}
+		sess := s.forwardedSession(f)
+		op := operation{route: f.Route, workspace: f.Workspace, service: s.service(f.Route.Service), arrived: now,
+			deadline: now.Add(f.Left), writes: f.Writes}
+		answer := sess.runHere(op, f.Statement)
+		return Forwarded{answer, sess.mark}, nil
+	}
+	key := txnKey{f.Origin, f.Incarnation, f.Txn}
+	sess, err := s.forwardedTxn(key, f)
+	if err != nil {
+		return Forwarded{}, err
+	}
+	if sess == nil {
+		return Forwarded{Answer: refuse(Aborted, "the transaction has ended")}, nil
+	}
+	sess.adopt(f)
+	answer := sess.execute(now, f.Statement)
+	if sess.txnState() != InTxn {
+		s.forgetForwarded(key)
+	}
+	return Forwarded{answer, sess.mark}, nil
+}
+
+// forwardedSession returns a session that stands for one of another host.
+func (s *Server) forwardedSession(f Forward) *session {
+	sess := &session{server: s, log: s.log.With(zap.String("origin", string(f.Origin))),
+		forwarded: &caller{f.Route, f.Workspace}}
+	sess.adopt(f)
+	return sess
+}
+
+// adopt takes over the state of the session at its origin.
+func (s *session) adopt(f Forward) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = sessionState{values: f.Values, prepared: f.Prepared}
+	s.mark = f.Mark
+	s.mark.Made = boottime.Now().Add(-f.MarkAge)
+}
+
+// forwardedTxn returns the session of a transaction of another host, or nil if there is none any more.
+func (s *Server) forwardedTxn(key txnKey, f Forward) (*session, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !f.Begin {
+		return s.forwardedTxns[key], nil
+	}
+	if s.Draining() {
+		return nil, ErrDraining
+	}
+	sess := s.forwardedSession(f)
+	sess.onIdle = func() { s.forgetForwarded(key) }
+	svc := s.services[f.Route.Service]
+	if svc == nil {
+		return nil, nil
+	}
+	sess.txn = &txn{readOnly: f.ReadOnly, service: svc, begun: boottime.Now()}
+	s.forwardedTxns[key] = sess
+	return sess, nil
+}
+
+// forgetForwarded removes a transaction that has ended.
+func (s *Server) forgetForwarded(key txnKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.forwardedTxns, key)
+}
+
+// home returns the host that should run statements of a workspace.
+func (s *Server) home(service model.Service, workspace model.Workspace) (host model.HostID, local bool) {
+	if s.forwarder == nil {
+		return "", true
+	}
+	return s.forwarder.Home(service, workspace)
+}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -45,6 +45,12 @@
 	mu       sync.Mutex
 	services map[model.Service]*service
 	sessions map[*session]CallerConn
+	// forwardedTxns are the sessions of other hosts whose transactions run here.
+	forwardedTxns   map[txnKey]*session
+	forwardsRunning atomic.Int64
+
+	forwarder Forwarder     // nil if this host runs everything itself
+	lastTxn   atomic.Uint64 // number of the last transaction that was passed on
 
 	takeTokens TakeTokens
 	limitMu    sync.Mutex
@@ -54,7 +60,8 @@
 // New returns a server without a configuration, which refuses everything.
 func New(dataCentre model.DataCentre, dialer Dialer, log *zap.Logger, metrics *Metrics) *Server {
 	s := &Server{dataCentre: dataCentre, dialer: dialer, log: log, metrics: metrics,
-		services: map[model.Service]*service{}, sessions: map[*session]CallerConn{}, limiter: share.NewLimiter()}
+		services: map[model.Service]*service{}, sessions: map[*session]CallerConn{},
+		forwardedTxns: map[txnKey]*session{}, limiter: share.NewLimiter()}
 	s.current.Store(&catalog.Catalog{})
 	return s
 }
@@ -110,8 +117,8 @@
 	s.limiter.SetLimits(boottime.Now(), s.catalog().Limits, hosts)
 }
 
-// SetTargets replaces the targets of a service. limit is the number of connections that this host may hold per target.
-func (s *Server) SetTargets(name model.Service, targets []catalog.Target, limit func(model.TargetID) int) {
+// SetTargets replaces the targets of a service. limit is the number of connections that this host may hold to each.
+func (s *Server) SetTargets(name model.Service, targets []catalog.Target, limit int) {
 	s.service(name).setTargets(targets, limit)
 }
 
@@ -156,6 +163,9 @@
 	s.limiter.BrokerGone(boottime.Now())
 }
 
+// SetForwarder sets how statements are passed on to other hosts.
+func (s *Server) SetForwarder(f Forwarder) { s.forwarder = f }
+
 // SetBroker sets how tokens are taken from the broker.
 func (s *Server) SetBroker(take TakeTokens) { s.takeTokens = take }
 
@@ -178,7 +188,7 @@
 // Serve runs a session that Open has accepted until it ends.
 func (s *Server) Serve(conn CallerConn, database, key string) {
 	sess := &session{server: s, log: s.log, database: database, key: key,
-		state: sessionState{values: map[string]string{}, prepared: map[string]prepared{}}}
+		state: sessionState{values: map[string]string{}, prepared: map[string]Prepared{}}}
 	s.mu.Lock()
 	s.sessions[sess] = conn
 	s.mu.Unlock()
@@ -188,7 +198,8 @@
 	s.mu.Unlock()
 }
 
-// Close lets sessions end as soon as they have no transaction, and returns the number of open ones.
+// Close lets sessions end as soon as they have no transaction, and returns the number of open ones with the statements and
+// transactions of other hosts that run here.
 func (s *Server) Close() int {
 	first := !s.closing.Swap(true)
 	s.mu.Lock()
@@ -198,7 +209,7 @@
 			conn.Interrupt()
 		}
 	}
-	return len(s.sessions)
+	return len(s.sessions) + len(s.forwardedTxns) + int(s.forwardsRunning.Load())
 }
 
 // Drain announces a planned stop.
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -248,15 +248,15 @@
 		p := sess.prepared[command.Name]
 		command.Name = p.remoteName()
 		if !c.prepared[command.Name] {
-			add(p.kind, command.Name, p.shape)
+			add(p.Kind, command.Name, p.Shape)
 			c.prepared[command.Name] = true
 		}
 	}
 	return append(commands, *command)
 }
 
-// setTargets replaces the registered targets. limit is the number of connections that this host may hold per target.
-func (s *service) setTargets(targets []catalog.Target, limit func(model.TargetID) int) {
+// setTargets replaces the registered targets. limit is the number of connections that this host may hold to each.
+func (s *service) setTargets(targets []catalog.Target, limit int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
@@ -266,7 +266,7 @@
 		next[t.ID] = t
 		// The primary takes work until another target has taken over.
 		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
-		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: limit(t.ID), Draining: draining})
+		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: limit, Draining: draining})
 	}
 	for id, old := range s.targets {
 		if t, still := next[id]; still && (t.Born != old.Born || t.Address != old.Address) {
@@ -392,15 +392,15 @@
 
 // freshness returns the position that a read must find, and the time from which that data is, for a read that may be as
 // old as since and must see the mark of its session. It reports false if only the primary is known to be fresh enough.
-func (s *service) freshness(since time.Time, mark mark) (model.Position, time.Time, bool) {
+func (s *service) freshness(since time.Time, mark Mark) (model.Position, time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, position, found := s.samples.Oldest(since)
 	if !found {
 		return model.Position{}, time.Time{}, false
 	}
-	if mark.epoch != s.doc.Epoch || slices.Max([]uint64{mark.position.Offset, position.Offset}) == position.Offset {
+	if mark.Epoch != s.doc.Epoch || slices.Max([]uint64{mark.Position.Offset, position.Offset}) == position.Offset {
 		return position, at, true // whatever survived of an earlier epoch precedes every position of this one
 	}
-	return mark.position, mark.at, true
+	return mark.Position, mark.Made, true
 }
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -29,32 +29,32 @@
 	answerMargin = 50 * time.Millisecond
 )
 
-// prepared is a prepared statement of a session.
-type prepared struct {
-	kind  Kind // PrepareRead or PrepareWrite
-	shape string
+// Prepared is a prepared statement of a session.
+type Prepared struct {
+	Kind  Kind // PrepareRead or PrepareWrite
+	Shape string
 }
 
 // remoteName returns the name on target connections. It follows from the content, so sessions that share a connection can
 // share prepared statements.
-func (p prepared) remoteName() string {
-	if p.kind == PrepareWrite {
-		return "w_" + p.shape
+func (p Prepared) remoteName() string {
+	if p.Kind == PrepareWrite {
+		return "w_" + p.Shape
 	}
-	return "r_" + p.shape
+	return "r_" + p.Shape
 }
 
 // sessionState is what a caller has set up in its session.
 type sessionState struct {
 	values   map[string]string
-	prepared map[string]prepared
+	prepared map[string]Prepared
 }
 
-// mark is the position of the last commit of a session.
-type mark struct {
-	epoch    uint64 // decision about the primary under which the commit was made
-	position model.Position
-	at       time.Time
+// Mark is the position of the last commit of a session.
+type Mark struct {
+	Epoch    uint64 // decision about the primary under which the commit was made
+	Position model.Position
+	Made     time.Time // boot time of the host that ran it, so it means something there only
 }
 
 // txn is an open transaction of a session.
@@ -67,6 +67,16 @@
 	failed   bool
 	begun    time.Time
 	idle     *time.Timer
+
+	peer   model.HostID // the host that runs the transaction, empty for this host
+	id     uint64       // number of the transaction for the peer
+	onPeer bool         // it has begun there
+}
+
+// caller is who a session of another host belongs to.
+type caller struct {
+	route     catalog.Route
+	workspace model.Workspace
 }
 
 // session is a caller's session.
@@ -76,8 +86,11 @@
 	database string
 	key      string
 
+	forwarded *caller // nil for sessions of this host's own callers
+	onIdle    func()  // called when an idle transaction was rolled back, or nil
+
 	state sessionState
-	mark  mark
+	mark  Mark
 
 	mu  sync.Mutex // guards txn against its idle timer
 	txn *txn
@@ -173,7 +186,7 @@
 		s.state.values[st.Name] = st.Args
 		return Answer{}
 	case PrepareRead, PrepareWrite:
-		s.state.prepared[st.Name] = prepared{kind: st.Kind, shape: st.Args}
+		s.state.prepared[st.Name] = Prepared{Kind: st.Kind, Shape: st.Args}
 		return Answer{}
 	case Deallocate:
 		delete(s.state.prepared, st.Name)
@@ -208,6 +221,9 @@
 			s.log.Info("transaction: rolled back after idle time", zap.Duration("limit", limit))
 			s.rollback(t)
 			t.failed = true
+			if s.onIdle != nil {
+				s.onIdle()
+			}
 		}
 	})
 }
@@ -264,7 +280,7 @@
 }
 
 func (s *session) writes(st Statement) bool {
-	return st.Kind == Write || st.Kind == Execute && s.state.prepared[st.Name].kind == PrepareWrite
+	return st.Kind == Write || st.Kind == Execute && s.state.prepared[st.Name].Kind == PrepareWrite
 }
 
 // runStatement runs a read or a write, in the open transaction or on its own.
@@ -284,11 +300,20 @@
 	}
 	op := operation{route: route, workspace: workspace, service: svc, arrived: now,
 		deadline: now.Add(route.StatementTimeout - answerMargin), writes: s.writes(st)}
-	return s.runAlone(op, st)
+	for range maxForwards {
+		host, local := s.server.home(route.Service, workspace)
+		if local {
+			break
+		}
+		if answer, settled := s.forwardAlone(host, op, st); settled {
+			return answer
+		}
+	}
+	return s.runHere(op, st)
 }
 
-// runAlone runs a statement outside transactions, again if it has not run or only reads.
-func (s *session) runAlone(op operation, st Statement) Answer {
+// runHere runs a statement outside transactions on this host, again if it has not run or only reads.
+func (s *session) runHere(op operation, st Statement) Answer {
 	last := refuse(Busy, "no attempt was possible in time")
 	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline); attempt++ {
 		c, epoch, after, refusal := s.connect(&op)
@@ -306,7 +331,7 @@
 			last = refuse(Busy, "the target could not be reached")
 		case reply.Code == Success:
 			if op.writes {
-				s.mark = mark{epoch: epoch, position: reply.Position, at: boottime.Now()}
+				s.mark = Mark{Epoch: epoch, Position: reply.Position, Made: boottime.Now()}
 			}
 			return reply.Answer
 		case !s.again(&op, reply):
@@ -355,7 +380,7 @@
 	if !primary {
 		m := s.mark
 		if op.route.Consistency != catalog.ReadYourWrites {
-			m = mark{}
+			m = Mark{}
 		}
 		position, dataOf, known := op.service.freshness(op.arrived.Add(-op.route.MaxStaleness), m)
 		if known {
@@ -396,13 +421,20 @@
 // runInTxn runs a statement in the open transaction.
 func (s *session) runInTxn(now time.Time, st Statement) Answer {
 	t := s.txn
+	op, allowed := s.txnOperation(now)
+	if !allowed {
+		s.fail()
+		return refuse(Aborted, "the route or the key has changed")
+	}
+	if answer, settled := s.runOnPeer(op, st); settled {
+		return answer
+	}
 	if t.conn == nil {
-		if refusal := s.beginRemote(now, st); refusal.Code != Success {
+		if refusal := s.beginRemote(op, st); refusal.Code != Success {
 			s.fail()
 			return refusal
 		}
 	}
-	op := s.txnOperation(now)
 	reply, _, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.timer(op))
 	if err != nil {
 		s.logLost(st, t.conn, err)
@@ -417,25 +449,52 @@
 	return reply.Answer
 }
 
-// txnOperation returns the operation of a statement of the open transaction, by the route that is in force.
-func (s *session) txnOperation(now time.Time) operation {
-	route := s.server.catalog().Routes[s.database]
-	timeout := route.StatementTimeout
+// runOnPeer runs a statement of the open transaction on another host, if the transaction is there or should begin there.
+func (s *session) runOnPeer(op operation, st Statement) (Answer, bool) {
+	t := s.txn
+	op.writes = s.writes(st)
+	for range maxForwards {
+		if t.conn == nil && t.peer == "" && s.forwarded == nil {
+			if host, local := s.server.home(op.route.Service, op.workspace); !local {
+				t.peer, t.id = host, s.server.lastTxn.Add(1)
+			}
+		}
+		if t.peer == "" {
+			break
+		}
+		if answer, settled := s.forwardInTxn(op, st); settled {
+			return answer, true
+		}
+	}
+	return Answer{}, false
+}
+
+// txnOperation returns the operation of a statement of the open transaction. The route of its begin stays in force for a
+// transaction that has begun on a target; before, it has to be the same still.
+func (s *session) txnOperation(now time.Time) (op operation, allowed bool) {
+	t := s.txn
+	op = operation{service: t.service, arrived: now}
+	if s.forwarded != nil {
+		op.route, op.workspace, allowed = s.forwarded.route, s.forwarded.workspace, true
+	} else {
+		c := s.server.catalog()
+		route, known := c.Routes[s.database]
+		op.route = route
+		op.workspace, allowed = c.Caller(route, s.key)
+		allowed = allowed && known && route.Service == t.service.name || t.conn != nil || t.onPeer
+	}
+	timeout := op.route.StatementTimeout
 	if timeout == 0 {
 		timeout = fallbackTimeout
 	}
-	return operation{route: route, service: s.txn.service, arrived: now, deadline: now.Add(timeout - answerMargin)}
+	op.deadline = now.Add(timeout - answerMargin)
+	return op, allowed
 }
 
 // beginRemote begins the transaction on a target.
-func (s *session) beginRemote(now time.Time, first Statement) Answer {
+func (s *session) beginRemote(op operation, first Statement) Answer {
 	t := s.txn
-	op := s.txnOperation(now)
-	workspace, allowed := s.server.catalog().Caller(op.route, s.key)
-	if op.route.Service != t.service.name || !allowed {
-		return refuse(Aborted, "the route has changed")
-	}
-	op.workspace, op.writes = workspace, !t.readOnly
+	op.writes = !t.readOnly
 	begin := Statement{ID: internalID, Kind: Begin}
 	if t.readOnly {
 		begin.Kind = BeginRead
@@ -470,13 +529,22 @@
 		s.txn = nil
 		return refuse(Aborted, "the transaction had failed and was rolled back")
 	}
+	op, allowed := s.txnOperation(now)
+	if !allowed {
+		s.txn = nil
+		return refuse(Aborted, "the route or the key has changed")
+	}
+	if answer, settled := s.runOnPeer(op, st); settled {
+		s.txn = nil
+		return answer
+	}
 	if t.conn == nil {
-		if refusal := s.beginRemote(now, st); refusal.Code != Success {
+		if refusal := s.beginRemote(op, st); refusal.Code != Success {
 			s.txn = nil
 			return refusal
 		}
 	}
-	reply, sent, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.timer(s.txnOperation(now)))
+	reply, sent, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.timer(op))
 	if err != nil {
 		s.logLost(st, t.conn, err)
 		s.abandon()
@@ -488,7 +556,7 @@
 	}
 	t.service.release(t.conn, reply.State != Idle)
 	if reply.Code == Success && t.wrote {
-		s.mark = mark{epoch: t.epoch, position: reply.Position, at: boottime.Now()}
+		s.mark = Mark{Epoch: t.epoch, Position: reply.Position, Made: boottime.Now()}
 	}
 	s.txn = nil
 	return reply.Answer
@@ -509,6 +577,9 @@
 
 // rollback rolls a transaction back on its target, if it has begun there. The connection returns to the pool afterwards.
 func (s *session) rollback(t *txn) {
+	if t.onPeer && !t.failed {
+		go s.rollbackOnPeer(t.peer, t.id)
+	}
 	if t.conn == nil {
 		return
 	}
--- /dev/null
+++ b/placement/homes_test.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+func ids(n int) []model.HostID {
+	list := make([]model.HostID, n)
+	for i := range list {
+		list[i] = model.HostID(fmt.Sprintf("host-%03d", i))
+	}
+	return list
+}
+
+// Guards against more connections than a target allows, against workspaces without a home, and against a home that may not
+// hold a connection.
+func TestPlanKeepsToConnections(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := ids(rapid.IntRange(1, 120).Draw(t, "hosts"))
+		connections := rapid.IntRange(1, 240).Draw(t, "connections")
+		weights := map[model.Workspace]float64{}
+		for i := range rapid.IntRange(1, 80).Draw(t, "workspaces") {
+			weights[model.Workspace(fmt.Sprintf("w%d", i))] = rapid.Float64Range(0, 100).Draw(t, "weight")
+		}
+		p := NewPlan("booking", connections, weights, hosts)
+		sum := 0
+		for _, id := range hosts {
+			sum += p.Limit(id)
+		}
+		if sum > connections {
+			t.Fatalf("the hosts may hold %d connections, the target allows %d", sum, connections)
+		}
+		for workspace := range weights {
+			homes, _ := p.Homes(workspace)
+			if len(homes) == 0 {
+				t.Fatalf("%s has no home", workspace)
+			}
+			for _, id := range homes {
+				if p.Limit(id) == 0 {
+					t.Fatalf("the home %s of %s may hold no connection", id, workspace)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a host that is home to much more than others: eight workspaces of unequal size on eight hosts.
+func TestPlanBalancesLoad(t *testing.T) {
+	weights := map[model.Workspace]float64{"a": 130, "b": 100, "c": 76, "d": 60, "e": 45, "f": 30, "g": 24, "h": 20}
+	p := NewPlan("booking", 19, weights, ids(8))
+	load := map[model.HostID]float64{}
+	for workspace, weight := range weights {
+		homes, _ := p.Homes(workspace)
+		for _, id := range homes {
+			load[id] += weight / 485 * 19 / float64(len(homes))
+		}
+	}
+	for id, connections := range load {
+		if limit := 1.8 * 19 / 8; connections > limit {
+			t.Errorf("%s carries %.1f connections, the mean is %.1f", id, connections, 19.0/8)
+		}
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -178,6 +179,9 @@
 // Push adds a request. It is granted or refused by an action of this call or of a later one.
 func (p *Pool) Push(now time.Time, r Request) []Action {
 	r.arrived = now
+	if !slices.ContainsFunc(slices.Collect(maps.Values(p.targets)), func(t *target) bool { return t.Limit > 0 }) {
+		return []Action{Refuse{r.Ticket, RefusedNoTarget}}
+	}
 	if len(p.waiting) >= p.queueLimit() {
 		last := p.waiting[len(p.waiting)-1]
 		if last.Priority <= r.Priority {
