Code messages between hosts in msgpack, and make plans only when their input changes

Also a stand-in of the platform, and tests of share, primacy and the codec; the broker's bucket now fills from the start of the leadership.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -110,6 +110,18 @@
 	removed map[model.TargetID]time.Time // entries that have disappeared, with the time
 	left    map[model.HostID]time.Time   // hosts whose registration has disappeared, with the time
 	asking  bool                         // an attempt to become the leader is under way
+	basis   planBasis
+}
+
+// planBasis is what the plans of the services were made from.
+type planBasis struct {
+	catalog *catalog.Catalog
+	hosts   []model.HostID
+}
+
+func (b planBasis) equal(other planBasis) bool {
+	return other.catalog != nil && slices.Equal(b.hosts, other.hosts) && (b.catalog == other.catalog ||
+		maps.Equal(b.catalog.Limits, other.catalog.Limits) && maps.Equal(b.catalog.Services, other.catalog.Services))
 }
 
 // New returns an agent that does nothing until Run.
@@ -304,7 +316,7 @@
 
 // publish brings the view in force.
 func (c *control) publish() {
-	c.view.plans = c.view.plan()
+	c.replan()
 	v := c.view.clone()
 	a := c.agent
 	a.view.Store(v)
@@ -321,6 +333,14 @@
 	}
 }
 
+// replan divides the workspaces anew if what the plans follow from has changed. It takes milliseconds on large fleets.
+func (c *control) replan() {
+	basis := planBasis{c.view.catalog, slices.Clone(c.view.expected)}
+	if c.view.plans == nil || !basis.equal(c.basis) {
+		c.view.plans, c.basis = c.view.plan(), basis
+	}
+}
+
 // fence puts a decision in force. If it closes the use of a primary and the leader does not ask for that itself, it may not
 // reach this host, and the confirmation is written to the store.
 func (a *Agent) fence(doc primacy.Document) {
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -18,6 +18,9 @@
 	avoidDraining = 5 * time.Second
 )
 
+// remoteLoad is what another data centre weighs in the choice of a home, in statements that it runs for this host.
+const remoteLoad = 1
+
 // homes keeps what this host needs to choose among the homes of a workspace.
 type homes struct {
 	mu          sync.Mutex
@@ -44,6 +47,7 @@
 	defer a.homes.mu.Unlock()
 	now := boottime.Now()
 	var best model.HostID
+	least := 0
 	for _, id := range list {
 		if id == a.Self.ID {
 			return id
@@ -51,8 +55,12 @@
 		if _, registered := v.hosts[id]; !registered || now.Before(a.homes.avoid[id]) {
 			continue
 		}
-		if best == "" || a.homes.outstanding[id] < a.homes.outstanding[best] {
-			best = id
+		load := a.homes.outstanding[id]
+		if v.hosts[id].DataCentre != a.Self.DataCentre {
+			load += remoteLoad
+		}
+		if best == "" || load < least {
+			best, least = id, load
 		}
 	}
 	return best
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -113,7 +113,7 @@
 	run, stop := context.WithCancel(ctx)
 	defer stop()
 	l := &leadership{agent: a, lease: lease, fence: fence, stop: stop, until: sent.Add(ttl - leaseMargin),
-		broker:   share.NewBroker(),
+		broker:   share.NewBroker(boottime.Now()),
 		opinions: map[model.HostID]opinion{}, watched: map[model.Service]bool{}}
 	a.Log.Info("leader: this host leads", zap.Uint64("fence", fence))
 	a.setLeading(l)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -17,6 +17,7 @@
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/rpccodec"
 	"github.com/waxwingspindle/waxwingspindle/socket"
 )
 
@@ -87,7 +88,7 @@
 		_ = conn.Close() // another goroutine was faster
 		return other, nil
 	}
-	client = rpc.NewClient(conn)
+	client = rpccodec.NewClient(conn)
 	p.clients[address] = client
 	return client, nil
 }
@@ -133,10 +134,25 @@
 	if err := server.RegisterName("Peer", &Peer{a}); err != nil {
 		return err
 	}
-	go server.Accept(l)
+	go a.acceptPeers(l, server)
 	return nil
 }
 
+func (a *Agent) acceptPeers(l net.Listener, server *rpc.Server) {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			a.Log.Warn("peer: accept failed", zap.Error(err))
+			time.Sleep(retryInterval)
+			continue
+		}
+		go rpccodec.Serve(server, conn)
+	}
+}
+
 // Renew renews a lease for a host that the store turns away.
 func (p *Peer) Renew(r RenewRequest, _ *struct{}) error {
 	done := make(chan error, 1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/platform"
+	"github.com/waxwingspindle/waxwingspindle/socket"
 )
 
 const (
@@ -88,11 +89,12 @@
 type listeners struct{ callers, health, peers, metrics net.Listener }
 
 func listen(s Settings) (l listeners, err error) {
-	for _, socket := range []struct {
+	config := net.ListenConfig{KeepAliveConfig: socket.KeepAlive}
+	for _, listening := range []struct {
 		listener *net.Listener
 		address  string
 	}{{&l.callers, s.Callers}, {&l.health, s.Health}, {&l.peers, s.Peers()}, {&l.metrics, s.Metrics()}} {
-		if *socket.listener, err = net.Listen("tcp", socket.address); err != nil {
+		if *listening.listener, err = config.Listen(context.Background(), "tcp", listening.address); err != nil {
 			return l, trace.Wrap(err)
 		}
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -47,7 +47,9 @@
 }
 
 // Drain returns the longest time that a planned stop may take.
-func (s Settings) Drain() time.Duration { return time.Duration(s.DrainSeconds * drainPart * float64(time.Second)) }
+func (s Settings) Drain() time.Duration {
+	return time.Duration(s.DrainSeconds * drainPart * float64(time.Second))
+}
 
 // ReadSettings reads and checks a settings file. Keys that are not known are ignored.
 func ReadSettings(path string) (Settings, error) {
--- a/placement/homes.go
+++ b/placement/homes.go
@@ -78,9 +78,18 @@
 // rank orders the hosts by spare connections, and by rendezvous order among equals.
 func (p *Plan) rank(service model.Service, workspace model.Workspace, spare map[model.HostID]float64) []model.HostID {
 	key := servicePrefix + string(service) + "/" + workspacePrefix + string(workspace)
-	return slices.SortedFunc(slices.Values(p.Hosts), func(a, b model.HostID) int {
-		return cmp.Or(cmp.Compare(spare[b], spare[a]), cmp.Compare(Score(key, b), Score(key, a)), cmp.Compare(a, b))
+	list := make([]scored, len(p.Hosts))
+	for i, id := range p.Hosts {
+		list[i] = scored{id, Score(key, id)}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(spare[b.host], spare[a.host]), before(a, b))
 	})
+	ranked := make([]model.HostID, len(list))
+	for i, entry := range list {
+		ranked[i] = entry.host
+	}
+	return ranked
 }
 
 // Homes returns the hosts that run the statements of a workspace, and those that stand in for them. A workspace that the
--- /dev/null
+++ b/primacy/primacy_test.go
@@ -0,0 +1,110 @@
+package primacy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+func open() Document {
+	return Document{Service: "booking", Epoch: 4, Open: true, Primary: "a", Born: 7, Term: 3}
+}
+
+func healthy() View {
+	return View{Listed: true, Born: 7, AllReport: true, StatusKnown: true, IsPrimary: true, Term: 3}
+}
+
+func reached() Opinion { return Opinion{Epoch: 4, Reached: 50 * time.Millisecond} }
+
+func unreached() Opinion {
+	return Opinion{Epoch: 4, Reached: 2 * time.Second, Unreachable: 2 * time.Second}
+}
+
+// Guards against a primary that is replaced without need, and against one that is gone and never replaced.
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name   string
+		doc    Document
+		change func(*View)
+		want   Cause
+	}{
+		{"a primary that answers stays", open(), func(*View) {}, CauseNone},
+		{"no primary was ever named", Document{}, func(*View) {}, CauseFirst},
+		{"its entry has disappeared", open(), func(v *View) { v.Listed = false }, CauseGone},
+		{"it started again and knows nothing of before", open(), func(v *View) { v.Born = 8 }, CauseRestarted},
+		{"it drains and all hosts report", open(), func(v *View) { v.Draining = true }, CauseDraining},
+		{"it drains, but a host does not report", open(), func(v *View) { v.Draining, v.AllReport = true, false }, CauseNone},
+		{"it drains for long", open(), func(v *View) {
+			v.Draining, v.AllReport, v.DrainingFor = true, false, longestDelay
+		}, CauseDraining},
+		{"it was made a replica", open(), func(v *View) { v.IsPrimary, v.Term = false, 4 }, CauseDemoted},
+		{"nobody reaches it", open(), func(v *View) {
+			v.Silent, v.Opinions = time.Second, []Opinion{unreached(), unreached()}
+		}, CauseUnreachable},
+		{"only the leader does not reach it", open(), func(v *View) {
+			v.Silent, v.Opinions = time.Second, []Opinion{reached(), reached()}
+		}, CauseNone},
+		{"most hosts do not reach it, the leader does", open(), func(v *View) {
+			v.Opinions = []Opinion{unreached(), unreached(), unreached(), reached()}
+		}, CauseUnreachable},
+		{"hosts speak of an earlier primary", open(), func(v *View) {
+			v.Opinions = []Opinion{{Epoch: 2, Unreachable: time.Minute}, {Epoch: 2, Unreachable: time.Minute}}
+		}, CauseNone},
+		{"one probe was lost", open(), func(v *View) { v.Silent = unreachableTime / 2 }, CauseNone},
+	}
+	for _, test := range tests {
+		view := healthy()
+		test.change(&view)
+		if got := Check(test.doc, view); got != test.want {
+			t.Errorf("%s: cause %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
+func at(term, offset uint64) model.Position { return model.Position{Term: term, Offset: offset} }
+
+// Guards against the promotion of a target that lacks commits which another one has, and against a second promotion after
+// an order whose answer was lost.
+func TestChoose(t *testing.T) {
+	a := Candidate{ID: "a", Born: 7, IsPrimary: true, Term: 3, Received: at(3, 90)}
+	b := Candidate{ID: "b", Term: 3, Received: at(3, 80)}
+	c := Candidate{ID: "c", Term: 3, Received: at(3, 85)}
+	led := Candidate{ID: "b", IsPrimary: true, Term: 4, Received: at(4, 81)}
+	draining := Candidate{ID: "b", Draining: true, Term: 3, Received: at(3, 85)}
+	reborn := Candidate{ID: "a", Born: 9, Term: 0}
+	tests := []struct {
+		name       string
+		candidates []Candidate
+		sync       int
+		want       Choice
+	}{
+		{"the replica that received most", []Candidate{b, c}, 0, Choice{Target: c, Final: true}},
+		{"not the old primary", []Candidate{a, b}, 0, Choice{Target: b, Final: true}},
+		{"one that leads already", []Candidate{c, led}, 0, Choice{Target: led, Promoted: true, Final: true}},
+		{"not a draining one among equals", []Candidate{draining, c}, 0, Choice{Target: c, Final: true}},
+		{"not one that started empty", []Candidate{reborn, b}, 0, Choice{Target: b, Final: true}},
+		{"nobody answers", nil, 0, Choice{}},
+		{"with synchronous replicas, all of them", []Candidate{b, c}, 1, Choice{Target: c, Final: true}},
+		{"with synchronous replicas, not one of two", []Candidate{b}, 1, Choice{}},
+	}
+	for _, test := range tests {
+		group := Group{Old: "a", OldBorn: 7, OldTerm: 3, Targets: 3, SyncReplicas: test.sync, Candidates: test.candidates}
+		if diff := cmp.Diff(test.want, Choose(group)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
+// Guards against a planned replacement that loses commits which only the old primary has.
+func TestCaughtUp(t *testing.T) {
+	g := Group{Old: "a", OldBorn: 7, Candidates: []Candidate{{ID: "a", Born: 7, Received: at(3, 90)}}}
+	if g.CaughtUp(Candidate{ID: "b", Received: at(3, 89)}) {
+		t.Error("a replica that lacks a commit counts as caught up")
+	}
+	if !g.CaughtUp(Candidate{ID: "b", Received: at(3, 90)}) {
+		t.Error("a replica with every commit does not count as caught up")
+	}
+}
--- /dev/null
+++ b/rpccodec/rpccodec_test.go
@@ -0,0 +1,56 @@
+package rpccodec
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Message is what the test sends.
+type Message struct {
+	Text   string
+	Counts map[string]uint64
+	Age    time.Duration
+	Data   []byte
+}
+
+type echo struct{}
+
+func (echo) Send(m Message, answer *Message) error {
+	if m.Text == "fail" {
+		return errors.New("refused")
+	}
+	*answer = m
+	return nil
+}
+
+// Guards against answers that reach another call, and against a refused call that breaks the connection for the next one.
+func TestCallsAndErrors(t *testing.T) {
+	near, far := net.Pipe()
+	server := rpc.NewServer()
+	if err := server.RegisterName("Echo", echo{}); err != nil {
+		t.Fatal(err)
+	}
+	go Serve(server, far)
+	client := NewClient(near)
+	defer client.Close()
+	for _, text := range []string{"one", "fail", "two"} {
+		sent := Message{Text: text, Counts: map[string]uint64{"a": 1 << 40}, Age: -time.Second, Data: []byte{0, 255}}
+		var answer Message
+		err := client.Call("Echo.Send", sent, &answer)
+		if text == "fail" {
+			var refused rpc.ServerError
+			if !errors.As(err, &refused) {
+				t.Errorf("the error of the method arrived as %v", err)
+			}
+			continue
+		}
+		if diff := cmp.Diff(sent, answer); err != nil || diff != "" {
+			t.Errorf("call %s: %v (-sent +received):\n%s", text, err, diff)
+		}
+	}
+}
--- a/share/share.go
+++ b/share/share.go
@@ -70,13 +70,14 @@
 type Broker struct {
 	limits  Limits
 	hosts   int
+	created time.Time
 	heard   map[model.HostID]time.Time // last report of a host that uses its fixed part only
 	buckets map[model.Workspace]*bucket
 }
 
 // NewBroker returns a broker with empty buckets. It regards every host as alone until it reports.
-func NewBroker() *Broker {
-	return &Broker{heard: map[model.HostID]time.Time{}, buckets: map[model.Workspace]*bucket{}, hosts: 1}
+func NewBroker(now time.Time) *Broker {
+	return &Broker{created: now, heard: map[model.HostID]time.Time{}, buckets: map[model.Workspace]*bucket{}, hosts: 1}
 }
 
 // SetLimits replaces the limits and the number of registered hosts.
@@ -97,7 +98,7 @@
 	part := b.part(now)
 	k := b.buckets[workspace]
 	if k == nil {
-		k = &bucket{}
+		k = &bucket{updated: b.created}
 		b.buckets[workspace] = k
 	}
 	k.refill(now, part*limit.PerSecond, part*limit.Burst)
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,210 @@
+package share
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+var start = time.Unix(1000, 0)
+
+// fleet is a broker with hosts that are driven on one clock. Messages arrive at once unless a host is cut off.
+type fleet struct {
+	broker *Broker
+	hosts  []*Limiter
+	cut    map[int]bool
+	now    time.Time
+	limits Limits
+	spent  []time.Time // times of all admissions
+}
+
+func newFleet(hosts int, limits Limits) *fleet {
+	f := &fleet{broker: NewBroker(start), cut: map[int]bool{}, now: start, limits: limits}
+	f.broker.SetLimits(limits, hosts)
+	for range hosts {
+		l := NewLimiter()
+		l.SetLimits(f.now, limits, hosts)
+		f.hosts = append(f.hosts, l)
+	}
+	return f
+}
+
+func host(i int) model.HostID { return model.HostID(rune('a' + i)) }
+
+// report lets every host that is not cut off report.
+func (f *fleet) report() {
+	for i, l := range f.hosts {
+		if !f.cut[i] && f.broker != nil {
+			f.broker.Report(f.now, host(i), l.Alone(f.now))
+			l.Answered(f.now, f.now)
+		}
+	}
+}
+
+// ask lets an operation of the workspace start at a host if it is admitted.
+func (f *fleet) ask(i int, workspace model.Workspace) bool {
+	l := f.hosts[i]
+	v := l.Admit(f.now, workspace)
+	admitted := v.Admitted
+	if !admitted && v.Ask > 0 && !f.cut[i] && f.broker != nil {
+		granted, wait := f.broker.Take(f.now, workspace, v.Ask)
+		l.Lend(f.now, workspace, granted, wait)
+		admitted = l.Take(f.now, workspace)
+	}
+	if admitted {
+		f.spent = append(f.spent, f.now)
+	}
+	return admitted
+}
+
+// play lets the load run for a time in steps of 5 ms; hosts report every 250 ms.
+func (f *fleet) play(d time.Duration, load func(step int)) {
+	const step = 5 * time.Millisecond
+	for i := range int(d / step) {
+		if i%50 == 0 {
+			f.report()
+		}
+		load(i)
+		f.now = f.now.Add(step)
+	}
+}
+
+// mostIn returns the greatest number of admissions in any window of the length.
+func (f *fleet) mostIn(window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range f.spent {
+		for at.Sub(f.spent[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+const window = 5 * time.Second // over which a limit is measured
+
+// Guards against operations refused inside the limit because the callers of a workspace sit on one host.
+func TestAllCallersOnOneHost(t *testing.T) {
+	f := newFleet(8, Limits{"w": {PerSecond: 80, Burst: 80}})
+	f.play(5*time.Second, func(int) {}) // buckets fill
+	refused := 0
+	f.play(20*time.Second, func(step int) {
+		if step%4 == 0 && !f.ask(3, "w") { // 50 a second
+			refused++
+		}
+	})
+	if refused > 0 {
+		t.Errorf("%d of 1000 operations were refused at 62%% of the limit", refused)
+	}
+}
+
+// Guards against small workspaces whose equal part is below one token at each host.
+func TestSmallWorkspaceOnAllHosts(t *testing.T) {
+	f := newFleet(8, Limits{"w": {PerSecond: 10, Burst: 10}})
+	f.play(5*time.Second, func(int) {})
+	rng := rand.New(rand.NewPCG(1, 1))
+	refused, asked := 0, 0
+	f.play(60*time.Second, func(int) {
+		if rng.Float64() < 0.03 { // 6 a second
+			if asked++; !f.ask(rng.IntN(8), "w") {
+				refused++
+			}
+		}
+	})
+	if refused*50 > asked {
+		t.Errorf("%d of %d operations were refused at 60%% of the limit", refused, asked)
+	}
+}
+
+// Guards against more operations than a limit allows while a workspace asks for many times its rate, hosts are cut off and
+// come back, and the broker stops and is replaced.
+func TestNeverExceedsLimit(t *testing.T) {
+	for seed := range uint64(30) {
+		limit := Limits{"w": {PerSecond: 60, Burst: 60}}
+		f := newFleet(8, limit)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.play(40*time.Second, func(step int) {
+			switch i := rng.IntN(8); {
+			case rng.IntN(400) == 0:
+				f.cut[i] = !f.cut[i]
+			case rng.IntN(2000) == 0:
+				for _, l := range f.hosts {
+					l.BrokerGone(f.now)
+				}
+				f.broker = nil
+			case f.broker == nil && rng.IntN(300) == 0:
+				f.broker = NewBroker(f.now)
+				f.broker.SetLimits(limit, 8)
+			}
+			for range 3 { // 600 a second
+				f.ask(rng.IntN(8), "w")
+			}
+		})
+		// Tokens of the broker that a host holds while it is cut off, and the time until it knows, are the only excess; a
+		// tenth and twenty operations are allowed for it.
+		if got, most := f.mostIn(window), (60*5+60)*11/10+20; got > most {
+			t.Errorf("seed %d: %d operations in %s, at most %d are allowed", seed, got, window, most)
+		}
+	}
+}
+
+// Guards against hosts that have next to no tokens when the broker stops: each one has to use its equal part at once.
+func TestServesWithoutBroker(t *testing.T) {
+	f := newFleet(8, Limits{"w": {PerSecond: 80, Burst: 80}})
+	f.play(5*time.Second, func(int) {})
+	for _, l := range f.hosts {
+		l.BrokerGone(f.now)
+	}
+	f.broker = nil
+	refused := 0
+	f.play(10*time.Second, func(step int) {
+		if step%4 == 0 && !f.ask(step/4%8, "w") { // 50 a second, evenly
+			refused++
+		}
+	})
+	if refused > 25 {
+		t.Errorf("%d of 500 operations were refused without a broker at 62%% of the limit", refused)
+	}
+}
+
+// Guards against a restart of all hosts that grants each of them a full burst.
+func TestRestartOfAllHostsKeepsToLimit(t *testing.T) {
+	limits := Limits{"w": {PerSecond: 60, Burst: 60}}
+	f := newFleet(8, limits)
+	load := func(int) {
+		for i := range 8 {
+			f.ask(i, "w")
+		}
+	}
+	f.play(3*time.Second, load)
+	f.now = f.now.Add(500 * time.Millisecond)
+	after := newFleet(8, limits)
+	f.broker, f.hosts = after.broker, after.hosts
+	f.play(4*time.Second, load)
+	if got, most := f.mostIn(window), (60*5+60)*11/10+20; got > most {
+		t.Errorf("%d operations in %s around a restart, at most %d are allowed", got, window, most)
+	}
+}
+
+// Guards against a lowered limit that tokens of the old one outlive.
+func TestLoweredLimitBinds(t *testing.T) {
+	f := newFleet(4, Limits{"w": {PerSecond: 100, Burst: 100}})
+	f.play(5*time.Second, func(int) {})
+	low := Limits{"w": {PerSecond: 10, Burst: 10}}
+	f.broker.SetLimits(low, 4)
+	for _, l := range f.hosts {
+		l.SetLimits(f.now, low, 4)
+	}
+	f.play(2*time.Second, func(int) { f.ask(0, "w") })
+	f.spent = nil
+	f.play(10*time.Second, func(int) {
+		for i := range 4 {
+			f.ask(i, "w")
+		}
+	})
+	if got, most := f.mostIn(window), (10*5+10)*11/10+20; got > most {
+		t.Errorf("%d operations in %s after the limit was lowered, at most %d are allowed", got, window, most)
+	}
+}
--- /dev/null
+++ b/standin/lines/session.go
@@ -0,0 +1,222 @@
+package lines
+
+import (
+	"bufio"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// session is a connection to a database.
+type session struct {
+	member   *Member
+	tenant   string
+	values   map[string]string
+	prepared map[string]string // READ or WRITE
+	inTxn    bool
+	readOnly bool
+	failed   bool
+	pending  []write
+}
+
+func (m *Member) accept() {
+	for {
+		conn, err := m.listener.Accept()
+		if err != nil {
+			return
+		}
+		go m.serve(conn)
+	}
+}
+
+func (m *Member) serve(conn net.Conn) {
+	defer conn.Close()
+	m.group.mu.Lock()
+	if m.dark {
+		m.group.mu.Unlock()
+		return
+	}
+	m.conns[conn] = true
+	full := len(m.conns) > m.group.MaxConns
+	m.group.mu.Unlock()
+	defer func() {
+		m.group.mu.Lock()
+		delete(m.conns, conn)
+		m.group.mu.Unlock()
+	}()
+	in := bufio.NewScanner(conn)
+	in.Buffer(nil, 1<<20)
+	if !in.Scan() {
+		return
+	}
+	fields := strings.Fields(in.Text())
+	switch {
+	case len(fields) != 4 || fields[0] != "STARTUP" || fields[1] != m.group.Service || fields[3] != m.ID:
+		fmt.Fprintf(conn, "ERROR WRONGNODE %s\r\n", m.ID)
+		return
+	case full:
+		fmt.Fprintf(conn, "ERROR CONNLIMIT %s\r\n", m.ID)
+		return
+	}
+	s := &session{member: m, tenant: fields[2], values: map[string]string{}, prepared: map[string]string{}}
+	m.group.mu.Lock()
+	position := m.position()
+	m.group.mu.Unlock()
+	fmt.Fprintf(conn, "READY I %s\r\n", position)
+	for in.Scan() {
+		answer, ok := s.handle(in.Text())
+		if !ok {
+			return
+		}
+		if _, err := conn.Write([]byte(answer)); err != nil {
+			return
+		}
+	}
+}
+
+// handle runs a query and returns the whole answer, or false if it is lost.
+func (s *session) handle(line string) (string, bool) {
+	parts := strings.SplitN(line, " ", 3)
+	if len(parts) < 3 || parts[0] != "QUERY" {
+		return "", false
+	}
+	g := s.member.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := len(g.executed)
+	answer := s.run(parts[1], parts[2])
+	state := "I"
+	switch {
+	case s.failed:
+		state = "E"
+	case s.inTxn:
+		state = "T"
+	}
+	if g.lose != nil && len(g.executed) > before && g.lose(s.member, parts[2]) {
+		return "", false
+	}
+	return answer + fmt.Sprintf("READY %s %s\r\n", state, s.member.position()), !s.member.dark
+}
+
+func (s *session) run(id, text string) string {
+	m := s.member
+	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
+		position, statement, _ := strings.Cut(rest, " ")
+		if m.lacks(position) {
+			return s.refuse("LAGGING")
+		}
+		text = statement
+	}
+	words := strings.SplitN(text, " ", 3)
+	for len(words) < 3 {
+		words = append(words, "")
+	}
+	if s.failed && words[0] != "COMMIT" && words[0] != "ROLLBACK" {
+		return s.refuse("MALFORMED")
+	}
+	switch words[0] {
+	case "SET":
+		s.values[words[1]] = words[2]
+	case "PREPARE":
+		s.prepared[words[1]], _, _ = strings.Cut(words[2], " ")
+	case "RESET":
+		clear(s.values)
+		clear(s.prepared)
+	case "STATUS":
+		return s.status()
+	case "DEMOTE":
+		term, _ := strconv.ParseUint(words[1], 10, 64)
+		m.demote(term)
+		return s.status()
+	case "BEGIN":
+		if words[1] == "" && !m.primary {
+			return s.refuse("READONLY")
+		}
+		s.inTxn, s.readOnly, s.pending = true, words[1] == "READ", nil
+	case "COMMIT", "ROLLBACK":
+		return s.end(id, words[0])
+	case "READ":
+		return s.read(id, text, words[1])
+	case "WRITE":
+		return s.write(id, text, words[1], words[2])
+	case "EXECUTE":
+		item, data, _ := strings.Cut(words[2], " ")
+		switch s.prepared[words[1]] {
+		case "READ":
+			return s.read(id, text, item)
+		case "WRITE":
+			return s.write(id, text, item, data)
+		}
+		return s.refuse("NOSTMT")
+	default:
+		return s.refuse("MALFORMED")
+	}
+	return "COMPLETE -\r\n"
+}
+
+func (s *session) refuse(code string) string {
+	s.failed = s.inTxn
+	return fmt.Sprintf("ERROR %s %s\r\n", code, s.member.ID)
+}
+
+func (s *session) record(id, text string, committed bool) {
+	names := slices.Sorted(maps.Keys(s.values))
+	var values []string
+	for _, name := range names {
+		values = append(values, name+"="+s.values[name])
+	}
+	g := s.member.group
+	g.executed = append(g.executed, Executed{s.member.ID, s.tenant, id, text, strings.Join(values, ","), committed})
+}
+
+func (s *session) read(id, text, name string) string {
+	s.record(id, text, false)
+	return fmt.Sprintf("DATAROW %s\r\nCOMPLETE sig.%s\r\n", s.member.read(name, s.pending), id)
+}
+
+func (s *session) write(id, text, name, data string) string {
+	if !s.member.primary || s.readOnly {
+		return s.refuse("READONLY")
+	}
+	s.record(id, text, !s.inTxn)
+	w := write{id, name, data}
+	if s.inTxn {
+		s.pending = append(s.pending, w)
+	} else {
+		s.member.append([]write{w})
+	}
+	return fmt.Sprintf("COMPLETE sig.%s\r\n", id)
+}
+
+func (s *session) end(id, word string) string {
+	failed, pending := s.failed, s.pending
+	s.inTxn, s.readOnly, s.failed, s.pending = false, false, false, nil
+	if word == "ROLLBACK" || failed {
+		return "COMPLETE -\r\n"
+	}
+	if len(pending) > 0 {
+		if !s.member.primary {
+			return s.refuse("READONLY")
+		}
+		s.member.append(pending)
+	}
+	s.record(id, word, true)
+	return fmt.Sprintf("COMPLETE sig.%s\r\n", id)
+}
+
+func (s *session) status() string {
+	m := s.member
+	role := "replica"
+	if m.primary {
+		role = "primary"
+	}
+	received := "1.0"
+	if len(m.log) > 0 {
+		last := m.log[len(m.log)-1]
+		received = fmt.Sprintf("%d.%d", last.term, last.number)
+	}
+	return fmt.Sprintf("DATAROW %s %d %s 0 0 0 %d\r\nCOMPLETE -\r\n", role, m.term, received, len(m.conns))
+}
--- /dev/null
+++ b/standin/lines/store.go
@@ -0,0 +1,309 @@
+package lines
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Store is the platform's metadata store, in memory. Its faults are set by tests.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]item
+	history  []event // since oldest
+	oldest   uint64  // watches from before get 410
+	leases   map[int64]*lease
+	changed  chan struct{} // closed at each change
+
+	refuse func(r *http.Request) bool // refuses calls with 503
+	lose   func(r *http.Request) bool // executes calls and loses the answer
+	calls  map[string]int
+}
+
+type item struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value"`
+	Rev       uint64 `json:"rev"`
+	CreateRev uint64 `json:"createRev"`
+	Lease     int64  `json:"lease"`
+}
+
+type event struct {
+	item
+	Tombstone bool `json:"tombstone,omitempty"`
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
+		calls: map[string]int{}}
+}
+
+// SetRefuse lets the store refuse the calls that match with 503; nil lets it serve all.
+func (s *Store) SetRefuse(match func(r *http.Request) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = match
+}
+
+// SetLose lets the store execute the calls that match and cut their connection instead of answering.
+func (s *Store) SetLose(match func(r *http.Request) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = match
+}
+
+// Compact drops the history, so that watches have to list again.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.revision
+	s.wake()
+}
+
+// Put writes a key as the operator or a database does.
+func (s *Store) Put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.PutRaw(key, data)
+}
+
+// PutRaw writes the bytes of a key.
+func (s *Store) PutRaw(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(key, value, 0)
+	s.wake()
+}
+
+// Remove removes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.wake()
+}
+
+// Get returns the value of a key.
+func (s *Store) Get(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[key]
+	return i.Value, ok
+}
+
+// Calls returns the number of calls by path.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+func (s *Store) put(key string, value []byte, id int64) {
+	created := s.items[key].CreateRev
+	if created == 0 {
+		created = s.revision
+	}
+	i := item{key, value, s.revision, created, id}
+	s.items[key] = i
+	s.history = append(s.history, event{item: i})
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; ok {
+		delete(s.items, key)
+		s.history = append(s.history, event{item: item{Key: key, Rev: s.revision}, Tombstone: true})
+	}
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	path := strings.TrimPrefix(r.URL.Path, "/-/")
+	s.mu.Lock()
+	s.calls[strings.Split(path, "/")[0]]++
+	refused, lost := s.refuse != nil && s.refuse(r), s.lose != nil && s.lose(r)
+	s.mu.Unlock()
+	if refused {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	status, answer := s.serve(r, path)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if answer != nil {
+		_ = json.NewEncoder(w).Encode(answer) // the caller is gone if this fails
+	}
+}
+
+func (s *Store) serve(r *http.Request, path string) (int, any) {
+	switch {
+	case path == "kv-range":
+		return s.list(r.URL.Query().Get("prefix"))
+	case path == "kv-watch":
+		return s.watch(r)
+	case path == "kv-txn":
+		return s.txn(r)
+	case path == "kv-lease":
+		return s.grant(r)
+	case strings.HasPrefix(path, "kv-keep/"):
+		return s.keep(strings.TrimPrefix(path, "kv-keep/"), false)
+	case strings.HasPrefix(path, "kv-lease-end/"):
+		return s.keep(strings.TrimPrefix(path, "kv-lease-end/"), true)
+	}
+	return http.StatusNotFound, nil
+}
+
+func (s *Store) list(prefix string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := []item{}
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, i)
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.Key, b.Key) })
+	return http.StatusOK, map[string]any{"items": items, "truncated": false, "asOf": s.revision}
+}
+
+func (s *Store) watch(r *http.Request) (int, any) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("waitMs"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		events, revision, changed, gone := []event{}, s.revision, s.changed, after < s.oldest
+		for _, e := range s.history {
+			if e.Rev > after && strings.HasPrefix(e.Key, query.Get("prefix")) {
+				events = append(events, e)
+			}
+		}
+		s.mu.Unlock()
+		if gone {
+			return http.StatusGone, nil
+		}
+		if len(events) > 0 {
+			return http.StatusOK, map[string]any{"events": events, "asOf": revision}
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return http.StatusOK, map[string]any{"events": events, "asOf": revision}
+		case <-r.Context().Done():
+			return http.StatusOK, nil
+		}
+	}
+}
+
+func (s *Store) txn(r *http.Request) (int, any) {
+	var t struct {
+		ExpectedRev []struct {
+			Key string `json:"key"`
+			Rev uint64 `json:"rev"`
+		} `json:"expectedRev"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease"`
+		} `json:"puts"`
+		Remove []string `json:"remove"`
+	}
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.ExpectedRev {
+		if s.items[c.Key].Rev != c.Rev {
+			return http.StatusPreconditionFailed, map[string]any{"items": []item{}}
+		}
+	}
+	for _, p := range t.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return http.StatusNotFound, nil
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range t.Remove {
+		s.remove(key)
+	}
+	s.wake()
+	return http.StatusOK, map[string]any{"rev": s.revision}
+}
+
+func (s *Store) grant(r *http.Request) (int, any) {
+	var request struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	if json.NewDecoder(r.Body).Decode(&request) != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	id := int64(s.revision)
+	ttl := time.Duration(request.TTLMs) * time.Millisecond
+	s.leases[id] = &lease{ttl, time.AfterFunc(ttl, func() { s.end(id) })}
+	return http.StatusOK, map[string]any{"lease": id, "ttlMs": request.TTLMs}
+}
+
+func (s *Store) keep(text string, end bool) (int, any) {
+	id, _ := strconv.ParseInt(text, 10, 64)
+	s.mu.Lock()
+	l := s.leases[id]
+	if l != nil && !end {
+		l.timer.Reset(l.ttl)
+	}
+	s.mu.Unlock()
+	if l == nil {
+		return http.StatusNotFound, nil
+	}
+	if end {
+		s.end(id)
+	}
+	return http.StatusOK, map[string]any{"ttlMs": l.ttl.Milliseconds()}
+}
+
+// end removes a lease with its keys.
+func (s *Store) end(id int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leases[id]; l != nil {
+		l.timer.Stop()
+	}
+	delete(s.leases, id)
+	s.revision++
+	for key, i := range s.items {
+		if i.Lease == id {
+			s.remove(key)
+		}
+	}
+	s.wake()
+}
