--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,248 @@
+package gateway_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+
+	"github.com/waxwingspindle/waxwingspindle/gateway"
+	"github.com/waxwingspindle/waxwingspindle/standin/lines"
+)
+
+// system is a platform with three hosts and one service of three databases.
+type system struct {
+	t     *testing.T
+	store *lines.Store
+	group *lines.Group
+	hosts []*hostProcess
+	log   *zap.Logger
+}
+
+type hostProcess struct {
+	callers string
+	health  string
+	stop    chan os.Signal
+	done    chan error
+}
+
+// configuration is a version of the operators' configuration.
+func configuration(version int, keys ...string) map[string]any {
+	route := func(database, kind string) map[string]any {
+		return map[string]any{"name": "r-" + database, "database": database, "service": "stock", "routeType": kind,
+			"timeoutMs": 2000, "targetLatencyMs": 400, "maxStalenessMs": 1500, "priority": 1}
+	}
+	return map[string]any{"version": version,
+		"routes":   []any{route("orders", "primary"), route("view", "bounded_staleness"), route("plans", "read_your_writes")},
+		"services": []any{map[string]any{"name": "stock", "maxConns": 20, "syncReplicas": 0}},
+		"limits":   map[string]any{"txIdleMs": 3000, "maxBodyBytes": 262144},
+		"tenants": []any{map[string]any{"name": "workshop", "apiKeys": keys, "ratePerS": 2000, "burst": 2000},
+			map[string]any{"name": "school", "apiKeys": []string{"school-key"}, "ratePerS": 1000, "burst": 1000}}}
+}
+
+// newSystem starts the platform and the hosts, and waits until they are ready.
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, store: lines.NewStore(), log: zap.NewNop()}
+	if os.Getenv("E2E_LOGS") != "" {
+		s.log = zaptest.NewLogger(t)
+	}
+	group, err := lines.NewGroup(s.store, "stock", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.group = group
+	s.store.Put("op/config", configuration(1, "workshop-key"))
+	platformStore, duties := httptest.NewServer(s.store), httptest.NewServer(group)
+	for i := range 3 {
+		s.hosts = append(s.hosts, s.startHost(fmt.Sprintf("host-%d", i), platformStore, duties))
+	}
+	t.Cleanup(func() {
+		var wg sync.WaitGroup
+		for _, h := range s.hosts {
+			wg.Go(func() {
+				if err := h.end(); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		group.Close()
+		platformStore.CloseClientConnections()
+		platformStore.Close()
+		duties.Close()
+	})
+	for _, h := range s.hosts {
+		s.await("a host is ready", 10*time.Second, h.ready)
+	}
+	s.await("the primary takes writes", 10*time.Second, func() bool {
+		c, err := s.connect(0, "orders", "workshop-key")
+		if err != nil {
+			return false
+		}
+		defer c.close()
+		return c.query("warm-up", "WRITE warm-up x").code == ""
+	})
+	return s
+}
+
+// freePorts returns the first of two neighbouring ports that are free.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	for range 100 {
+		first, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		second, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		_ = first.Close()
+		if err == nil {
+			_ = second.Close()
+			return port
+		}
+	}
+	t.Fatal("no two neighbouring ports are free")
+	return 0
+}
+
+func (s *system) startHost(name string, platformStore, duties *httptest.Server) *hostProcess {
+	front, peers := freePorts(s.t), freePorts(s.t)
+	settings := fmt.Sprintf("[host]\nname = %s\ndata_centre = z1\ncallers = 127.0.0.1:%d\nhealth = 127.0.0.1:%d\n"+
+		"peer_address = 127.0.0.1\npeer_ports = %d,%d\nstore = %s\nduties = %s\ndrain_seconds = 6\nfuture_key = 1\n",
+		name, front, front+1, peers, peers+1, address(platformStore), address(duties))
+	path := filepath.Join(s.t.TempDir(), name+".ini")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	h := &hostProcess{callers: fmt.Sprintf("127.0.0.1:%d", front), health: fmt.Sprintf("127.0.0.1:%d", front+1),
+		stop: make(chan os.Signal, 1), done: make(chan error, 1)}
+	go func() { h.done <- gateway.Run(path, s.log, gateway.Signals{Stop: h.stop}) }()
+	return h
+}
+
+func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
+
+// end stops a host as planned and waits until it has ended.
+func (h *hostProcess) end() error {
+	if h.stop == nil {
+		return nil
+	}
+	h.stop <- syscall.SIGTERM
+	h.stop = nil
+	return <-h.done
+}
+
+func (h *hostProcess) ready() bool {
+	response, err := http.Get("http://" + h.health + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// await waits until a condition holds.
+func (s *system) await(what string, limit time.Duration, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(limit); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("not after %s: %s", limit, what)
+		}
+	}
+}
+
+// client is a caller's session.
+type client struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// answer is a whole answer. An empty code is a success.
+type answer struct {
+	rows      []string
+	signature string
+	code      string
+	state     string
+	err       error
+}
+
+var errRefused = errors.New("the session was refused")
+
+func (s *system) connect(host int, database, key string) (*client, error) {
+	conn, err := net.Dial("tcp", s.hosts[host].callers)
+	if err != nil {
+		return nil, err
+	}
+	c := &client{conn, bufio.NewReader(conn)}
+	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
+	line, err := c.line()
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	if !strings.HasPrefix(line, "READY") {
+		return nil, errors.Join(fmt.Errorf("%w: %s", errRefused, line), conn.Close())
+	}
+	return c, nil
+}
+
+func (s *system) mustConnect(host int, database, key string) *client {
+	s.t.Helper()
+	c, err := s.connect(host, database, key)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(c.close)
+	return c
+}
+
+func (c *client) close() { _ = c.conn.Close() } // a test may have closed it before
+
+func (c *client) line() (string, error) {
+	if err := c.conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		return "", err
+	}
+	line, err := c.in.ReadString('\n')
+	return strings.TrimSuffix(line, "\r\n"), err
+}
+
+// query sends a statement and reads its whole answer.
+func (c *client) query(id, text string) answer {
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
+		return answer{err: err, code: "SEND"}
+	}
+	var a answer
+	for {
+		line, err := c.line()
+		if err != nil {
+			return answer{err: err, code: "LOST"}
+		}
+		word, rest, _ := strings.Cut(line, " ")
+		switch word {
+		case "DATAROW":
+			a.rows = append(a.rows, rest)
+		case "COMPLETE":
+			a.signature = rest
+		case "ERROR":
+			a.code, _, _ = strings.Cut(rest, " ")
+		case "READY":
+			a.state, _, _ = strings.Cut(rest, " ")
+			return a
+		default:
+			return answer{err: io.ErrUnexpectedEOF, code: line}
+		}
+	}
+}
