Relay only what changed, and let the widest host lead

Reports timed out, 70 hosts followed the store themselves (8,000 of 16,000 calls), and tokens came late. Relays now carry what changed since the revision that a host knows, and hosts with wide links and more processor time lead.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -403,6 +404,16 @@
 	return data
 }
 
+// byCapacity returns the registered hosts, those with the widest links and the most processor time first: the leader
+// talks to all hosts.
+func (v *view) byCapacity() []Host {
+	list := v.hostList()
+	slices.SortStableFunc(list, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(b.Cores, a.Cores))
+	})
+	return list
+}
+
 // hostList returns the registered hosts in the order of their ids.
 func (v *view) hostList() []Host {
 	list := make([]Host, 0, len(v.hosts))
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -25,6 +24,8 @@
 	// relaySilence is the time without a fresh answer of a relaying host after which a host follows the store itself. With
 	// freshFor it leaves one of the three seconds in which a configuration has to be in force.
 	relaySilence = 800 * time.Millisecond
+	// maxRemoved bounds the removals that are remembered; hosts and targets come and go some hundred times a day.
+	maxRemoved = 1000
 	// candidates is the number of hosts that follow the store while there is no leader; the others ask them.
 	candidates = 3
 	// relayCheck is the time between two looks whether the leader still answers.
@@ -44,13 +45,17 @@
 	apply  func(*control, change)
 
 	items    map[string]metastore.Item
-	revision uint64 // of the last change that was seen
+	removed  map[string]uint64 // revisions at which keys were found to be gone
+	floor    uint64            // removals before this revision are not known
+	revision uint64            // of the last change that was seen
 }
 
-// PrefixState is everything under a prefix as of a revision.
+// PrefixState is what has changed under a prefix from one revision to another.
 type PrefixState struct {
+	Since    uint64 // 0 if Items are everything under the prefix
 	Revision uint64
 	Items    []metastore.Item
+	Removed  []string
 }
 
 // follow keeps up with a prefix. It lists and watches the prefix in the store while this host leads or does not reach the
@@ -64,7 +69,7 @@
 			sleep(ctx, retryInterval)
 		} else {
 			a.storeHeard.Store(boottime.Now().UnixNano())
-			f.replace(ctx, PrefixState{revision, items}, true)
+			f.replace(ctx, PrefixState{Revision: revision, Items: items}, true)
 			f.watch(ctx, revision, &dep)
 		}
 		for ctx.Err() == nil && !a.followsStore() {
@@ -79,7 +84,7 @@
 	defer a.followMu.Unlock()
 	f := a.followers[prefix]
 	if f == nil {
-		f = &follower{agent: a, prefix: prefix, items: map[string]metastore.Item{}}
+		f = &follower{agent: a, prefix: prefix, items: map[string]metastore.Item{}, removed: map[string]uint64{}}
 		a.followers[prefix] = f
 	}
 	f.apply = apply
@@ -110,11 +115,7 @@
 	f.agent.followMu.Lock()
 	events = slices.DeleteFunc(events, func(e metastore.Event) bool { return e.Revision <= f.revision })
 	for _, e := range events {
-		if e.Removed {
-			delete(f.items, e.Key)
-		} else {
-			f.items[e.Key] = e.Item
-		}
+		f.record(e)
 	}
 	apply := f.apply
 	if len(events) > 0 {
@@ -126,6 +127,17 @@
 	}
 }
 
+// record takes over one event. The lock is held.
+func (f *follower) record(e metastore.Event) {
+	if e.Removed {
+		delete(f.items, e.Key)
+		f.removed[e.Key] = e.Revision
+		return
+	}
+	f.items[e.Key] = e.Item
+	delete(f.removed, e.Key)
+}
+
 // replace takes over the whole state of the prefix, unless a later one is known. A state that this host has listed itself
 // counts even if it is the known one.
 func (f *follower) replace(ctx context.Context, state PrefixState, listed bool) bool {
@@ -134,19 +146,61 @@
 		f.agent.followMu.Unlock()
 		return false
 	}
+	if f.revision == 0 {
+		f.floor = state.Revision
+	}
+	old := f.items
 	f.items = make(map[string]metastore.Item, len(state.Items))
 	events := make([]metastore.Event, 0, len(state.Items))
 	for _, item := range state.Items {
 		f.items[item.Key] = item
+		delete(f.removed, item.Key)
 		events = append(events, metastore.Event{Item: item})
 	}
+	for key := range old {
+		if _, still := f.items[key]; !still {
+			f.removed[key] = state.Revision
+		}
+	}
 	f.revision = state.Revision
+	f.limitRemoved()
 	apply := f.apply
 	f.agent.followMu.Unlock()
 	f.agent.post(ctx, func(c *control) { apply(c, change{whole: true, events: events}) })
 	return true
 }
 
+// limitRemoved forgets removals when there are too many; hosts that have not seen them get the whole state. The lock is
+// held.
+func (f *follower) limitRemoved() {
+	if len(f.removed) > maxRemoved {
+		clear(f.removed)
+		f.floor = f.revision
+	}
+}
+
+// relayed takes over what another host has seen of the prefix.
+func (f *follower) relayed(ctx context.Context, state PrefixState) bool {
+	if state.Since == 0 {
+		return f.replace(ctx, state, false)
+	}
+	f.agent.followMu.Lock()
+	known := f.revision
+	f.agent.followMu.Unlock()
+	if known < state.Since || known >= state.Revision {
+		return false
+	}
+	events := make([]metastore.Event, 0, len(state.Items)+len(state.Removed))
+	for _, item := range state.Items {
+		events = append(events, metastore.Event{Item: item})
+	}
+	for _, key := range state.Removed {
+		events = append(events, metastore.Event{Item: metastore.Item{Key: key, Revision: state.Revision}, Removed: true})
+	}
+	f.add(ctx, events, state.Revision)
+	return true
+}
+
 // followsStore reports whether this host has to follow the store itself.
 func (a *Agent) followsStore() bool {
 	return a.isLeading() || a.leaderLost.Load() && a.isCandidate() || since(&a.relayHeard) > relaySilence
@@ -157,10 +211,10 @@
 	return slices.ContainsFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
 }
 
-// candidateHosts returns the first registered hosts, without the last leader.
+// candidateHosts returns the registered hosts that can carry most, without the last leader.
 func (a *Agent) candidateHosts() []Host {
 	v := a.view.Load()
-	hosts := slices.DeleteFunc(v.hostList(), func(h Host) bool { return v.leader != nil && h.ID == v.leader.value.Host })
+	hosts := slices.DeleteFunc(v.byCapacity(), func(h Host) bool { return v.leader != nil && h.ID == v.leader.value.Host })
 	return hosts[:min(candidates, len(hosts))]
 }
 
@@ -183,19 +237,38 @@
 	return revisions
 }
 
-// newerThan returns the state of the prefixes of which this host knows a later change.
+// newerThan returns what has changed in the prefixes since the revisions that another host knows.
 func (a *Agent) newerThan(known map[string]uint64) map[string]PrefixState {
 	a.followMu.Lock()
 	defer a.followMu.Unlock()
 	newer := map[string]PrefixState{}
 	for prefix, f := range a.followers {
 		if f.revision > known[prefix] {
-			newer[prefix] = PrefixState{f.revision, slices.Collect(maps.Values(f.items))}
+			newer[prefix] = f.since(known[prefix])
 		}
 	}
 	return newer
 }
 
+// since returns what has changed since a revision, or everything if that is not known. The lock is held.
+func (f *follower) since(revision uint64) PrefixState {
+	state := PrefixState{Since: revision, Revision: f.revision}
+	if revision < f.floor {
+		state.Since = 0
+	}
+	for _, item := range f.items {
+		if item.Revision > state.Since {
+			state.Items = append(state.Items, item)
+		}
+	}
+	for key, at := range f.removed {
+		if state.Since > 0 && at > state.Since {
+			state.Removed = append(state.Removed, key)
+		}
+	}
+	return state
+}
+
 // adopt takes over what another host has seen of the store, as it answered to a question sent at the given time.
 func (a *Agent) adopt(ctx context.Context, from model.HostID, sent time.Time, answer SyncAnswer) {
 	if answer.Fresh {
@@ -205,7 +278,7 @@
 		a.followMu.Lock()
 		f := a.followers[prefix]
 		a.followMu.Unlock()
-		if f != nil && f.replace(ctx, state, false) {
+		if f != nil && f.relayed(ctx, state) {
 			a.Log.Info("store: state relayed by another host", zap.String("from", string(from)),
 				zap.String("prefix", prefix), zap.Uint64("revision", state.Revision))
 		}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -75,7 +75,7 @@
 		}
 		known = v.leader.revision // this host was the leader before it restarted
 	}
-	rank := slices.IndexFunc(v.hostList(), func(h Host) bool { return h.ID == a.Self.ID })
+	rank := slices.IndexFunc(v.byCapacity(), func(h Host) bool { return h.ID == a.Self.ID })
 	if rank < 0 {
 		return
 	}
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	a.follower(prefix, (*control).applyOwn).replace(ctx, PrefixState{revision, items}, true)
+	a.follower(prefix, (*control).applyOwn).replace(ctx, PrefixState{Revision: revision, Items: items}, true)
 	applied := make(chan struct{})
 	a.post(ctx, func(*control) { close(applied) })
 	select {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -41,6 +41,8 @@
 	Incarnation model.Incarnation
 	Address     string // of its peer service
 	DataCentre  model.DataCentre
+	LinkMbps    float64 // bandwidth of the host's link in Mbit/s
+	Cores       float64 // processor time that the host may use, in cores
 	// Fenced has the epoch up to which the host has stopped using older decisions, by service. Hosts tell the leader
 	// directly; they write it here only if the leader does not reach them.
 	Fenced map[model.Service]uint64 `json:",omitempty"`
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -16,9 +16,11 @@
 
 // Settings are what a host's process has to know to start.
 type Settings struct {
-	Host       string `ini:"name"`
-	DataCentre string `ini:"data_centre"`
-	MemoryMB   int64  `ini:"memory_mb"`
+	Host       string  `ini:"name"`
+	DataCentre string  `ini:"data_centre"`
+	MemoryMB   int64   `ini:"memory_mb"`
+	LinkMbps   float64 `ini:"link_mbps"`
+	Cores      float64 `ini:"cores"`
 
 	Callers     string `ini:"callers"`      // address that callers connect to
 	Health      string `ini:"health"`       // address of the readiness check
