--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -77,6 +77,7 @@
 
 // forwardAlone lets another host run a statement on its own. It reports false if the statement should be tried elsewhere.
 func (s *session) forwardAlone(host model.HostID, op operation, st Statement) (Answer, bool) {
+	s.ranOn = string(host)
 	timeout := op.deadline.Sub(boottime.Now()) + answerMargin
 	if !op.writes {
 		timeout = min(timeout, op.route.LatencyTarget+forwardMargin)
@@ -109,6 +110,7 @@
 // transaction has not begun there and should begin elsewhere.
 func (s *session) forwardInTxn(op operation, st Statement) (Answer, bool) {
 	t := s.txn
+	s.ranOn = string(t.peer)
 	result, sent, err := s.server.forwarder.Forward(t.peer, s.forwardRequest(op, st),
 		op.deadline.Sub(boottime.Now())+answerMargin)
 	if err == nil {
@@ -154,6 +156,7 @@
 		op := operation{route: f.Route, workspace: f.Workspace, service: s.service(f.Route.Service), arrived: now,
 			deadline: now.Add(f.Left), writes: f.Writes}
 		answer := sess.runHere(op, f.Statement)
+		sess.recordForwarded(f, answer, now)
 		return Forwarded{answer, sess.mark}, nil
 	}
 	key := txnKey{f.Origin, f.Incarnation, f.Txn}
@@ -166,6 +169,7 @@
 	}
 	sess.adopt(f)
 	answer := sess.execute(now, f.Statement)
+	sess.recordForwarded(f, answer, now)
 	if sess.txnState() != InTxn {
 		s.forgetForwarded(key)
 	}
@@ -180,6 +184,14 @@
 	return sess
 }
 
+// recordForwarded logs what became of a statement of another host.
+func (s *session) recordForwarded(f Forward, a Answer, started time.Time) {
+	s.log.Info("forwarded statement: answered", zap.String("id", f.Statement.ID), zap.Stringer("code", a.Code),
+		zap.String("detail", a.Detail), zap.Duration("took", boottime.Now().Sub(started)),
+		zap.String("service", string(f.Route.Service)), zap.String("workspace", string(f.Workspace)),
+		zap.String("on", s.ranOn), zap.Uint64("mark_epoch", s.mark.Epoch), zap.Uint64("mark_offset", s.mark.Position.Offset))
+}
+
 // adopt takes over the state of the session at its origin.
 func (s *session) adopt(f Forward) {
 	s.mu.Lock()
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -91,6 +91,7 @@
 
 	state sessionState
 	mark  Mark
+	ranOn string // the target or the host that the last statement was given to, for logs
 
 	mu  sync.Mutex // guards txn against its idle timer
 	txn *txn
@@ -114,6 +115,7 @@
 			return
 		}
 		start := boottime.Now()
+		s.ranOn = ""
 		answer := s.execute(start, statement)
 		s.record(statement, answer, boottime.Now().Sub(start))
 		if err := conn.WriteAnswer(answer, s.txnState()); err != nil {
@@ -147,13 +149,14 @@
 		return
 	}
 	s.server.metrics.answered(a.Code, took)
-	if a.Code == Success {
-		s.log.Debug("statement: done", zap.String("id", statement.ID), zap.Duration("took", took))
-		return
+	c := s.server.catalog()
+	message := "statement: done"
+	if a.Code != Success {
+		message = "statement: failed"
 	}
-	s.log.Info("statement: failed", zap.String("id", statement.ID), zap.Stringer("code", a.Code),
-		zap.String("detail", a.Detail), zap.Duration("took", took), zap.String("database", s.database),
-		zap.String("workspace", string(s.server.catalog().Keys[s.key])), zap.Int64("configuration", s.server.catalog().Version))
+	s.log.Info(message, zap.String("id", statement.ID), zap.Stringer("code", a.Code), zap.String("detail", a.Detail),
+		zap.Duration("took", took), zap.String("database", s.database), zap.String("workspace", string(c.Keys[s.key])),
+		zap.String("on", s.ranOn), zap.Int64("configuration", c.Version))
 }
 
 func (s *session) txnState() TxnState {
@@ -320,6 +323,7 @@
 		if refusal.Code != Success {
 			return refusal
 		}
+		s.ranOn = string(c.target.ID)
 		began := boottime.Now()
 		reply, sent, err := op.service.run(c, &s.state, Command{Statement: st, After: after}, epoch, s.attemptTimer(op))
 		op.service.release(c, err != nil && !errors.Is(err, errNoPermission))
@@ -451,6 +455,7 @@
 			return refusal
 		}
 	}
+	s.ranOn = string(t.conn.target.ID)
 	reply, _, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.timer(op))
 	if err != nil {
 		s.logLost(st, t.conn, err)
@@ -560,6 +565,7 @@
 			return refusal
 		}
 	}
+	s.ranOn = string(t.conn.target.ID)
 	reply, sent, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.timer(op))
 	if err != nil {
 		s.logLost(st, t.conn, err)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -122,8 +122,8 @@
 func (s *system) startHost(name string, platformStore, duties *httptest.Server) *hostProcess {
 	front, peers := freePorts(s.t), freePorts(s.t)
 	settings := fmt.Sprintf("[host]\nname = %s\ndata_centre = z1\ncallers = 127.0.0.1:%d\nhealth = 127.0.0.1:%d\n"+
-		"peer_address = 127.0.0.1\npeer_ports = %d,%d\nstore = %s\nduties = %s\ndrain_seconds = 6\nfuture_key = 1\n",
-		name, front, front+1, peers, peers+1, address(platformStore), address(duties))
+		"peer_address = 127.0.0.1\npeer_ports = %d,%d\nmetrics_port = %d\nstore = %s\nduties = %s\ndrain_seconds = 6\nfuture_key = 1\n",
+		name, front, front+1, peers, peers, peers+1, address(platformStore), address(duties))
 	path := filepath.Join(s.t.TempDir(), name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -26,6 +26,7 @@
 	Health      string `ini:"health"`       // address of the readiness check
 	PeerAddress string `ini:"peer_address"` // IP address for other hosts
 	PeerPorts   string `ini:"peer_ports"`   // first and last port, separated by a comma
+	MetricsPort int    `ini:"metrics_port"` // port of the metrics, on the address for other hosts
 
 	Store  string `ini:"store"`  // address of the metadata store
 	Duties string `ini:"duties"` // address for orders of promotion
@@ -33,20 +34,14 @@
 	DrainSeconds float64 `ini:"drain_seconds"` // time between the request to stop and the kill
 }
 
-// Peers returns the address for other hosts.
-func (s Settings) Peers() string { return s.PeerAddress + ":" + s.port(0) }
+// Peers returns the address for other hosts, on the first port of the range.
+func (s Settings) Peers() string {
+	first, _, _ := strings.Cut(s.PeerPorts, ",")
+	return s.PeerAddress + ":" + first
+}
 
 // Metrics returns the address of the metrics.
-func (s Settings) Metrics() string { return s.PeerAddress + ":" + s.port(1) }
-
-// port returns a port of the range that is free for the product.
-func (s Settings) port(n int) string {
-	var first int
-	if _, err := fmt.Sscanf(s.PeerPorts, "%d", &first); err != nil {
-		return ""
-	}
-	return fmt.Sprint(first + n)
-}
+func (s Settings) Metrics() string { return fmt.Sprintf("%s:%d", s.PeerAddress, s.MetricsPort) }
 
 // Drain returns the longest time that a planned stop may take.
 func (s Settings) Drain() time.Duration {
@@ -75,7 +70,8 @@
 		faults = append(faults, "data_centre is missing")
 	}
 	addresses := []struct{ name, value string }{{"callers", s.Callers}, {"health", s.Health}, {"store", s.Store},
-		{"duties", s.Duties}, {"peer_address with peer_ports", s.Peers()}}
+		{"duties", s.Duties}, {"peer_address with peer_ports", s.Peers()},
+		{"peer_address with metrics_port", s.Metrics()}}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			faults = append(faults, fmt.Sprintf("%s: %q is not an IP address with a port", a.name, a.value))
--- /dev/null
+++ b/gateway/settings_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const valid = `[host]
+name = host-1
+data_centre = north
+memory_mb = 200
+callers = 10.0.0.1:8465
+health = 10.0.0.1:8460
+peer_address = 10.0.0.1
+peer_ports = 7560,7575
+metrics_port = 9464
+store = 10.0.0.9:8466
+duties = 10.0.0.8:8466
+drain_seconds = 6
+a_key_of_the_future = 1
+`
+
+func read(t *testing.T, text string) (Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return ReadSettings(path)
+}
+
+// Guards against a host that does not start because the file has a key that it does not know.
+func TestReadSettings(t *testing.T) {
+	s, err := read(t, valid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Peers() != "10.0.0.1:7560" || s.Metrics() != "10.0.0.1:9464" || s.Drain().Seconds() != 4.5 {
+		t.Errorf("peers %s, metrics %s, drain %s", s.Peers(), s.Metrics(), s.Drain())
+	}
+}
+
+// Guards against a host that starts with settings that cannot work, and against errors that do not name the key.
+func TestInvalidSettings(t *testing.T) {
+	tests := []struct{ from, to, want string }{
+		{"name = host-1", "name =", "name is missing"},
+		{"data_centre = north", "", "data_centre is missing"},
+		{"callers = 10.0.0.1:8465", "callers = front:8465", "callers"},
+		{"store = 10.0.0.9:8466", "store = 10.0.0.9", "store"},
+		{"peer_ports = 7560,7575", "peer_ports =", "peer_ports"},
+		{"metrics_port = 9464", "metrics_port = 99999", "metrics_port"},
+		{"drain_seconds = 6", "drain_seconds = -1", "drain_seconds"},
+		{"memory_mb = 200", "memory_mb = much", "memory_mb"},
+	}
+	for _, test := range tests {
+		_, err := read(t, strings.Replace(valid, test.from, test.to, 1))
+		if err == nil || !strings.Contains(err.Error(), test.want) && test.want != "memory_mb" {
+			t.Errorf("with %q: error %v, want one about %q", test.to, err, test.want)
+		}
+	}
+}
