--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,7 +107,6 @@
 type control struct {
 	agent   *Agent
 	view    *view
-	lease   metastore.Lease
 	removed map[model.TargetID]time.Time // entries that have disappeared, with the time
 	left    map[model.HostID]time.Time   // hosts whose registration has disappeared, with the time
 	asking  bool                         // an attempt to become the leader is under way
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -10,7 +10,6 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
-	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
 // registration is a live registration of this host.
@@ -139,6 +138,3 @@
 	_, err := a.Store.Commit(ctx, metastore.Txn{Removes: []string{key}})
 	a.Log.Info("registration: removed", zap.Error(err))
 }
-
-// incarnationOf returns the incarnation of a registered host.
-func (v *view) incarnationOf(id model.HostID) model.Incarnation { return v.hosts[id].Incarnation }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -410,14 +410,6 @@
 	s.perform(s.pool.Tick(boottime.Now()))
 }
 
-// target returns a registered target.
-func (s *service) target(id model.TargetID) (catalog.Target, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t, ok := s.targets[id]
-	return t, ok
-}
-
 // primaryEpoch returns the epoch of the open decision about the primary, or false while there is none.
 func (s *service) primaryEpoch() (epoch uint64, primary model.TargetID, open bool) {
 	s.mu.Lock()
