--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,7 +81,8 @@
 // Agent is the control side of one host.
 type Agent struct {
 	Config
-	peers  *peers
+	peers  *peers // for control calls
+	runs   *peers // for statements, which a control call without an answer must not cut off
 	homes  homes
 	view   atomic.Pointer[view]
 	events chan func(*control)
@@ -126,7 +127,7 @@
 
 // New returns an agent that does nothing until Run.
 func New(c Config) *Agent {
-	a := &Agent{Config: c, peers: newPeers(),
+	a := &Agent{Config: c, peers: newPeers(), runs: newPeers(),
 		homes: homes{outstanding: map[model.HostID]int{}, avoid: map[model.HostID]time.Time{}}, events: make(chan func(*control), queuedEvents),
 		followers: map[string]*follower{}, told: map[model.Service]uint64{},
 		fenced: map[model.Service]uint64{}}
--- /dev/null
+++ b/fleet/follow_test.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/waxwingspindle/waxwingspindle/metastore"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
+)
+
+func item(key string, revision uint64) metastore.Item {
+	return metastore.Item{Key: key, Value: []byte(key), Revision: revision}
+}
+
+func followerOf(t *testing.T) (*Agent, *follower) {
+	t.Helper()
+	a := &Agent{events: make(chan func(*control), queuedEvents), followers: map[string]*follower{}}
+	return a, a.follower("p/", func(*control, change) {})
+}
+
+func keys(f *follower) map[string]uint64 {
+	got := map[string]uint64{}
+	for key, i := range f.items {
+		got[key] = i.Revision
+	}
+	return got
+}
+
+// Guards against a host that misses a change or a removal that another host relays, whatever it knew before.
+func TestRelayBringsEverything(t *testing.T) {
+	ctx := context.Background()
+	_, leader := followerOf(t)
+	leader.replace(ctx, PrefixState{Revision: 10, Items: []metastore.Item{item("p/a", 3), item("p/b", 8)}}, true)
+	leader.add(ctx, []metastore.Event{{Item: item("p/c", 12)}, {Item: item("p/a", 13), Removed: true}}, 13)
+	leader.replace(ctx, PrefixState{Revision: 20, Items: []metastore.Item{item("p/c", 12), item("p/d", 18)}}, true)
+	want := map[string]uint64{"p/c": 12, "p/d": 18}
+	for name, known := range map[string]PrefixState{
+		"nothing":         {},
+		"an early state":  {Revision: 5, Items: []metastore.Item{item("p/a", 3), item("p/z", 4)}},
+		"the first list":  {Revision: 10, Items: []metastore.Item{item("p/a", 3), item("p/b", 8)}},
+		"the first event": {Revision: 12, Items: []metastore.Item{item("p/a", 3), item("p/b", 8), item("p/c", 12)}},
+	} {
+		_, host := followerOf(t)
+		if known.Revision > 0 {
+			host.replace(ctx, known, true)
+		}
+		if !host.relayed(ctx, leader.since(host.revision)) {
+			t.Errorf("a host that knows %s takes over nothing", name)
+		}
+		if diff := cmp.Diff(want, keys(host)); diff != "" {
+			t.Errorf("a host that knows %s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// Guards against an old state or event that undoes a later one.
+func TestRelayNeverGoesBack(t *testing.T) {
+	ctx := context.Background()
+	_, f := followerOf(t)
+	f.replace(ctx, PrefixState{Revision: 20, Items: []metastore.Item{item("p/a", 20)}}, true)
+	if f.relayed(ctx, PrefixState{Revision: 15, Items: []metastore.Item{item("p/a", 9)}}) {
+		t.Error("an older state was taken over")
+	}
+	if f.relayed(ctx, PrefixState{Since: 25, Revision: 30, Items: []metastore.Item{item("p/b", 28)}}) {
+		t.Error("a state with a gap before it was taken over")
+	}
+	f.add(ctx, []metastore.Event{{Item: item("p/a", 18), Removed: true}}, 18)
+	if diff := cmp.Diff(map[string]uint64{"p/a": 20}, keys(f)); diff != "" {
+		t.Errorf("items (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a relay that sends whole prefixes for each change: with 70 hosts they filled the link of the leader.
+func TestRelaySendsOnlyChanges(t *testing.T) {
+	ctx := context.Background()
+	_, f := followerOf(t)
+	f.replace(ctx, PrefixState{Revision: 10, Items: []metastore.Item{item("p/a", 3), item("p/b", 8)}}, true)
+	f.add(ctx, []metastore.Event{{Item: item("p/c", 12)}}, 12)
+	want := PrefixState{Since: 10, Revision: 12, Items: []metastore.Item{item("p/c", 12)}}
+	if diff := cmp.Diff(want, f.since(10), cmpopts.EquateEmpty()); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a later decision that is never stored because its condition names the revision of the decision before.
+func TestRevisionOfToldDecision(t *testing.T) {
+	v := newView()
+	c := &control{view: v}
+	c.view.docs["s"] = versioned[primacy.Document]{primacy.Document{Service: "s", Epoch: 4}, 40}
+	told := primacy.Document{Service: "s", Epoch: 5}
+	c.view.docs["s"] = versioned[primacy.Document]{told, 40} // as the leader told it, without its revision
+	event := metastore.Event{Item: metastore.Item{Key: primaryPrefix + "s", Value: mustEncode(told), Revision: 47}}
+	if err := v.applyOwn(event); err != nil {
+		t.Fatal(err)
+	}
+	if got := v.docs["s"].revision; got != 47 {
+		t.Errorf("the decision has revision %d, want 47", got)
+	}
+}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -80,7 +80,7 @@
 	defer a.homes.count(host, -1)
 	// The answer of a call that has timed out may still arrive, so each call has its own.
 	answer := new(frontend.Forwarded)
-	_, err := a.peers.start(h, "Peer.Run", f, answer, timeout)
+	_, err := a.runs.start(h, "Peer.Run", f, answer, timeout)
 	var refused rpc.ServerError
 	var notSent *dialError
 	switch {
--- /dev/null
+++ b/fleet/peers_test.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/rpccodec"
+)
+
+// Slow answers after a pause that the caller names.
+type Slow struct{}
+
+// Wait answers after a pause.
+func (Slow) Wait(pause time.Duration, answer *time.Duration) error {
+	time.Sleep(pause)
+	*answer = pause
+	return nil
+}
+
+func slowPeer(t *testing.T) Host {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	server := rpc.NewServer()
+	if err := server.RegisterName("Slow", Slow{}); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go rpccodec.Serve(server, conn)
+		}
+	}()
+	return Host{ID: "slow", Address: l.Addr().String()}
+}
+
+// Guards against a statement that ends in doubt because another one on the same connection timed out, as when a target of
+// the home is silent.
+func TestTimeoutOfOneStatementKeepsOthers(t *testing.T) {
+	p, h := newPeers(), slowPeer(t)
+	done := make(chan error, 1)
+	go func() {
+		var answer time.Duration
+		_, err := p.start(h, "Slow.Wait", 300*time.Millisecond, &answer, 5*time.Second)
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	var answer time.Duration
+	if _, err := p.start(h, "Slow.Wait", 10*time.Second, &answer, 50*time.Millisecond); !errors.Is(err, errTimeout) {
+		t.Errorf("the slow statement ended with %v", err)
+	}
+	if err := <-done; err != nil {
+		t.Errorf("the other statement ended with %v", err)
+	}
+}
+
+// Guards against a host that takes a refused connection for a statement that may have run.
+func TestRefusedConnectionSendsNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := Host{ID: "gone", Address: l.Addr().String()}
+	_ = l.Close()
+	var answer time.Duration
+	_, err = newPeers().start(h, "Slow.Wait", time.Second, &answer, time.Second)
+	var notSent *dialError
+	if !errors.As(err, &notSent) {
+		t.Errorf("error %v", err)
+	}
+}
