Go on as the broker while the store is silent, and call a silent store less often

A broker hands out only the parts of the hosts that report to it, so it needs no lease. Pauses between calls of a silent store grow to 1.5 s.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	maxRemoved = 1000
 	// candidates is the number of hosts that follow the store while there is no leader; the others ask them.
 	candidates = 3
+	// longestPause is the longest pause between two attempts to list while the store does not answer. Every call counts for
+	// the store, refused ones too, and a host has seconds after its return.
+	longestPause = 1500 * time.Millisecond
 	// relayCheck is the time between two looks whether the leader still answers.
 	relayCheck = 50 * time.Millisecond
 )
@@ -63,11 +67,14 @@
 func (a *Agent) follow(ctx context.Context, prefix string, apply func(*control, change)) {
 	f := a.follower(prefix, apply)
 	dep := dependency{log: a.Log, name: "store watch of " + prefix}
+	pause := retryInterval
 	for ctx.Err() == nil {
 		items, revision, err := a.list(ctx, prefix)
 		if dep.observe(err); err != nil {
-			sleep(ctx, retryInterval)
+			sleep(ctx, jitter(pause))
+			pause = min(2*pause, longestPause)
 		} else {
+			pause = retryInterval
 			a.storeHeard.Store(boottime.Now().UnixNano())
 			f.replace(ctx, PrefixState{Revision: revision, Items: items}, true)
 			f.watch(ctx, revision, &dep)
@@ -101,8 +108,7 @@
 			return
 		}
 		if dep.observe(err); err != nil {
-			sleep(ctx, retryInterval)
-			continue
+			return // to list again, with pauses that grow while the store does not answer
 		}
 		f.agent.storeHeard.Store(boottime.Now().UnixNano())
 		revision = next
@@ -221,6 +227,11 @@
 // relaysFresh reports whether this host follows the store and has heard it lately.
 func (a *Agent) relaysFresh() bool { return a.followsStore() && since(&a.storeHeard) < freshFor }
 
+// jitter shortens a pause by up to half, so that hosts do not call the store at the same time.
+func jitter(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause/2)
+}
+
 // since returns the time since a boot time in nanoseconds.
 func since(at *atomic.Int64) time.Duration {
 	return time.Duration(boottime.Now().UnixNano() - at.Load())
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -149,7 +149,9 @@
 	}
 }
 
-// keep renews the lease and returns when it is lost.
+// keep renews the lease and returns when it has ended, or another host leads. While the store is silent this host promotes
+// nothing after its lease has run out, but goes on as the broker: a broker hands out only the parts of the hosts that report
+// to it, so several of them exceed no limit.
 func (l *leadership) keep(ctx context.Context, ttl time.Duration) {
 	for ctx.Err() == nil {
 		sleep(ctx, renewInterval)
@@ -160,12 +162,18 @@
 			l.until = now.Add(ttl - leaseMargin)
 			l.mu.Unlock()
 		}
-		if errors.Is(err, metastore.ErrLeaseEnded) || !l.valid() {
+		if errors.Is(err, metastore.ErrLeaseEnded) || l.superseded() {
 			return
 		}
 	}
 }
 
+// superseded reports whether the store names another leader.
+func (l *leadership) superseded() bool {
+	known := l.agent.view.Load().leader
+	return known != nil && known.revision > l.fence
+}
+
 func (l *leadership) valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -228,7 +228,7 @@
 	p.agent.leaderMu.Lock()
 	l := p.agent.leading
 	p.agent.leaderMu.Unlock()
-	if l == nil || !l.valid() {
+	if l == nil {
 		return errNotLeader
 	}
 	l.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,12 +89,11 @@
 type listeners struct{ callers, health, peers, metrics net.Listener }
 
 func listen(s Settings) (l listeners, err error) {
-	config := net.ListenConfig{KeepAliveConfig: socket.KeepAlive}
 	for _, listening := range []struct {
 		listener *net.Listener
 		address  string
 	}{{&l.callers, s.Callers}, {&l.health, s.Health}, {&l.peers, s.Peers()}, {&l.metrics, s.Metrics()}} {
-		if *listening.listener, err = config.Listen(context.Background(), "tcp", listening.address); err != nil {
+		if *listening.listener, err = socket.Listen(listening.address); err != nil {
 			return l, trace.Wrap(err)
 		}
 	}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -208,3 +208,43 @@
 		t.Errorf("%d operations in %s after the limit was lowered, at most %d are allowed", got, window, most)
 	}
 }
+
+// Guards against a limit that is handed out twice while an old leader that is cut off from the store goes on as the broker of
+// some hosts, and hosts change over to the new one.
+func TestSeveralBrokersKeepToLimit(t *testing.T) {
+	for seed := range uint64(20) {
+		limits := Limits{"w": {PerSecond: 60, Burst: 60}}
+		rng := rand.New(rand.NewPCG(seed, 3))
+		f := newFleet(8, limits)
+		brokers := []*Broker{f.broker, NewBroker(start)}
+		brokers[1].SetLimits(limits, 8)
+		side := make([]int, 8) // the broker that each host knows
+		f.play(30*time.Second, func(step int) {
+			if rng.IntN(200) == 0 {
+				side[rng.IntN(8)] ^= 1
+			}
+			if step%50 == 0 {
+				for i, l := range f.hosts {
+					brokers[side[i]].Report(f.now, host(i), l.Alone(f.now))
+				}
+				if len(f.broker.heard) == 8 {
+					f.broker.heard = map[model.HostID]time.Time{} // play has reported all hosts to the first one
+					for i, l := range f.hosts {
+						if side[i] == 0 {
+							f.broker.Report(f.now, host(i), l.Alone(f.now))
+						}
+					}
+				}
+			}
+			for range 3 {
+				i := rng.IntN(8)
+				f.broker = brokers[side[i]]
+				f.ask(i, "w")
+			}
+			f.broker = brokers[0]
+		})
+		if got, most := f.mostIn(window), (60*5+60)*11/10+20; got > most {
+			t.Errorf("seed %d: %d operations in %s, at most %d are allowed", seed, got, window, most)
+		}
+	}
+}
