--- a/frontend/session.go
+++ b/frontend/session.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"io"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
@@ -25,6 +28,8 @@
 	maxAttempts = 5
 	// retryPause is the time before another attempt at a busy target, about the time of one statement.
 	retryPause = 20 * time.Millisecond
+	// longestShapeName is the length in bytes up to which a shape is part of the name of its prepared statement.
+	longestShapeName = 40
 	// answerMargin is kept free at the end of a statement's timeout to answer in time.
 	answerMargin = 50 * time.Millisecond
 )
@@ -38,10 +43,14 @@
 // remoteName returns the name on target connections. It follows from the content, so sessions that share a connection can
 // share prepared statements.
 func (p Prepared) remoteName() string {
+	shape := p.Shape
+	if len(shape) > longestShapeName || strings.ContainsAny(shape, " \t") {
+		shape = "x" + strconv.FormatUint(xxhash.Sum64String(shape), 16)
+	}
 	if p.Kind == PrepareWrite {
-		return "w_" + p.Shape
+		return "w_" + shape
 	}
-	return "r_" + p.Shape
+	return "r_" + shape
 }
 
 // sessionState is what a caller has set up in its session.
@@ -57,22 +66,6 @@
 	Made     time.Time // boot time of the host that ran it, so it means something there only
 }
 
-// txn is an open transaction of a session.
-type txn struct {
-	readOnly bool
-	conn     *targetConn // nil until the first statement, and after the end on the target
-	service  *service
-	epoch    uint64 // decision under which the primary is used, 0 on a replica
-	wrote    bool
-	failed   bool
-	begun    time.Time
-	idle     *time.Timer
-
-	peer   model.HostID // the host that runs the transaction, empty for this host
-	id     uint64       // number of the transaction for the peer
-	onPeer bool         // it has begun there
-}
-
 // caller is who a session of another host belongs to.
 type caller struct {
 	route     catalog.Route
@@ -210,33 +203,6 @@
 	return refuse(Malformed, "unknown statement")
 }
 
-// startIdleTimer rolls a transaction back that stays idle for too long. The lock is held.
-func (s *session) startIdleTimer() {
-	t := s.txn
-	limit := s.server.catalog().TxnIdle
-	if t == nil || t.failed || limit <= 0 {
-		return
-	}
-	t.idle = time.AfterFunc(limit, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.txn == t && !t.failed {
-			s.log.Info("transaction: rolled back after idle time", zap.Duration("limit", limit))
-			s.rollback(t)
-			t.failed = true
-			if s.onIdle != nil {
-				s.onIdle()
-			}
-		}
-	})
-}
-
-func (t *txn) stopTimer() {
-	if t.idle != nil {
-		t.idle.Stop()
-	}
-}
-
 // admit checks the route, the key and the rate at the begin of an operation.
 func (s *session) admit() (catalog.Route, model.Workspace, *service, Answer) {
 	c := s.server.catalog()
@@ -257,20 +223,6 @@
 	return route, workspace, svc, Answer{}
 }
 
-// begin opens a transaction of the session; the target learns of it with the first statement.
-func (s *session) begin(now time.Time, st Statement) Answer {
-	if s.txn != nil {
-		return refuse(Malformed, "a transaction is open")
-	}
-	_, _, svc, refusal := s.admit()
-	if refusal.Code != Success {
-		return refusal
-	}
-	s.txn = &txn{readOnly: st.Kind == BeginRead, service: svc, begun: now}
-	defer s.startIdleTimer()
-	return Answer{}
-}
-
 // operation is one attempt to run a statement or to begin a transaction.
 type operation struct {
 	route     catalog.Route
@@ -437,179 +389,3 @@
 	}
 	return limit
 }
-
-// runInTxn runs a statement in the open transaction.
-func (s *session) runInTxn(now time.Time, st Statement) Answer {
-	t := s.txn
-	op, allowed := s.txnOperation(now)
-	if !allowed {
-		s.fail()
-		return refuse(Aborted, "the route or the key has changed")
-	}
-	if answer, settled := s.runOnPeer(op, st); settled {
-		return answer
-	}
-	if t.conn == nil {
-		if refusal := s.beginRemote(op, st); refusal.Code != Success {
-			s.fail()
-			return refusal
-		}
-	}
-	s.ranOn = string(t.conn.target.ID)
-	reply, _, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.timer(op))
-	if err != nil {
-		s.logLost(st, t.conn, err)
-		s.abandon()
-		return refuse(Aborted, "the transaction was lost with its connection")
-	}
-	if reply.Code != Success {
-		s.fail()
-		return reply.Answer
-	}
-	t.wrote = t.wrote || s.writes(st)
-	return reply.Answer
-}
-
-// runOnPeer runs a statement of the open transaction on another host, if the transaction is there or should begin there.
-func (s *session) runOnPeer(op operation, st Statement) (Answer, bool) {
-	t := s.txn
-	op.writes = s.writes(st)
-	for range maxForwards {
-		if t.conn == nil && t.peer == "" && s.forwarded == nil {
-			if host, local := s.server.home(op.route.Service, op.workspace); !local {
-				t.peer, t.id = host, s.server.lastTxn.Add(1)
-			}
-		}
-		if t.peer == "" {
-			break
-		}
-		if answer, settled := s.forwardInTxn(op, st); settled {
-			return answer, true
-		}
-	}
-	return Answer{}, false
-}
-
-// txnOperation returns the operation of a statement of the open transaction. The route of its begin stays in force for a
-// transaction that has begun on a target; before, it has to be the same still.
-func (s *session) txnOperation(now time.Time) (op operation, allowed bool) {
-	t := s.txn
-	op = operation{service: t.service, arrived: now}
-	if s.forwarded != nil {
-		op.route, op.workspace, allowed = s.forwarded.route, s.forwarded.workspace, true
-	} else {
-		c := s.server.catalog()
-		route, known := c.Routes[s.database]
-		op.route = route
-		op.workspace, allowed = c.Caller(route, s.key)
-		allowed = allowed && known && route.Service == t.service.name || t.conn != nil || t.onPeer
-	}
-	timeout := op.route.StatementTimeout
-	if timeout == 0 {
-		timeout = fallbackTimeout
-	}
-	op.deadline = now.Add(timeout - answerMargin)
-	return op, allowed
-}
-
-// beginRemote begins the transaction on a target.
-func (s *session) beginRemote(op operation, first Statement) Answer {
-	t := s.txn
-	op.writes = !t.readOnly
-	begin := Statement{ID: internalID, Kind: Begin}
-	if t.readOnly {
-		begin.Kind = BeginRead
-	}
-	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline); attempt++ {
-		c, epoch, after, refusal := s.connect(&op)
-		if refusal.Code != Success {
-			return refusal
-		}
-		reply, _, err := op.service.run(c, &s.state, Command{Statement: begin, After: after}, epoch, s.timer(op))
-		if err == nil && reply.Code == Success {
-			t.conn, t.epoch = c, epoch
-			return Answer{}
-		}
-		op.service.release(c, err != nil && !errors.Is(err, errNoPermission))
-		if err == nil && !s.again(&op, reply) {
-			return reply.Answer
-		}
-	}
-	s.log.Info("transaction: could not be begun", zap.String("id", first.ID))
-	return refuse(Busy, "the transaction could not be begun in time")
-}
-
-// commit ends the open transaction.
-func (s *session) commit(now time.Time, st Statement) Answer {
-	t := s.txn
-	if t == nil {
-		return refuse(Malformed, "no transaction is open")
-	}
-	if t.failed {
-		s.rollback(t)
-		s.txn = nil
-		return refuse(Aborted, "the transaction had failed and was rolled back")
-	}
-	op, allowed := s.txnOperation(now)
-	if !allowed {
-		s.txn = nil
-		return refuse(Aborted, "the route or the key has changed")
-	}
-	if answer, settled := s.runOnPeer(op, st); settled {
-		s.txn = nil
-		return answer
-	}
-	if t.conn == nil {
-		if refusal := s.beginRemote(op, st); refusal.Code != Success {
-			s.txn = nil
-			return refusal
-		}
-	}
-	s.ranOn = string(t.conn.target.ID)
-	reply, sent, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.timer(op))
-	if err != nil {
-		s.logLost(st, t.conn, err)
-		s.abandon()
-		s.txn = nil
-		if !sent || !t.wrote {
-			return refuse(Aborted, "the transaction was lost with its connection")
-		}
-		return refuse(InDoubt, "the answer of the target to the commit was lost")
-	}
-	t.service.release(t.conn, reply.State != Idle)
-	if reply.Code == Success && t.wrote {
-		s.mark = Mark{Epoch: t.epoch, Position: reply.Position, Made: boottime.Now()}
-	}
-	s.txn = nil
-	return reply.Answer
-}
-
-// fail rolls the open transaction back on its target and leaves it to the caller to end it.
-func (s *session) fail() {
-	s.rollback(s.txn)
-	s.txn.failed = true
-}
-
-// abandon closes the connection of the open transaction, which rolls it back.
-func (s *session) abandon() {
-	t := s.txn
-	t.service.release(t.conn, true)
-	t.conn, t.failed = nil, true
-}
-
-// rollback rolls a transaction back on its target, if it has begun there. The connection returns to the pool afterwards.
-func (s *session) rollback(t *txn) {
-	if t.onPeer && !t.failed {
-		go s.rollbackOnPeer(t.peer, t.id)
-	}
-	if t.conn == nil {
-		return
-	}
-	c, svc := t.conn, t.service
-	t.conn = nil
-	go func() {
-		command := Command{Statement: Statement{ID: internalID, Kind: Rollback}}
-		reply, _, err := svc.run(c, nil, command, 0, time.Now().Add(rollbackTimeout))
-		svc.release(c, err != nil || reply.State != Idle)
-	}()
-}
--- /dev/null
+++ b/frontend/session_test.go
@@ -0,0 +1,99 @@
+package frontend
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/routing"
+)
+
+// Guards against prepared statements of two shapes under one name on a connection that sessions share, and against names
+// that the line protocol would split.
+func TestRemoteNames(t *testing.T) {
+	names := map[string]Prepared{}
+	for _, shape := range []string{"q2c", "q2d", "two words", "two  words", strings.Repeat("x", 300), strings.Repeat("x", 301)} {
+		for _, kind := range []Kind{PrepareRead, PrepareWrite} {
+			p := Prepared{Kind: kind, Shape: shape}
+			name := p.remoteName()
+			if other, taken := names[name]; taken {
+				t.Errorf("%q stands for %+v and for %+v", name, other, p)
+			}
+			names[name] = p
+			if strings.ContainsAny(name, " \t\r\n") || len(name) > 64 {
+				t.Errorf("the name %q of %+v cannot be sent", name, p)
+			}
+		}
+	}
+}
+
+// commandsOf returns the kinds and names of commands.
+func commandsOf(commands []Command) []string {
+	kinds := map[Kind]string{Reset: "reset", Set: "set", PrepareRead: "prepare", Execute: "execute", Read: "read", Commit: "commit"}
+	var list []string
+	for _, c := range commands {
+		list = append(list, strings.TrimSpace(kinds[c.Kind]+" "+c.Name))
+	}
+	return list
+}
+
+// Guards against values of another session that stay on a connection, and against set-up commands that are sent twice.
+func TestPrepareConnection(t *testing.T) {
+	c := &targetConn{values: map[string]string{}, prepared: map[string]bool{}}
+	first := &sessionState{values: map[string]string{"owner": "a"},
+		prepared: map[string]Prepared{"s1": {Kind: PrepareRead, Shape: "q"}}}
+	second := &sessionState{values: map[string]string{}, prepared: map[string]Prepared{"other": {Kind: PrepareRead, Shape: "q"}}}
+	steps := []struct {
+		state *sessionState
+		st    Statement
+		want  []string
+	}{
+		{first, Statement{Kind: Execute, Name: "s1"}, []string{"set owner", "prepare r_q", "execute r_q"}},
+		{first, Statement{Kind: Execute, Name: "s1"}, []string{"execute r_q"}},
+		{first, Statement{Kind: Commit}, []string{"commit"}},
+		{second, Statement{Kind: Execute, Name: "other"}, []string{"reset", "prepare r_q", "execute r_q"}},
+		{second, Statement{Kind: Read}, []string{"read"}},
+	}
+	for i, step := range steps {
+		command := Command{Statement: step.st}
+		if diff := cmp.Diff(step.want, commandsOf(c.prepare(step.state, &command))); diff != "" {
+			t.Errorf("step %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+// Guards against a read on a replica that lacks a commit which the route promises: the required position must have been seen
+// inside the allowed age, cover the session's own commit, and belong to the present primary.
+func TestFreshness(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &service{samples: &routing.Samples{}}
+	s.doc.Epoch = 4
+	at := func(ago time.Duration, offset uint64) { s.samples.Add(now.Add(-ago), model.Position{Term: 2, Offset: offset}) }
+	at(3*time.Second, 10)
+	at(time.Second, 20)
+	at(100*time.Millisecond, 30)
+	tests := []struct {
+		name  string
+		age   time.Duration
+		mark  Mark
+		want  uint64
+		known bool
+	}{
+		{"the oldest sample inside the age", 1500 * time.Millisecond, Mark{}, 20, true},
+		{"a longer age allows an older one", 5 * time.Second, Mark{}, 10, true},
+		{"no sample is young enough", 50 * time.Millisecond, Mark{}, 0, false},
+		{"the session's commit is later", time.Second, Mark{Epoch: 4, Position: model.Position{Term: 2, Offset: 25}}, 25, true},
+		{"the session's commit is earlier", time.Second, Mark{Epoch: 4, Position: model.Position{Term: 2, Offset: 15}}, 20, true},
+		{"the commit was made under another primary", time.Second,
+			Mark{Epoch: 2, Position: model.Position{Term: 1, Offset: 90}}, 20, true},
+	}
+	for _, test := range tests {
+		position, _, known := s.freshness(now.Add(-test.age), test.mark)
+		if known != test.known || position.Offset != test.want {
+			t.Errorf("%s: offset %d, known %v; want %d, %v", test.name, position.Offset, known, test.want, test.known)
+		}
+	}
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -39,20 +39,6 @@
 	done    chan error
 }
 
-// configuration is a version of the operators' configuration.
-func configuration(version int, keys ...string) map[string]any {
-	route := func(database, kind string) map[string]any {
-		return map[string]any{"name": "r-" + database, "database": database, "service": "stock", "routeType": kind,
-			"timeoutMs": 2000, "targetLatencyMs": 400, "maxStalenessMs": 1500, "priority": 1}
-	}
-	return map[string]any{"version": version,
-		"routes":   []any{route("orders", "primary"), route("view", "bounded_staleness"), route("plans", "read_your_writes")},
-		"services": []any{map[string]any{"name": "stock", "maxConns": 20, "syncReplicas": 0}},
-		"limits":   map[string]any{"txIdleMs": 3000, "maxBodyBytes": 262144},
-		"tenants": []any{map[string]any{"name": "workshop", "apiKeys": keys, "ratePerS": 2000, "burst": 2000},
-			map[string]any{"name": "school", "apiKeys": []string{"school-key"}, "ratePerS": 1000, "burst": 1000}}}
-}
-
 // newSystem starts the platform and the hosts, and waits until they are ready.
 func newSystem(t *testing.T) *system {
 	t.Helper()
@@ -65,7 +51,7 @@
 		t.Fatal(err)
 	}
 	s.group = group
-	s.store.Put("op/config", configuration(1, "workshop-key"))
+	s.store.Put("op/config", lines.Configuration(1, "workshop-key"))
 	platformStore, duties := httptest.NewServer(s.store), httptest.NewServer(group)
 	for i := range 3 {
 		s.hosts = append(s.hosts, s.startHost(fmt.Sprintf("host-%d", i), platformStore, duties))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -62,8 +62,8 @@
 		if want := fmt.Sprintf("owner=session-%d", session); e.Values != want {
 			t.Errorf("statement %s ran with values %q, want %q", e.ID, e.Values, want)
 		}
-		if want := []string{"workshop", "school"}[session%2]; e.Tenant != want {
-			t.Errorf("statement %s ran as %q, want %q", e.ID, e.Tenant, want)
+		if want := []string{"workshop", "school"}[session%2]; e.Workspace != want {
+			t.Errorf("statement %s ran as %q, want %q", e.ID, e.Workspace, want)
 		}
 		if prefix := []string{"EXECUTE r_shape-", "EXECUTE w_shape-"}[session%2]; !strings.HasPrefix(e.Text, prefix+fmt.Sprint(session)+" ") {
 			t.Errorf("statement %s of session %d ran as %q", e.ID, session, e.Text)
@@ -262,7 +262,7 @@
 	for host := range s.hosts {
 		sessions = append(sessions, s.mustConnect(host, "view", "workshop-key"))
 	}
-	s.store.Put("op/config", configuration(5, "another-key"))
+	s.store.Put("op/config", lines.Configuration(5, "another-key"))
 	s.store.Compact()
 	for host, c := range sessions {
 		s.await("an open session is refused", configurationBound, func() bool { return c.query("q", "READ item").code == "AUTHFAIL" })
--- /dev/null
+++ b/standin/lines/configuration.go
@@ -0,0 +1,17 @@
+package lines
+
+// Configuration returns a version of the operators' configuration for a service called stock: the databases orders (primary),
+// view (bounded staleness) and plans (read your writes), the workspace workshop with the given keys, and the workspace school
+// with the key school-key.
+func Configuration(version int, keys ...string) map[string]any {
+	route := func(database, kind string) map[string]any {
+		return map[string]any{"name": "r-" + database, "database": database, "service": "stock", "routeType": kind,
+			"timeoutMs": 2000, "targetLatencyMs": 400, "maxStalenessMs": 1500, "priority": 1}
+	}
+	return map[string]any{"version": version,
+		"routes":   []any{route("orders", "primary"), route("view", "bounded_staleness"), route("plans", "read_your_writes")},
+		"services": []any{map[string]any{"name": "stock", "maxConns": 20, "syncReplicas": 0}},
+		"limits":   map[string]any{"txIdleMs": 3000, "maxBodyBytes": 262144},
+		"tenants": []any{map[string]any{"name": "workshop", "apiKeys": keys, "ratePerS": 2000, "burst": 2000},
+			map[string]any{"name": "school", "apiKeys": []string{"school-key"}, "ratePerS": 1000, "burst": 1000}}}
+}
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -22,9 +22,9 @@
 
 // Executed is a statement that a database ran.
 type Executed struct {
-	Database, Tenant, ID, Text string
-	Values                     string // session values of the connection
-	Committed                  bool   // the statement was a write or a commit that took effect
+	Database, Workspace, ID, Text string
+	Values                        string // session values of the connection
+	Committed                     bool   // the statement was a write or a commit that took effect
 }
 
 // Group is a service of replicated databases.
