--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -71,7 +71,9 @@
 	now := time.Unix(1000, 0)
 	s := &service{samples: &routing.Samples{}}
 	s.doc.Epoch = 4
-	at := func(ago time.Duration, offset uint64) { s.samples.Add(now.Add(-ago), model.Position{Term: 2, Offset: offset}) }
+	at := func(ago time.Duration, offset uint64) {
+		s.samples.Add(now.Add(-ago), model.Position{Term: 2, Offset: offset})
+	}
 	at(3*time.Second, 10)
 	at(time.Second, 20)
 	at(100*time.Millisecond, 30)
