Open the old primary again if it answers when all hosts have confirmed

The old primary is now asked again after 0.5 s of waiting and taken if only silence was held against it. If the leader reaches it but most hosts do not, its successor catches up first.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -32,6 +32,8 @@
 	promotedTimeout = 2 * time.Second
 	// replaceInterval is the time between two steps that wait for others.
 	replaceInterval = 30 * time.Millisecond
+	// askAgainAfter is the time for which hosts kept a replacement waiting from which a silent primary is asked again.
+	askAgainAfter = 500 * time.Millisecond
 	// catchUpTimeout bounds the wait of a planned replacement for a replica to receive everything.
 	catchUpTimeout = time.Second
 )
@@ -327,7 +329,8 @@
 		return
 	}
 	fenced := boottime.Now()
-	choice, ok := s.choose(ctx, doc.value)
+	// A primary that was silent a moment ago would only be waited for.
+	choice, ok := s.choose(ctx, doc.value, fenced.Sub(started) >= askAgainAfter)
 	if !ok {
 		return
 	}
@@ -403,17 +406,17 @@
 }
 
 // choose asks the targets of the service and picks the next primary.
-func (s *supervisor) choose(ctx context.Context, doc primacy.Document) (primacy.Choice, bool) {
+func (s *supervisor) choose(ctx context.Context, doc primacy.Document, askSilent bool) (primacy.Choice, bool) {
 	deadline := boottime.Now().Add(catchUpTimeout)
 	for ctx.Err() == nil && s.valid() {
-		group := s.group(ctx, doc)
+		group := s.group(ctx, doc, askSilent)
 		choice := primacy.Choose(group)
 		if !choice.Final {
 			s.log.Info("primary: no target can be promoted", zap.Int("answered", len(group.Candidates)),
 				zap.Int("registered", group.Targets))
 			return choice, false
 		}
-		if !doc.Planned || choice.Promoted || group.CaughtUp(choice.Target) || boottime.Now().After(deadline) {
+		if !doc.Cause.WaitsForOld() || choice.Promoted || group.CaughtUp(choice.Target) || boottime.Now().After(deadline) {
 			s.log.Info("primary: chosen", zap.String("target", string(choice.Target.ID)),
 				zap.Bool("leads_already", choice.Promoted), zap.Uint64("term", choice.Target.Received.Term),
 				zap.Uint64("offset", choice.Target.Received.Offset), zap.Int("answered", len(group.Candidates)))
@@ -425,16 +428,16 @@
 }
 
 // group asks all targets of the service for their state.
-func (s *supervisor) group(ctx context.Context, doc primacy.Document) primacy.Group {
+func (s *supervisor) group(ctx context.Context, doc primacy.Document, askSilent bool) primacy.Group {
 	v := s.agent.view.Load()
 	targets := v.of(s.service)
-	group := primacy.Group{Old: doc.Primary, OldBorn: doc.Born, OldTerm: doc.Term, Targets: len(targets),
+	group := primacy.Group{Old: doc.Primary, OldBorn: doc.Born, OldTerm: doc.Term, Cause: doc.Cause, Targets: len(targets),
 		SyncReplicas: v.catalog.Services[s.service].SyncReplicas}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, t := range targets {
-		if t.ID == doc.Primary && doc.Cause == primacy.CauseUnreachable {
-			continue // its answer would only be waited for
+		if t.ID == doc.Primary && doc.Cause == primacy.CauseUnreachable && !askSilent {
+			continue
 		}
 		wg.Go(func() {
 			status, err := s.ask(ctx, t)
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -49,7 +49,8 @@
 	CauseGone        Cause = "not_registered"
 	CauseRestarted   Cause = "restarted_without_data"
 	CauseDemoted     Cause = "not_primary"
-	CauseUnreachable Cause = "unreachable"
+	CauseUnreachable Cause = "unreachable" // for the leader and for at least half of all hosts
+	CauseCutOff      Cause = "cut_off"     // for at least half of all hosts, but the leader reaches it
 )
 
 // Opinion is how a host sees the primary of a service.
@@ -89,8 +90,10 @@
 		return CauseRestarted
 	case v.StatusKnown && !v.IsPrimary && v.Term >= doc.Term:
 		return CauseDemoted
-	case lost(doc, v):
+	case lost(doc, v) && v.Silent >= unreachableTime:
 		return CauseUnreachable
+	case lost(doc, v):
+		return CauseCutOff
 	case v.Draining && (v.AllReport || v.DrainingFor >= longestDelay):
 		return CauseDraining
 	}
@@ -141,6 +144,7 @@
 	Old          model.TargetID
 	OldBorn      int64 // start of the old primary at which it led
 	OldTerm      uint64
+	Cause        Cause
 	Targets      int // registered targets
 	SyncReplicas int
 	Candidates   []Candidate // those that answered
@@ -153,8 +157,9 @@
 	Final    bool // false if no target can be promoted without losing acknowledged commits
 }
 
-// Choose picks the next primary. A target that already leads a later term is taken as it is. Otherwise it is the one that
-// received most. With synchronous replicas so many targets must answer that one of them has every acknowledged commit.
+// Choose picks the next primary. A target that already leads a later term is taken as it is, and so is the old primary if it
+// only could not be reached and answers again, because it lacks nothing. Otherwise it is the one that received most. With
+// synchronous replicas so many targets must answer that one of them has every acknowledged commit.
 func Choose(g Group) Choice {
 	list := slices.Clone(g.Candidates)
 	slices.SortFunc(list, func(a, b Candidate) int {
@@ -165,6 +170,11 @@
 			return Choice{Target: c, Promoted: true, Final: true}
 		}
 	}
+	for _, c := range list {
+		if g.Cause == CauseUnreachable && c.IsPrimary && c.ID == g.Old && c.Born == g.OldBorn && !c.Draining {
+			return Choice{Target: c, Promoted: true, Final: true}
+		}
+	}
 	replicas := slices.DeleteFunc(list, func(c Candidate) bool { return c.ID == g.Old && c.Born == g.OldBorn })
 	slices.SortStableFunc(replicas, func(a, b Candidate) int {
 		return cmp.Or(compareReceived(b, a), compareDraining(a, b), cmp.Compare(a.ID, b.ID))
@@ -190,6 +200,10 @@
 	return -1
 }
 
+// WaitsForOld reports whether a replacement for the cause should wait until the next primary has received everything that the
+// old one has: the leader still reaches the old one.
+func (c Cause) WaitsForOld() bool { return c == CauseDraining || c == CauseCutOff }
+
 // CaughtUp reports whether a candidate has received everything that the old primary has, if the old one answered.
 func (g Group) CaughtUp(c Candidate) bool {
 	for _, old := range g.Candidates {
--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -49,7 +49,7 @@
 		}, CauseNone},
 		{"most hosts do not reach it, the leader does", open(), func(v *View) {
 			v.Opinions = []Opinion{unreached(), unreached(), unreached(), reached()}
-		}, CauseUnreachable},
+		}, CauseCutOff},
 		{"hosts speak of an earlier primary", open(), func(v *View) {
 			v.Opinions = []Opinion{{Epoch: 2, Unreachable: time.Minute}, {Epoch: 2, Unreachable: time.Minute}}
 		}, CauseNone},
@@ -80,18 +80,22 @@
 		candidates []Candidate
 		sync       int
 		want       Choice
+		cause      Cause
 	}{
-		{"the replica that received most", []Candidate{b, c}, 0, Choice{Target: c, Final: true}},
-		{"not the old primary", []Candidate{a, b}, 0, Choice{Target: b, Final: true}},
-		{"one that leads already", []Candidate{c, led}, 0, Choice{Target: led, Promoted: true, Final: true}},
-		{"not a draining one among equals", []Candidate{draining, c}, 0, Choice{Target: c, Final: true}},
-		{"not one that started empty", []Candidate{reborn, b}, 0, Choice{Target: b, Final: true}},
-		{"nobody answers", nil, 0, Choice{}},
-		{"with synchronous replicas, all of them", []Candidate{b, c}, 1, Choice{Target: c, Final: true}},
-		{"with synchronous replicas, not one of two", []Candidate{b}, 1, Choice{}},
+		{"the replica that received most", []Candidate{b, c}, 0, Choice{Target: c, Final: true}, CauseUnreachable},
+		{"not the old primary if it drains", []Candidate{a, b}, 0, Choice{Target: b, Final: true}, CauseDraining},
+		{"not the old primary if most hosts lost it", []Candidate{a, b}, 0, Choice{Target: b, Final: true}, CauseCutOff},
+		{"the old primary if it answers again", []Candidate{a, b}, 0, Choice{Target: a, Promoted: true, Final: true},
+			CauseUnreachable},
+		{"one that leads already", []Candidate{a, led}, 0, Choice{Target: led, Promoted: true, Final: true}, CauseUnreachable},
+		{"not a draining one among equals", []Candidate{draining, c}, 0, Choice{Target: c, Final: true}, CauseUnreachable},
+		{"not one that started empty", []Candidate{reborn, b}, 0, Choice{Target: b, Final: true}, CauseRestarted},
+		{"nobody answers", nil, 0, Choice{}, CauseUnreachable},
+		{"with synchronous replicas, all of them", []Candidate{b, c}, 1, Choice{Target: c, Final: true}, CauseUnreachable},
+		{"with synchronous replicas, not one of two", []Candidate{b}, 1, Choice{}, CauseUnreachable},
 	}
 	for _, test := range tests {
-		group := Group{Old: "a", OldBorn: 7, OldTerm: 3, Targets: 3, SyncReplicas: test.sync, Candidates: test.candidates}
+		group := Group{Old: "a", OldBorn: 7, OldTerm: 3, Cause: test.cause, Targets: 3, SyncReplicas: test.sync, Candidates: test.candidates}
 		if diff := cmp.Diff(test.want, Choose(group)); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", test.name, diff)
 		}
