--- a/frontend/service.go
+++ b/frontend/service.go
@@ -235,6 +235,9 @@
 		}
 	}
 	reply := replies[len(replies)-1]
+	if reply.Code == UnknownStatement {
+		clear(c.prepared) // the target has lost them; the next attempt prepares anew
+	}
 	s.mu.Lock()
 	s.observe(sent, boottime.Now(), c.target.ID, reply.Position)
 	s.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,8 @@
 	outOfRotation = 2200 * time.Millisecond
 	// settingsInterval is the time between two looks at the settings file, which may change without a signal.
 	settingsInterval = time.Second
+	// leaveTimeout bounds the end of the registration; without it the lease ends by itself.
+	leaveTimeout = time.Second
 	// endInterval is the time between two looks whether all sessions have ended.
 	endInterval = 50 * time.Millisecond
 )
@@ -81,7 +83,9 @@
 	go server.Run(ctx.Done())
 	go platform.ServeCallers(listeners.callers, server, log)
 	watchSettings(path, settings, log, signals)
-	stop(agent, server, listeners, settings.Drain(), log)
+	drain(agent, server, listeners, settings.Drain(), log)
+	cancel()
+	leave(agent, server, log)
 	return nil
 }
 
@@ -142,8 +146,8 @@
 	}
 }
 
-// stop ends a host as planned: no new callers first, then sessions without a transaction, then the rest.
-func stop(agent *fleet.Agent, server *frontend.Server, l listeners, limit time.Duration, log *zap.Logger) {
+// drain ends the work of a host as planned: no new callers first, then sessions without a transaction, then the rest.
+func drain(agent *fleet.Agent, server *frontend.Server, l listeners, limit time.Duration, log *zap.Logger) {
 	started := time.Now()
 	log.Info("stop: requested", zap.Duration("limit", limit))
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -157,6 +161,14 @@
 		time.Sleep(endInterval)
 		sessions = server.Close()
 	}
+	log.Info("stop: drained", zap.Int("sessions_cut", sessions), zap.Duration("took", time.Since(started)))
+}
+
+// leave removes the host's registration. From then on nobody asks it to stop using a primary, so it stops by itself before.
+func leave(agent *fleet.Agent, server *frontend.Server, log *zap.Logger) {
+	server.AllowPrimaries(time.Time{})
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
 	agent.Leave(ctx)
-	log.Info("stop: done", zap.Int("sessions_cut", sessions), zap.Duration("took", time.Since(started)))
+	log.Info("stop: done")
 }
