--- /dev/null
+++ b/logging/logging_test.go
@@ -0,0 +1,93 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// stuck is an output that takes nothing until it is opened.
+type stuck struct {
+	open chan struct{}
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (s *stuck) Write(line []byte) (int, error) {
+	<-s.open
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(line)
+}
+
+func (s *stuck) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
+// Guards against statements that wait for an output which takes no lines, and against dropped lines that nobody notices.
+func TestNeverBlocks(t *testing.T) {
+	out := &stuck{open: make(chan struct{})}
+	w := newWriter(out)
+	log, _, err := New(out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.log = log
+	done := make(chan struct{})
+	go func() {
+		for range 3 * queuedLines {
+			_, _ = w.Write([]byte("line\n")) // it never fails
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("writing waits for the output")
+	}
+	close(out.open)
+	for end := time.Now().Add(5 * time.Second); !strings.Contains(out.String(), "lines dropped"); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the dropped lines are not reported")
+		}
+	}
+}
+
+// fixedClock keeps all lines in one second.
+type fixedClock struct{}
+
+func (fixedClock) Now() time.Time                       { return time.Unix(1000, 0) }
+func (fixedClock) NewTicker(time.Duration) *time.Ticker { return time.NewTicker(time.Hour) }
+
+// Guards against a volume that grows with the load, and against sampling that swallows other messages.
+func TestRepeatedLinesAreSampled(t *testing.T) {
+	out := &stuck{open: make(chan struct{})}
+	close(out.open)
+	log, flush, err := New(out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log = log.WithOptions(zap.WithClock(fixedClock{}))
+	for range 10 * sampleFirst {
+		log.Info("statement: done", zap.String("id", "x"))
+	}
+	log.Info("leader: this host leads")
+	log.Debug("not wanted")
+	flush()
+	for end := time.Now().Add(5 * time.Second); !strings.Contains(out.String(), "leader:") && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // the last line may still be on its way
+	}
+	lines := strings.Count(out.String(), "statement: done")
+	if want := sampleFirst + 9*sampleFirst/sampleThen; lines != want {
+		t.Errorf("%d of %d equal lines were written, want %d", lines, 10*sampleFirst, want)
+	}
+	if text := out.String(); !strings.Contains(text, "leader:") || strings.Contains(text, "not wanted") {
+		t.Errorf("other lines: %q", text[max(0, len(text)-300):])
+	}
+}
