Count how long a primary drains from its entry, not from the start of a leader

A leader that took over 2.5 s after the primary had announced its end waited five more seconds for a host that was cut off. The test failed before: every leader began to count anew.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -139,7 +139,8 @@
 
 func newView() *view {
 	return &view{catalog: &catalog.Catalog{}, targets: map[model.TargetID]catalog.Target{},
-		hosts: map[model.HostID]Host{}, docs: map[model.Service]versioned[primacy.Document]{}}
+		drainingSince: map[model.TargetID]time.Time{},
+		hosts:         map[model.HostID]Host{}, docs: map[model.Service]versioned[primacy.Document]{}}
 }
 
 // Ready reports whether the host can serve callers.
@@ -231,7 +232,7 @@
 				zap.String("service", string(t.Service)), zap.Bool("draining", t.State == catalog.Draining),
 				zap.Bool("says_primary", t.SaysPrimary), zap.Int64("born", t.Born))
 		}
-		c.view.targets[id] = t
+		c.view.takeTarget(t, now)
 	}
 	if ch.whole {
 		for id := range c.view.targets {
@@ -264,6 +265,7 @@
 			c.agent.Log.Info("targets: removed", zap.String("target", string(id)), zap.Duration("missing", now.Sub(since)))
 			delete(c.removed, id)
 			delete(c.view.targets, id)
+			delete(c.view.drainingSince, id)
 			changed = true
 		}
 	}
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
 )
@@ -85,6 +87,21 @@
 	}
 }
 
+// Guards against a draining primary that gets work for too long because each new leader counts from its own beginning.
+func TestDrainingTimeOutlivesLeaders(t *testing.T) {
+	v, start := newView(), time.Unix(1000, 0)
+	draining := catalog.Target{ID: "a", Service: "s", State: catalog.Draining}
+	v.takeTarget(draining, start)
+	v.takeTarget(draining, start.Add(3*time.Second)) // listed again, as by a host that becomes the leader
+	if got := v.clone().drainingSince["a"]; !got.Equal(start) {
+		t.Errorf("draining since %s, want %s", got, start)
+	}
+	v.takeTarget(catalog.Target{ID: "a", Service: "s", State: catalog.Ready}, start.Add(4*time.Second))
+	if _, noted := v.drainingSince["a"]; noted {
+		t.Error("a target that is ready again counts as draining")
+	}
+}
+
 // Guards against a later decision that is never stored because its condition names the revision of the decision before.
 func TestRevisionOfToldDecision(t *testing.T) {
 	v := newView()
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -62,18 +62,21 @@
 
 // view is what this host knows from the store. The control goroutine owns one and publishes copies, which are not changed.
 type view struct {
-	catalog  *catalog.Catalog
-	targets  map[model.TargetID]catalog.Target
-	hosts    map[model.HostID]Host
-	expected []model.HostID // registered hosts and those that have left a short time ago, in order
-	leader   *versioned[Leader]
-	docs     map[model.Service]versioned[primacy.Document]
-	plans    map[model.Service]placement.Plan
+	catalog *catalog.Catalog
+	targets map[model.TargetID]catalog.Target
+	// drainingSince has the times at which this host first saw that targets drain, whoever led then.
+	drainingSince map[model.TargetID]time.Time
+	hosts         map[model.HostID]Host
+	expected      []model.HostID // registered hosts and those that have left a short time ago, in order
+	leader        *versioned[Leader]
+	docs          map[model.Service]versioned[primacy.Document]
+	plans         map[model.Service]placement.Plan
 }
 
 func (v *view) clone() *view {
 	c := *v
 	c.targets, c.hosts, c.docs = maps.Clone(v.targets), maps.Clone(v.hosts), maps.Clone(v.docs)
+	c.drainingSince = maps.Clone(v.drainingSince)
 	return &c
 }
 
@@ -124,6 +127,16 @@
 	return list
 }
 
+// takeTarget takes over the entry of a target.
+func (v *view) takeTarget(t catalog.Target, now time.Time) {
+	v.targets[t.ID] = t
+	if t.State != catalog.Draining {
+		delete(v.drainingSince, t.ID)
+	} else if _, noted := v.drainingSince[t.ID]; !noted {
+		v.drainingSince[t.ID] = now
+	}
+}
+
 // plan divides the workspaces of all services over the expected hosts. The rate of a workspace tells how much it asks for.
 func (v *view) plan() map[model.Service]placement.Plan {
 	weights := make(map[model.Workspace]float64, len(v.catalog.Limits))
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -43,8 +43,7 @@
 	answered time.Time
 	status   primacy.Status
 	known    bool
-	epoch    uint64    // epoch that status belongs to
-	draining time.Time // when the primary was first seen draining
+	epoch    uint64 // epoch that status belongs to
 }
 
 func (s *supervisor) run(ctx context.Context) {
@@ -64,11 +63,6 @@
 	v := s.agent.view.Load()
 	t, listed := v.targets[doc.Primary]
 	view := primacy.View{Listed: listed, Draining: t.State == catalog.Draining, Born: t.Born, AllReport: true}
-	if !view.Draining {
-		s.draining = time.Time{}
-	} else if s.draining.IsZero() {
-		s.draining = boottime.Now()
-	}
 	if s.epoch != doc.Epoch {
 		s.epoch, s.known, s.answered, s.asked = doc.Epoch, false, boottime.Now(), time.Time{}
 	}
@@ -89,7 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if view.Draining {
-		view.DrainingFor = now.Sub(s.draining)
+		view.DrainingFor = now.Sub(v.drainingSince[doc.Primary])
 	}
 	for id := range v.hosts {
 		if now.Sub(s.opinions[id].at) > primacy.OpinionAge() {
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -17,9 +17,9 @@
 	// unreachableTime is the time without any answer after which a primary is replaced. New connections to a live target
 	// take 12 ms, and two probes fit into it.
 	unreachableTime = 600 * time.Millisecond
-	// longestDelay is the time for which a planned replacement waits for hosts that do not answer. A draining target serves
-	// for seven seconds, and the lease of a lost host ends meanwhile.
-	longestDelay = 5 * time.Second
+	// longestDelay is the time for which a planned replacement waits for hosts that do not answer. A draining target gets no
+	// work after seven seconds, of which the leader may take two to learn that it drains.
+	longestDelay = 4 * time.Second
 	// opinionAge is the age up to which a host's view of a primary counts; hosts report every 250 ms.
 	opinionAge = time.Second
 )
