--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -181,6 +181,21 @@
 	}
 }
 
+// do runs a step on the control goroutine and waits until it is done.
+func (a *Agent) do(ctx context.Context, step func(*control)) error {
+	done := make(chan struct{})
+	a.post(ctx, func(c *control) {
+		step(c)
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (a *Agent) list(ctx context.Context, prefix string) ([]metastore.Item, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -276,7 +291,7 @@
 
 // applyOwn takes over changes of the product's own keys.
 func (c *control) applyOwn(ch change) {
-	before := c.view.clone().hosts
+	before := maps.Clone(c.view.hosts)
 	if ch.whole {
 		c.view.hosts, c.view.leader = map[model.HostID]Host{}, nil
 	}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -296,8 +296,4 @@
 	}
 }
 
-func (a *Agent) isLeading() bool {
-	a.leaderMu.Lock()
-	defer a.leaderMu.Unlock()
-	return a.leading != nil
-}
+func (a *Agent) isLeading() bool { return a.leadership() != nil }
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -115,6 +115,13 @@
 	a.leading = l
 }
 
+// leadership returns this host's present term as the leader, or nil.
+func (a *Agent) leadership() *leadership {
+	a.leaderMu.Lock()
+	defer a.leaderMu.Unlock()
+	return a.leading
+}
+
 func (a *Agent) revoke(lease metastore.Lease) {
 	ctx, cancel := contextWithTimeout(callTimeout)
 	defer cancel()
@@ -124,11 +131,8 @@
 }
 
 // Resign gives the leadership up, if this host has it.
-func (a *Agent) Resign(context.Context) {
-	a.leaderMu.Lock()
-	l := a.leading
-	a.leaderMu.Unlock()
-	if l != nil {
+func (a *Agent) Resign() {
+	if l := a.leadership(); l != nil {
 		l.stop()
 		a.revoke(l.lease)
 	}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -194,9 +194,7 @@
 // Report takes a report and answers with what the host lacks.
 func (p *Peer) Report(r ReportRequest, answer *SyncAnswer) error {
 	a := p.agent
-	a.leaderMu.Lock()
-	l := a.leading
-	a.leaderMu.Unlock()
+	l := a.leadership()
 	if l == nil {
 		return errNotLeader
 	}
@@ -225,9 +223,7 @@
 
 // Take hands out tokens of a workspace's limit.
 func (p *Peer) Take(r TokenRequest, answer *TokenAnswer) error {
-	p.agent.leaderMu.Lock()
-	l := p.agent.leading
-	p.agent.leaderMu.Unlock()
+	l := p.agent.leadership()
 	if l == nil {
 		return errNotLeader
 	}
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -46,14 +46,7 @@
 		return err
 	}
 	a.follower(prefix, (*control).applyOwn).replace(ctx, PrefixState{Revision: revision, Items: items}, true)
-	applied := make(chan struct{})
-	a.post(ctx, func(*control) { close(applied) })
-	select {
-	case <-applied:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return a.do(ctx, func(*control) {}) // what was posted before is in force then
 }
 
 // enter writes the registration.
@@ -133,7 +126,7 @@
 
 // Leave ends this host's registration and leadership, so that nobody waits for it.
 func (a *Agent) Leave(ctx context.Context) {
-	a.Resign(ctx)
+	a.Resign()
 	key := hostPrefix + string(a.Self.ID)
 	_, err := a.Store.Commit(ctx, metastore.Txn{Removes: []string{key}})
 	a.Log.Info("registration: removed", zap.Error(err))
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -121,23 +121,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := primaryPrefix + string(s.service)
+	key, value := primaryPrefix+string(s.service), mustEncode(doc)
 	revision, err := s.agent.Store.Commit(ctx, metastore.Txn{
 		Conditions: []metastore.Condition{{Key: key, Revision: known}, {Key: leaderKey, Revision: s.fence}},
-		Puts:       []metastore.Item{{Key: key, Value: mustEncode(doc)}}})
+		Puts:       []metastore.Item{{Key: key, Value: value}}})
 	if err != nil {
 		s.log.Warn("primary: decision not stored", zap.Uint64("epoch", doc.Epoch), zap.Error(err))
 		return false
 	}
-	event := metastore.Event{Item: metastore.Item{Key: key, Value: mustEncode(doc), Revision: revision}}
-	done := make(chan struct{})
-	s.agent.post(ctx, func(c *control) {
-		c.applyOwn(change{events: []metastore.Event{event}})
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-ctx.Done():
+	event := metastore.Event{Item: metastore.Item{Key: key, Value: value, Revision: revision}}
+	if err := s.agent.do(ctx, func(c *control) { c.applyOwn(change{events: []metastore.Event{event}}) }); err != nil {
+		s.log.Warn("primary: decision stored, but not in force here in time", zap.Error(err))
 	}
 	return true
 }
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -217,7 +217,7 @@
 	if svc == nil {
 		return nil, nil
 	}
-	sess.txn = &txn{readOnly: f.ReadOnly, service: svc, begun: boottime.Now()}
+	sess.txn = &txn{readOnly: f.ReadOnly, service: svc}
 	s.forwardedTxns[key] = sess
 	return sess, nil
 }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -429,7 +428,7 @@
 	if !found {
 		return model.Position{}, time.Time{}, false
 	}
-	if mark.Epoch != s.doc.Epoch || slices.Max([]uint64{mark.Position.Offset, position.Offset}) == position.Offset {
+	if mark.Epoch != s.doc.Epoch || mark.Position.Offset <= position.Offset {
 		return position, at, true // whatever survived of an earlier epoch precedes every position of this one
 	}
 	return mark.Position, mark.Made, true
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -188,7 +188,7 @@
 		delete(s.state.prepared, st.Name)
 		return Answer{}
 	case Begin, BeginRead:
-		return s.begin(now, st)
+		return s.begin(st)
 	case Commit:
 		return s.commit(now, st)
 	case Rollback:
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -18,7 +18,6 @@
 	epoch    uint64 // decision under which the primary is used, 0 on a replica
 	wrote    bool
 	failed   bool
-	begun    time.Time
 	idle     *time.Timer
 
 	peer   model.HostID // the host that runs the transaction, empty for this host
@@ -54,7 +53,7 @@
 }
 
 // begin opens a transaction of the session; the target learns of it with the first statement.
-func (s *session) begin(now time.Time, st Statement) Answer {
+func (s *session) begin(st Statement) Answer {
 	if s.txn != nil {
 		return refuse(Malformed, "a transaction is open")
 	}
@@ -62,7 +61,7 @@
 	if refusal.Code != Success {
 		return refusal
 	}
-	s.txn = &txn{readOnly: st.Kind == BeginRead, service: svc, begun: now}
+	s.txn = &txn{readOnly: st.Kind == BeginRead, service: svc}
 	defer s.startIdleTimer()
 	return Answer{}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,10 +150,8 @@
 func drain(agent *fleet.Agent, server *frontend.Server, l listeners, limit time.Duration, log *zap.Logger) {
 	started := time.Now()
 	log.Info("stop: requested", zap.Duration("limit", limit))
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
 	server.Drain()
-	go agent.Resign(ctx)
+	go agent.Resign()
 	time.Sleep(min(outOfRotation, limit/2))
 	sessions := server.Close()
 	_ = l.callers.Close() // it is closed only here
