Ask the store less at the start of a fleet and while it does not answer

Each registration ended the watches of all hosts, each host listed and watched three prefixes although a leader relays them, and the leader listed the hosts again in every attempt to replace a primary that no target could follow. While the store was down, each host tried three lists.

Ruled out: renewals are a fifth of the calls only.

Change: hosts wait 0.1 s between watches (the leader 20 ms), start from stale lists, give a leader 0.8 s to relay, and ask a silent store with one list whose pause grows to 3 s and ends when another host hears the store. Hosts renew every 1.1 s. The leader lists the hosts once for each closed decision.

The stand-in of the databases keeps what statements saw and where they ran, follows a new primary, and can be deaf, emptied or withdrawn, for a checker of histories. Each end-to-end test process has a loopback address of its own: a stopped daemon's port could be taken by another process's daemon, which then answered its callers' requests.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,8 +30,10 @@
 	hostLease = 8 * time.Second
 	// leaderLease is the time after which another host takes over from a silent leader.
 	leaderLease = 3 * time.Second
-	// renewInterval is the time between renewals of leases; a renewal costs a tenth of a read.
+	// renewInterval is the time between renewals of the leader's lease; a renewal costs a tenth of a read.
 	renewInterval = 700 * time.Millisecond
+	// hostRenewInterval is the same for the leases of hosts, which last longer.
+	hostRenewInterval = 1100 * time.Millisecond
 	// leaseMargin is the part of a lease that is not used, for clocks that run at different rates.
 	leaseMargin = 100 * time.Millisecond
 	// callTimeout bounds a call of the store. A slow store takes 0.4 s.
@@ -150,6 +152,7 @@
 func (a *Agent) Run(ctx context.Context) {
 	c := &control{agent: a, view: newView(), removed: map[model.TargetID]time.Time{},
 		left: map[model.HostID]time.Time{}}
+	a.relayHeard.Store(boottime.Now().UnixNano()) // usually a leader relays before a host that starts has to watch the store
 	go a.follow(ctx, a.Decoders.ConfigurationKey, (*control).applyConfiguration)
 	go a.follow(ctx, a.Decoders.TargetPrefix, (*control).applyTargets)
 	go a.follow(ctx, prefix, (*control).applyOwn)
@@ -196,10 +199,12 @@
 	}
 }
 
-func (a *Agent) list(ctx context.Context, prefix string) ([]metastore.Item, uint64, error) {
+// timed lists a prefix within the timeout of calls.
+func timed(ctx context.Context, prefix string,
+	list func(context.Context, string) ([]metastore.Item, uint64, error)) ([]metastore.Item, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return a.Store.List(ctx, prefix)
+	return list(ctx, prefix)
 }
 
 // applyConfiguration takes over a newer configuration.
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -29,9 +29,16 @@
 	maxRemoved = 1000
 	// candidates is the number of hosts that follow the store while there is no leader; the others ask them.
 	candidates = 3
-	// longestPause is the longest pause between two attempts to list while the store does not answer. Every call counts for
-	// the store, refused ones too, and a host has seconds after its return.
+	// longestPause is the longest pause between two attempts at a store that does not answer, of the hosts that ask it for
+	// the others. Every call counts for the store, refused ones too, and a host has seconds after its return.
 	longestPause = 1500 * time.Millisecond
+	// longestIdlePause is the same for the other hosts, whose pause ends when one that relays hears the store again.
+	longestIdlePause = 3 * time.Second
+	// watchSpacing is the time between the answer of a watch and the next watch of a host that does not lead. Fleets
+	// that start register all hosts within half a second, and each registration would end the watches of all.
+	watchSpacing = 100 * time.Millisecond
+	// leaderWatchSpacing is the same for the leader, from which the others have the changes.
+	leaderWatchSpacing = 20 * time.Millisecond
 	// relayCheck is the time between two looks whether the leader still answers.
 	relayCheck = 50 * time.Millisecond
 )
@@ -67,24 +74,54 @@
 func (a *Agent) follow(ctx context.Context, prefix string, apply func(*control, change)) {
 	f := a.follower(prefix, apply)
 	dep := dependency{log: a.Log, name: "store watch of " + prefix}
-	pause := retryInterval
+	attempts := backoff{agent: a, led: prefix != a.Decoders.ConfigurationKey}
+	list := a.Store.ListStale // the watch that follows brings what it lacks
 	for ctx.Err() == nil {
-		items, revision, err := a.list(ctx, prefix)
+		items, revision, err := timed(ctx, prefix, list)
 		if dep.observe(err); err != nil {
-			sleep(ctx, jitter(pause))
-			pause = min(2*pause, longestPause)
+			attempts.wait(ctx)
 		} else {
-			pause = retryInterval
+			attempts.reset()
+			list = a.Store.List // a stale one may precede the history that the store still has
 			a.storeHeard.Store(boottime.Now().UnixNano())
 			f.replace(ctx, PrefixState{Revision: revision, Items: items}, true)
 			f.watch(ctx, revision, &dep)
 		}
-		for ctx.Err() == nil && !a.followsStore() {
+		for ctx.Err() == nil && !a.watches(prefix) {
 			sleep(ctx, relayCheck)
 		}
 	}
 }
 
+// backoff paces the attempts at a store that does not answer. The pause ends early when another call of this host is
+// answered, or when another host hears the store.
+type backoff struct {
+	agent *Agent
+	pause time.Duration
+	led   bool // another follower of this host asks a silent store often enough
+}
+
+func (b *backoff) reset() { b.pause = 0 }
+
+// wait waits before the next attempt.
+func (b *backoff) wait(ctx context.Context) {
+	failed := boottime.Now().UnixNano()
+	longest := longestIdlePause
+	if b.agent.isLeading() || b.agent.isCandidate() {
+		longest = longestPause
+	}
+	b.pause = min(max(2*b.pause, retryInterval), longest)
+	if b.led {
+		b.pause = 2 * longestIdlePause
+	}
+	for left := jitter(b.pause); left > 0 && ctx.Err() == nil; left -= retryInterval {
+		sleep(ctx, min(left, retryInterval))
+		if max(b.agent.storeHeard.Load(), b.agent.relayHeard.Load()) > failed {
+			return
+		}
+	}
+}
+
 // follower returns the follower of a prefix, which outlives its watches.
 func (a *Agent) follower(prefix string, apply func(*control, change)) *follower {
 	a.followMu.Lock()
@@ -100,7 +137,7 @@
 
 // watch follows the prefix from a revision until it has to be listed again or the leader relays changes.
 func (f *follower) watch(ctx context.Context, revision uint64, dep *dependency) {
-	for ctx.Err() == nil && f.agent.followsStore() {
+	for ctx.Err() == nil && f.agent.watches(f.prefix) {
 		events, next, err := f.agent.Store.Watch(ctx, f.prefix, revision, watchWait)
 		if errors.Is(err, metastore.ErrCompacted) {
 			f.agent.Log.Info("store: history is gone, listing again", zap.String("prefix", f.prefix),
@@ -113,7 +150,18 @@
 		f.agent.storeHeard.Store(boottime.Now().UnixNano())
 		revision = next
 		f.add(ctx, events, next)
+		if len(events) > 0 {
+			sleep(ctx, f.agent.spacing())
+		}
+	}
+}
+
+// spacing returns the time between two watches.
+func (a *Agent) spacing() time.Duration {
+	if a.isLeading() {
+		return leaderWatchSpacing
 	}
+	return watchSpacing
 }
 
 // add takes over events up to a revision, without those that another host has relayed before.
@@ -212,6 +260,12 @@
 	return a.isLeading() || a.leaderLost.Load() && a.isCandidate() || since(&a.relayHeard) > relaySilence
 }
 
+// watches reports whether this host has to follow a prefix of the store itself. The product's own keys tell who leads, so
+// they are followed until a leader is known.
+func (a *Agent) watches(of string) bool {
+	return a.followsStore() || of == prefix && a.view.Load().leader == nil
+}
+
 // isCandidate reports whether this host is one of those that follow the store while there is no leader.
 func (a *Agent) isCandidate() bool {
 	return slices.ContainsFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
@@ -117,3 +119,55 @@
 		t.Errorf("the decision has revision %d, want 47", got)
 	}
 }
+
+// countingStore is a store that does not answer, or whose watches always have an event.
+type countingStore struct {
+	metastore.Store
+	down  bool
+	calls int
+}
+
+func (s *countingStore) List(context.Context, string) ([]metastore.Item, uint64, error) {
+	s.calls++
+	if s.down {
+		return nil, 0, metastore.ErrNotExecuted
+	}
+	return nil, 1, nil
+}
+
+func (s *countingStore) ListStale(ctx context.Context, prefix string) ([]metastore.Item, uint64, error) {
+	return s.List(ctx, prefix)
+}
+
+func (s *countingStore) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]metastore.Event, uint64, error) {
+	s.calls++
+	return []metastore.Event{{Item: item("p/a", after+1)}}, after + 1, nil
+}
+
+// callsIn returns the calls that a host which does not lead makes to keep up with one prefix.
+func callsIn(t *testing.T, store *countingStore, span time.Duration) int {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Agent{Config: Config{Store: store, Log: zap.NewNop()}, events: make(chan func(*control), 10000),
+			followers: map[string]*follower{}}
+		a.view.Store(newView())
+		ctx, cancel := context.WithTimeout(t.Context(), span)
+		defer cancel()
+		a.follow(ctx, "p/", func(*control, change) {})
+	})
+	return store.calls
+}
+
+// Guards against a fleet that asks a store which does not answer so often that the calls grow with the hosts: in the long run
+// a host asks twice in longestIdlePause.
+func TestOutageCostsFewCalls(t *testing.T) {
+	if n := callsIn(t, &countingStore{down: true}, 30*time.Second); n > 5+20 {
+		t.Errorf("%d calls for one prefix in 30 s without an answer", n)
+	}
+}
+
+// Guards against a watch for each change, while all hosts of a fleet register at once.
+func TestChangesAreWatchedTogether(t *testing.T) {
+	if n := callsIn(t, &countingStore{}, time.Second); n > 12 {
+		t.Errorf("%d calls for one prefix in a second of changes", n)
+	}
+}
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -22,12 +22,14 @@
 // were read while the registration was in the store, because the leader asks only registered hosts to stop using one.
 func (a *Agent) register(ctx context.Context) {
 	dep := dependency{log: a.Log, name: "store registration"}
+	attempts := backoff{agent: a}
 	for ctx.Err() == nil {
 		r, sent, err := a.enter(ctx)
 		if dep.observe(err); err != nil {
-			sleep(ctx, retryInterval)
+			attempts.wait(ctx)
 			continue
 		}
+		attempts.reset()
 		if err := a.refreshOwn(ctx); err != nil {
 			a.Log.Warn("registration: decisions not read", zap.Error(err))
 			a.revoke(r.lease)
@@ -41,7 +43,7 @@
 
 // refreshOwn reads the product's own keys and returns when they are in force.
 func (a *Agent) refreshOwn(ctx context.Context) error {
-	items, revision, err := a.list(ctx, prefix)
+	items, revision, err := timed(ctx, prefix, a.Store.List)
 	if err != nil {
 		return err
 	}
@@ -81,7 +83,7 @@
 	a.Server.AllowPrimaries(until)
 	a.ready.Store(true)
 	for ctx.Err() == nil {
-		sleep(ctx, renewInterval)
+		sleep(ctx, hostRenewInterval)
 		now := boottime.Now()
 		err := a.renew(ctx, r.lease)
 		if err != nil && !errors.Is(err, metastore.ErrLeaseEnded) {
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -44,6 +44,7 @@
 	status   primacy.Status
 	known    bool
 	epoch    uint64 // epoch that status belongs to
+	listed   uint64 // closed epoch after whose decision the hosts were listed
 }
 
 func (s *supervisor) run(ctx context.Context) {
@@ -184,9 +185,12 @@
 func (s *supervisor) awaitFenced(ctx context.Context, doc primacy.Document) bool {
 	confirmed := map[model.HostID]model.Incarnation{}
 	// A host that registers after this sees the closed decision when it reads the decisions.
-	if err := s.agent.refreshOwn(ctx); err != nil {
-		s.log.Warn("primary: hosts not listed", zap.Error(err))
-		return false
+	if s.listed != doc.Epoch {
+		if err := s.agent.refreshOwn(ctx); err != nil {
+			s.log.Warn("primary: hosts not listed", zap.Error(err))
+			return false
+		}
+		s.listed = doc.Epoch
 	}
 	for ctx.Err() == nil && s.valid() {
 		hosts := s.agent.view.Load().hostList()
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -56,6 +56,8 @@
 	// List returns all items under a prefix and the lowest revision that any page of the answer reflects, from which a
 	// watch misses nothing.
 	List(ctx context.Context, prefix string) ([]Item, uint64, error)
+	// ListStale is List at a tenth of the price. The answer may be seconds old; its revision tells how old.
+	ListStale(ctx context.Context, prefix string) ([]Item, uint64, error)
 	// Watch waits up to the given time for changes after a revision and returns them with the revision to go on from.
 	// It fails with ErrCompacted.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -7,24 +7,46 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-// commit is an entry of a database's log.
-type commit struct {
-	term, number uint64
+// Commit is an entry of the log of a group's databases.
+type Commit struct {
+	Sequence     int // place among all commits of the group
+	Term, Number uint64
+	IDs          []string // of the statements that wrote
+	RolledBack   bool     // a promotion dropped it
+	Superseded   bool     // made after another database led a newer term
 	writes       []write
+	received     int // replicas that have received it
 }
 
 type write struct{ id, item, data string }
 
 // Executed is a statement that a database ran.
 type Executed struct {
+	At                            time.Time
+	Connection                    int // connection that it came on
 	Database, Workspace, ID, Text string
 	Values                        string // session values of the connection
-	Committed                     bool   // the statement was a write or a commit that took effect
+	Shape                         string // kind and shape of the prepared statement that it executed
+	Transaction                   string // id of the first statement of the transaction that it ran in
+	Rows                          []string
+	Seen                          []*Commit // log that a read saw
+	Committed                     bool      // the statement was a write or a commit that took effect
+}
+
+// Promotion is a call of the duty of promotion.
+type Promotion struct {
+	At     time.Time
+	Holder string
+	Token  uint64
+	Target string
 }
 
 // Group is a service of replicated databases.
@@ -34,11 +56,16 @@
 	MaxConns int
 	store    *Store
 
-	mu       sync.Mutex
-	members  []*Member
-	term     uint64
-	executed []Executed
-	lose     func(member *Member, text string) bool // loses the answer of a statement that ran
+	mu           sync.Mutex
+	members      []*Member
+	term         uint64
+	syncReplicas int           // that have to receive a commit before it is acknowledged
+	work         time.Duration // that a statement takes
+	executed     []Executed
+	commits      []*Commit
+	promotions   []Promotion
+	connections  int
+	lose         func(member *Member, text string) bool // loses the answer of a statement that ran
 }
 
 // Member is one database of a group.
@@ -49,8 +76,12 @@
 	listener net.Listener
 	primary  bool
 	dark     bool
+	deaf     bool // receives no commits
+	state    string
+	entry    string // address in its entry, which differs from Address behind a proxy
+	born     int64
 	term     uint64
-	log      []commit
+	log      []*Commit
 	applied  int // entries of the log that reads see
 	conns    map[net.Conn]bool
 }
@@ -64,9 +95,9 @@
 			return nil, err
 		}
 		m := &Member{ID: fmt.Sprintf("%s-%d", service, i), Address: l.Addr().String(), group: g, listener: l,
-			primary: i == 0, term: 1, conns: map[net.Conn]bool{}}
+			primary: i == 0, term: 1, born: 1, state: "ready", entry: l.Addr().String(), conns: map[net.Conn]bool{}}
 		g.members = append(g.members, m)
-		m.register("ready")
+		m.register()
 		go m.accept()
 	}
 	return g, nil
@@ -111,9 +142,7 @@
 	for _, m := range g.members {
 		if m.primary && m.term == g.term {
 			for _, c := range m.log {
-				for _, w := range c.writes {
-					ids = append(ids, w.id)
-				}
+				ids = append(ids, c.IDs...)
 			}
 		}
 	}
@@ -132,8 +161,50 @@
 	return nil
 }
 
+// SetWork changes the time that a statement takes.
+func (g *Group) SetWork(work time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.work = work
+}
+
+// SetSyncReplicas changes the number of replicas that have to receive a commit before it is acknowledged.
+func (g *Group) SetSyncReplicas(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.syncReplicas = n
+}
+
+// Inspect shows what has happened so far; nothing happens meanwhile.
+func (g *Group) Inspect(look func(executed []Executed, commits []*Commit, promotions []Promotion)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	look(g.executed, g.commits, g.promotions)
+}
+
 // Drain lets a database report that it is about to stop.
-func (m *Member) Drain() { m.register("draining") }
+func (m *Member) Drain() { m.setState("draining") }
+
+// Withdraw removes the entry of a database, as the platform does for one that is silent or has left.
+func (m *Member) Withdraw() { m.setState("gone") }
+
+// Register writes the entry of a database again.
+func (m *Member) Register() { m.setState("ready") }
+
+func (m *Member) setState(state string) {
+	m.group.mu.Lock()
+	m.state = state
+	m.group.mu.Unlock()
+	m.register()
+}
+
+// Announce puts another address into the entry of a database, that of a proxy.
+func (m *Member) Announce(address string) {
+	m.group.mu.Lock()
+	m.entry = address
+	m.group.mu.Unlock()
+	m.register()
+}
 
 // SetDark cuts a database off: connections hang and are lost. Its entry stays.
 func (m *Member) SetDark(dark bool) {
@@ -143,15 +214,46 @@
 	for conn := range m.conns {
 		_ = conn.Close() // the far end notices
 	}
+	m.group.replicate()
+	time.AfterFunc(demoteAfter, m.group.settle)
+}
+
+// SetDeaf keeps a replica from receiving commits.
+func (m *Member) SetDeaf(deaf bool) {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.deaf = deaf
+	m.group.replicate()
+}
+
+// Empty restarts a database under its id without anything that it held.
+func (m *Member) Empty() {
+	m.group.mu.Lock()
+	for conn := range m.conns {
+		_ = conn.Close() // the far end notices
+	}
+	m.born++
+	m.log, m.applied, m.primary = nil, 0, false
+	m.group.mu.Unlock()
+	m.register()
 }
 
-func (m *Member) register(state string) {
-	role := "replica"
+// register writes or removes the entry of a database.
+func (m *Member) register() {
+	g := m.group
+	g.mu.Lock()
+	role, state := "replica", m.state
 	if m.primary {
 		role = "primary"
 	}
-	m.group.store.Put("servers/"+m.ID, map[string]any{"service": m.group.Service, "address": m.Address, "zone": "z1",
-		"slots": 3, "state": state, "dbRole": role, "sequence": 1, "born": 1})
+	entry := map[string]any{"service": g.Service, "address": m.entry, "zone": "z1", "slots": 3, "state": state,
+		"dbRole": role, "sequence": 1, "born": m.born}
+	g.mu.Unlock()
+	if state == "gone" {
+		g.store.Remove("servers/" + m.ID)
+		return
+	}
+	g.store.Put("servers/"+m.ID, entry)
 }
 
 // ServeHTTP is the platform's duty of promotion.
@@ -164,8 +266,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	token, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	g.mu.Lock()
+	g.promotions = append(g.promotions, Promotion{time.Now(), r.Header.Get("X-Lease-Holder"), token, request.InstanceID})
+	g.mu.Unlock()
 	for _, m := range g.members {
-		if m.ID == request.InstanceID {
+		if m.ID == request.InstanceID && !m.isDark() {
 			time.AfterFunc(50*time.Millisecond, func() { g.promote(m) })
 			return
 		}
@@ -173,23 +279,41 @@
 	w.WriteHeader(http.StatusConflict)
 }
 
+func (m *Member) isDark() bool {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.dark
+}
+
+// demoteAfter is the time after which an old primary that reaches the new one becomes a replica by itself.
+const demoteAfter = time.Second
+
 func (g *Group) promote(next *Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if next.primary && next.term == g.term {
+	if next.primary && next.term == g.term || next.dark {
 		return
 	}
 	g.term++
 	next.primary, next.term = true, g.term
 	next.applied = len(next.log)
+	for _, c := range g.commits {
+		c.RolledBack = !slices.Contains(next.log, c)
+	}
+	g.replicate()
+	go next.register()
+	time.AfterFunc(demoteAfter, g.settle)
+}
+
+// settle demotes the old primaries that reach the present one.
+func (g *Group) settle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, m := range g.members {
-		if m != next && !m.primary {
-			m.log = append([]commit(nil), next.log...)
-			m.applied = min(m.applied, len(m.log))
-			m.term = g.term
+		if m.primary && !m.dark {
+			m.demote(g.term)
 		}
 	}
-	go next.register("ready")
 }
 
 // demote makes a primary of an older term a replica that holds what the new primary has.
@@ -198,41 +322,65 @@
 		return
 	}
 	m.primary, m.term = false, term
-	for _, next := range m.group.members {
-		if next.primary {
-			m.log = append([]commit(nil), next.log...)
-			m.applied = len(m.log)
+	m.group.replicate()
+	go m.register()
+}
+
+// replicate sends the log of the present primary to the replicas that it reaches.
+func (g *Group) replicate() {
+	for _, leading := range g.members {
+		if !leading.primary || leading.term != g.term || leading.dark {
+			continue
+		}
+		for _, m := range g.members {
+			if !m.primary && !m.dark && !m.deaf {
+				m.receive(leading)
+			}
 		}
 	}
 }
 
+// receive takes the log of the primary. What it has not, is rolled back.
+func (m *Member) receive(leading *Member) {
+	same := sort.Search(min(len(m.log), len(leading.log)), func(i int) bool { return m.log[i] != leading.log[i] })
+	for _, c := range leading.log[same:] {
+		c.received++
+	}
+	m.log, m.term, m.applied = slices.Clip(leading.log), leading.term, min(m.applied, same)
+	log := m.log
+	time.AfterFunc(m.group.Lag, func() {
+		m.group.mu.Lock()
+		defer m.group.mu.Unlock()
+		if n := len(log); n == 0 || len(m.log) >= n && m.log[n-1] == log[n-1] {
+			m.applied = max(m.applied, n)
+		}
+	})
+}
+
 // position returns the position that reads see.
 func (m *Member) position() string {
 	if m.applied == 0 {
 		return fmt.Sprintf("%d.0", 1)
 	}
 	c := m.log[m.applied-1]
-	return fmt.Sprintf("%d.%d", c.term, c.number)
+	return fmt.Sprintf("%d.%d", c.Term, c.Number)
 }
 
 // append commits writes at the primary and sends them to the replicas.
-func (m *Member) append(writes []write) {
-	number := uint64(len(m.log)) + 1
-	c := commit{m.term, number, writes}
-	m.log = append(m.log, c)
+func (m *Member) append(writes []write) *Commit {
+	g := m.group
+	c := &Commit{Sequence: len(g.commits), Term: m.term, Number: uint64(len(m.log)) + 1, writes: writes,
+		Superseded: m.term < g.term, RolledBack: m.term < g.term}
+	for _, w := range writes {
+		c.IDs = append(c.IDs, w.id)
+	}
+	g.commits = append(g.commits, c)
+	m.log = append(slices.Clip(m.log), c)
 	m.applied = len(m.log)
-	for _, other := range m.group.members {
-		if other == m || other.primary || other.dark || m.dark || len(other.log) != len(m.log)-1 {
-			continue
-		}
-		other.log = append(other.log, c)
-		other.term = m.term
-		time.AfterFunc(m.group.Lag, func() {
-			m.group.mu.Lock()
-			defer m.group.mu.Unlock()
-			other.applied = min(len(other.log), max(other.applied, int(number)))
-		})
+	if !c.Superseded {
+		g.replicate()
 	}
+	return c
 }
 
 // read returns the value of an item as reads see it, with the uncommitted writes of a transaction.
@@ -255,14 +403,11 @@
 
 // lacks reports whether the visible log lacks a position.
 func (m *Member) lacks(position string) bool {
-	term, number, _ := strings.Cut(position, ".")
-	if number == "0" {
+	left, right, _ := strings.Cut(position, ".")
+	term, _ := strconv.ParseUint(left, 10, 64)
+	number, _ := strconv.ParseUint(right, 10, 64)
+	if number == 0 {
 		return false
 	}
-	for _, c := range m.log[:m.applied] {
-		if fmt.Sprint(c.term) == term && fmt.Sprint(c.number) == number {
-			return false
-		}
-	}
-	return true
+	return number > uint64(m.applied) || m.log[number-1].Term != term
 }
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // session is a connection to a database.
@@ -15,11 +16,14 @@
 	member   *Member
 	tenant   string
 	values   map[string]string
-	prepared map[string]string // READ or WRITE
+	prepared map[string]string // kind and shape
+	id       int
 	inTxn    bool
+	first    string // id of the first statement of the transaction
 	readOnly bool
 	failed   bool
 	pending  []write
+	awaiting *Commit // that has to reach a replica before it is acknowledged
 }
 
 func (m *Member) accept() {
@@ -64,6 +68,8 @@
 	s := &session{member: m, tenant: fields[2], values: map[string]string{}, prepared: map[string]string{}}
 	m.group.mu.Lock()
 	position := m.position()
+	m.group.connections++
+	s.id = m.group.connections
 	m.group.mu.Unlock()
 	fmt.Fprintf(conn, "READY I %s\r\n", position)
 	for in.Scan() {
@@ -86,8 +92,17 @@
 	g := s.member.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if parts[1] != "-" && g.work > 0 {
+		g.pause(g.work)
+	}
+	if s.member.dark {
+		return "", false
+	}
 	before := len(g.executed)
 	answer := s.run(parts[1], parts[2])
+	if !s.awaitReplicas() {
+		return "", false
+	}
 	state := "I"
 	switch {
 	case s.failed:
@@ -101,6 +116,27 @@
 	return answer + fmt.Sprintf("READY %s %s\r\n", state, s.member.position()), !s.member.dark
 }
 
+// pause lets others work for a time. The lock is held before and after.
+func (g *Group) pause(d time.Duration) {
+	g.mu.Unlock()
+	time.Sleep(d)
+	g.mu.Lock()
+}
+
+// awaitReplicas waits until enough replicas have received the last commit of the session, and returns false if the database
+// leads no more.
+func (s *session) awaitReplicas() bool {
+	c, g := s.awaiting, s.member.group
+	s.awaiting = nil
+	for c != nil && c.received < g.syncReplicas {
+		if !s.member.primary || s.member.dark || s.member.term != g.term {
+			return false
+		}
+		g.pause(time.Millisecond)
+	}
+	return true
+}
+
 func (s *session) run(id, text string) string {
 	m := s.member
 	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
@@ -121,7 +157,7 @@
 	case "SET":
 		s.values[words[1]] = words[2]
 	case "PREPARE":
-		s.prepared[words[1]], _, _ = strings.Cut(words[2], " ")
+		s.prepared[words[1]] = words[2]
 	case "RESET":
 		clear(s.values)
 		clear(s.prepared)
@@ -135,20 +171,21 @@
 		if words[1] == "" && !m.primary {
 			return s.refuse("READONLY")
 		}
-		s.inTxn, s.readOnly, s.pending = true, words[1] == "READ", nil
+		s.inTxn, s.readOnly, s.pending, s.first = true, words[1] == "READ", nil, ""
 	case "COMMIT", "ROLLBACK":
 		return s.end(id, words[0])
 	case "READ":
-		return s.read(id, text, words[1])
+		return s.read(Executed{ID: id, Text: text}, words[1])
 	case "WRITE":
-		return s.write(id, text, words[1], words[2])
+		return s.write(Executed{ID: id, Text: text}, words[1], words[2])
 	case "EXECUTE":
 		item, data, _ := strings.Cut(words[2], " ")
-		switch s.prepared[words[1]] {
+		shape := s.prepared[words[1]]
+		switch kind, _, _ := strings.Cut(shape, " "); kind {
 		case "READ":
-			return s.read(id, text, item)
+			return s.read(Executed{ID: id, Text: text, Shape: shape}, item)
 		case "WRITE":
-			return s.write(id, text, item, data)
+			return s.write(Executed{ID: id, Text: text, Shape: shape}, item, data)
 		}
 		return s.refuse("NOSTMT")
 	default:
@@ -162,37 +199,49 @@
 	return fmt.Sprintf("ERROR %s %s\r\n", code, s.member.ID)
 }
 
-func (s *session) record(id, text string, committed bool) {
+// record adds a statement to the history of the group.
+func (s *session) record(e Executed) {
 	names := slices.Sorted(maps.Keys(s.values))
 	var values []string
 	for _, name := range names {
 		values = append(values, name+"="+s.values[name])
 	}
-	g := s.member.group
-	g.executed = append(g.executed, Executed{s.member.ID, s.tenant, id, text, strings.Join(values, ","), committed})
+	e.At, e.Connection, e.Database, e.Workspace = time.Now(), s.id, s.member.ID, s.tenant
+	e.Values = strings.Join(values, ",")
+	if s.inTxn {
+		if s.first == "" {
+			s.first = e.ID
+		}
+		e.Transaction = s.first
+	}
+	s.member.group.executed = append(s.member.group.executed, e)
 }
 
-func (s *session) read(id, text, name string) string {
-	s.record(id, text, false)
-	return fmt.Sprintf("DATAROW %s\r\nCOMPLETE sig.%s\r\n", s.member.read(name, s.pending), id)
+func (s *session) read(e Executed, name string) string {
+	e.Rows = []string{s.member.read(name, s.pending)}
+	e.Seen = s.member.log[:s.member.applied]
+	s.record(e)
+	return fmt.Sprintf("DATAROW %s\r\nCOMPLETE sig.%s\r\n", e.Rows[0], e.ID)
 }
 
-func (s *session) write(id, text, name, data string) string {
+func (s *session) write(e Executed, name, data string) string {
 	if !s.member.primary || s.readOnly {
 		return s.refuse("READONLY")
 	}
-	s.record(id, text, !s.inTxn)
-	w := write{id, name, data}
+	e.Committed = !s.inTxn
+	s.record(e)
+	w := write{e.ID, name, data}
 	if s.inTxn {
 		s.pending = append(s.pending, w)
 	} else {
-		s.member.append([]write{w})
+		s.awaiting = s.member.append([]write{w})
 	}
-	return fmt.Sprintf("COMPLETE sig.%s\r\n", id)
+	return fmt.Sprintf("COMPLETE sig.%s\r\n", e.ID)
 }
 
 func (s *session) end(id, word string) string {
 	failed, pending := s.failed, s.pending
+	e := Executed{ID: id, Text: word, Transaction: s.first, Committed: true}
 	s.inTxn, s.readOnly, s.failed, s.pending = false, false, false, nil
 	if word == "ROLLBACK" || failed {
 		return "COMPLETE -\r\n"
@@ -201,9 +250,9 @@
 		if !s.member.primary {
 			return s.refuse("READONLY")
 		}
-		s.member.append(pending)
+		s.awaiting = s.member.append(pending)
 	}
-	s.record(id, word, true)
+	s.record(e)
 	return fmt.Sprintf("COMPLETE sig.%s\r\n", id)
 }
 
@@ -216,7 +265,7 @@
 	received := "1.0"
 	if len(m.log) > 0 {
 		last := m.log[len(m.log)-1]
-		received = fmt.Sprintf("%d.%d", last.term, last.number)
+		received = fmt.Sprintf("%d.%d", last.Term, last.Number)
 	}
 	return fmt.Sprintf("DATAROW %s %d %s 0 0 0 %d\r\nCOMPLETE -\r\n", role, m.term, received, len(m.conns))
 }
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -23,6 +23,7 @@
 
 	refuse func(r *http.Request) bool // refuses calls with 503
 	lose   func(r *http.Request) bool // executes calls and loses the answer
+	delay  time.Duration              // before each answer
 	calls  map[string]int
 }
 
@@ -64,6 +65,13 @@
 	s.lose = match
 }
 
+// SetDelay lets the store wait before each answer.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
 // Compact drops the history, so that watches have to list again.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -141,8 +149,9 @@
 	path := strings.TrimPrefix(r.URL.Path, "/-/")
 	s.mu.Lock()
 	s.calls[strings.Split(path, "/")[0]]++
-	refused, lost := s.refuse != nil && s.refuse(r), s.lose != nil && s.lose(r)
+	refused, lost, delay := s.refuse != nil && s.refuse(r), s.lose != nil && s.lose(r), s.delay
 	s.mu.Unlock()
+	time.Sleep(delay)
 	if refused {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -154,7 +155,11 @@
 	}
 }
 
-func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+// loopback is an address of this test process alone, so that no other one listens on a port that a stopped daemon has
+// left while requests are still sent there.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+
+func address(port int) string { return fmt.Sprintf("%s:%d", loopback, port) }
 
 // daemonProcess is a daemon with its addresses.
 type daemonProcess struct {
@@ -431,9 +436,12 @@
 	if with == nil {
 		with = client
 	}
+	var conn httptrace.GotConnInfo
+	q = q.WithContext(httptrace.WithClientTrace(q.Context(),
+		&httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info }}))
 	response, err := with.Do(q)
 	if err != nil {
-		return answer{}, err
+		return answer{}, fmt.Errorf("connection reused %v, idle for %s: %w", conn.Reused, conn.IdleTime, err)
 	}
 	defer response.Body.Close()
 	a := answer{Status: response.StatusCode, Session: response.Header.Get("X-Session-Token")}
