--- a/soak/callers.go
+++ b/soak/callers.go
@@ -53,6 +53,7 @@
 	session  int
 	host     int
 	key      string
+	refused  bool // the key was withdrawn
 	conn     net.Conn
 	in       *bufio.Reader
 	values   map[string]string
@@ -95,7 +96,7 @@
 	}
 	c.session = c.world.newSession()
 	c.host, c.conn, c.in, c.key = host, conn, bufio.NewReader(conn), c.world.keyFor(c.number)
-	c.values, c.prepared = map[string]string{}, map[string]string{}
+	c.refused, c.values, c.prepared = false, map[string]string{}, map[string]string{}
 	o := &Operation{Session: c.session, Host: host, Database: c.database, Key: c.key}
 	s := &Statement{ID: c.id(), Text: startup, Operation: o}
 	c.world.history.begin(s)
@@ -184,7 +185,8 @@
 		a = c.read()
 	}
 	c.finish(s, a)
-	if a.code == lost {
+	c.refused = a.code == "AUTHFAIL"
+	if a.code == lost || c.refused {
 		c.close()
 	}
 	return a
@@ -288,8 +290,8 @@
 			o.Acked = o.Ended
 		}
 	})
-	if workspaceOf(c.key) == limitedWorkspace {
-		return // most of its operations are above the limit
+	if workspaceOf(c.key) == limitedWorkspace || c.refused {
+		return // nothing is owed to callers above their limit or without a key
 	}
 	if outcome == Done || outcome == ReadOnly || asked {
 		c.world.served.Add(1)
