--- a/soak/world.go
+++ b/soak/world.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -58,13 +57,14 @@
 
 // world is a system under test.
 type world struct {
-	options Options
-	history *History
-	links   *links
-	store   *lines.Store
-	group   *lines.Group
-	servers []*httptest.Server
-	hosts   []*host
+	options  Options
+	loopback string
+	history  *History
+	links    *links
+	store    *lines.Store
+	group    *lines.Group
+	servers  []*httptest.Server
+	hosts    []*host
 
 	stopCallers, stopAll chan struct{}
 	sessions             atomic.Int64
@@ -81,7 +81,7 @@
 }
 
 func newWorld(o Options) (*world, error) {
-	w := &world{options: o, history: &History{}, links: newLinks(), store: lines.NewStore(), rate: limitedRate,
+	w := &world{options: o, loopback: loopback(), history: &History{}, links: newLinks(), store: lines.NewStore(), rate: limitedRate,
 		stopCallers: make(chan struct{}), stopAll: make(chan struct{}), codes: map[string]int{}, active: map[Kind]int{},
 		keys: []string{"key-0"}}
 	group, err := lines.NewGroup(w.store, service, databases)
@@ -118,25 +118,28 @@
 
 func hostLink(peer Peer, i int) string { return fmt.Sprintf("%s %d", peer, i) }
 
-// freeAddress returns an address on loopback that nobody listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.Wrap(err)
-	}
-	return l.Addr().String(), trace.Wrap(l.Close())
+// systems counts the systems of this process.
+var systems atomic.Int32
+
+// loopback returns an address on loopback of a system alone, so that no other process takes the ports of a host while it
+// is down.
+func loopback() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff, 1+systems.Add(1)%200)
 }
 
+const (
+	// firstPort and portsPerHost give each host its ports.
+	firstPort    = 20000
+	portsPerHost = 10
+)
+
 // newHost chooses the addresses of a host, starts the proxies before it, and writes its settings.
 func (w *world) newHost(number int) (*host, error) {
 	h := &host{number: number, settings: filepath.Join(w.options.Dir, fmt.Sprintf("host-%d.ini", number)),
 		log: filepath.Join(w.options.Dir, fmt.Sprintf("host-%d.log", number))}
 	var metrics, advertised, store string
-	for _, address := range []*string{&h.direct, &h.health, &h.peers, &metrics} {
-		var err error
-		if *address, err = freeAddress(); err != nil {
-			return nil, err
-		}
+	for i, address := range []*string{&h.direct, &h.health, &h.peers, &metrics} {
+		*address = fmt.Sprintf("%s:%d", w.loopback, firstPort+number*portsPerHost+i)
 	}
 	for _, link := range []struct {
 		peer     Peer
@@ -149,9 +152,9 @@
 		}
 	}
 	port := func(address string) string { return address[strings.LastIndex(address, ":")+1:] }
-	text := fmt.Sprintf("[host]\nname = host-%d\ndata_centre = z%d\ncallers = %s\nhealth = %s\npeer_address = 127.0.0.1\n"+
+	text := fmt.Sprintf("[host]\nname = host-%d\ndata_centre = z%d\ncallers = %s\nhealth = %s\npeer_address = %s\n"+
 		"peer_ports = %s,%s\nadvertise = %s\nmetrics_port = %s\nstore = %s\nduties = %s\ndrain_seconds = %d\n", number,
-		1+number%3, h.direct, h.health, port(h.peers), port(h.peers), advertised, port(metrics), store,
+		1+number%3, h.direct, h.health, w.loopback, port(h.peers), port(h.peers), advertised, port(metrics), store,
 		strings.TrimPrefix(w.servers[1].URL, "http://"), drainSeconds)
 	return h, trace.Wrap(os.WriteFile(h.settings, []byte(text), 0o600))
 }
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -18,6 +18,7 @@
 	values   map[string]string
 	prepared map[string]string // kind and shape
 	id       int
+	born     int64 // start of the database that it was opened to
 	inTxn    bool
 	first    string // id of the first statement of the transaction
 	readOnly bool
@@ -69,7 +70,7 @@
 	m.group.mu.Lock()
 	position := m.position()
 	m.group.connections++
-	s.id = m.group.connections
+	s.id, s.born = m.group.connections, m.born
 	m.group.mu.Unlock()
 	fmt.Fprintf(conn, "READY I %s\r\n", position)
 	for in.Scan() {
@@ -95,8 +96,8 @@
 	if parts[1] != "-" && g.work > 0 {
 		g.pause(g.work)
 	}
-	if s.member.dark {
-		return "", false
+	if s.member.dark || s.born != s.member.born {
+		return "", false // the database has stopped meanwhile
 	}
 	before := len(g.executed)
 	answer := s.run(parts[1], parts[2])
