A leader that stops hands over to its successor

Change: the leader that stops offers its place to other hosts. The one that takes it replaces the leader's key under the old revision, goes on with the tokens that were left, and the old one passes questions on for three reports. From the offer on the old one replaces no primary. An order of promotion ends with the lease of the leader.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,6 +90,8 @@
 	events chan func(*control)
 	ready  atomic.Bool
 
+	successions chan succession // offers to lead
+
 	// Boot times in nanoseconds of the last fresh answer of a relaying host, and of the last answer of the store.
 	relayHeard, storeHeard atomic.Int64
 	leaderLost             atomic.Bool // the last report to the leader failed
@@ -131,7 +133,7 @@
 func New(c Config) *Agent {
 	a := &Agent{Config: c, peers: newPeers(), runs: newPeers(),
 		homes: homes{outstanding: map[model.HostID]int{}, avoid: map[model.HostID]time.Time{}}, events: make(chan func(*control), queuedEvents),
-		followers: map[string]*follower{}, told: map[model.Service]uint64{},
+		successions: make(chan succession, 1), followers: map[string]*follower{}, told: map[model.Service]uint64{},
 		fenced: map[model.Service]uint64{}}
 	a.view.Store(newView())
 	c.Server.SetBroker(a.takeTokens)
@@ -166,6 +168,8 @@
 			return
 		case event := <-a.events:
 			event(c)
+		case offer := <-a.successions:
+			go a.succeed(ctx, offer)
 		case <-ticker.C:
 			c.removeExpired()
 			if len(c.left) > 0 {
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -17,6 +17,11 @@
 )
 
 const (
+	// handOverTime is the time for which a leader that has handed over still answers, until all hosts have learned in a
+	// report who leads now.
+	handOverTime = 3 * reportInterval
+	// mostSuccessors bounds the hosts that are asked to take over; those that stop as well refuse at once.
+	mostSuccessors = 8
 	// superviseInterval is the time between two looks at the primary of a service.
 	superviseInterval = 100 * time.Millisecond
 )
@@ -35,6 +40,7 @@
 	mu       sync.Mutex
 	until    time.Time // end of the lease on this host's clock
 	broker   *share.Broker
+	next     *Host // the successor that the broker was handed over to
 	opinions map[model.HostID]opinion
 	watched  map[model.Service]bool
 }
@@ -79,12 +85,20 @@
 	if v := a.view.Load(); known == 0 && v.leader != nil {
 		return
 	}
+	if l, ttl := a.acquire(ctx, known); l != nil {
+		a.serveAsLeader(ctx, l, ttl, share.NewBroker(boottime.Now()))
+	}
+}
+
+// acquire takes the leader's key if it has the given revision, and returns nil otherwise.
+func (a *Agent) acquire(ctx context.Context, known uint64) (*leadership, time.Duration) {
 	call, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	sent := boottime.Now()
 	lease, ttl, err := a.Store.Grant(call, leaderLease)
 	if err != nil {
-		return
+		a.Log.Info("leader: no lease", zap.Error(err))
+		return nil, 0
 	}
 	fence, err := a.Store.Commit(call, metastore.Txn{Conditions: []metastore.Condition{{Key: leaderKey, Revision: known}},
 		Puts: []metastore.Item{{Key: leaderKey, Lease: lease,
@@ -93,20 +107,47 @@
 		if errors.Is(err, metastore.ErrConflict) {
 			a.revoke(lease)
 		}
-		return
+		return nil, 0
 	}
+	return &leadership{agent: a, lease: lease, fence: fence, until: sent.Add(ttl - leaseMargin),
+		opinions: map[model.HostID]opinion{}, watched: map[model.Service]bool{}}, ttl
+}
+
+// serveAsLeader leads until the lease is lost.
+func (a *Agent) serveAsLeader(ctx context.Context, l *leadership, ttl time.Duration, broker *share.Broker) {
 	run, stop := context.WithCancel(ctx)
 	defer stop()
-	l := &leadership{agent: a, lease: lease, fence: fence, stop: stop, until: sent.Add(ttl - leaseMargin),
-		broker:   share.NewBroker(boottime.Now()),
-		opinions: map[model.HostID]opinion{}, watched: map[model.Service]bool{}}
-	a.Log.Info("leader: this host leads", zap.Uint64("fence", fence))
+	l.stop, l.broker = stop, broker
+	v := a.view.Load()
+	broker.SetLimits(v.catalog.Limits, len(v.expected))
+	a.Log.Info("leader: this host leads", zap.Uint64("fence", l.fence))
 	a.setLeading(l)
 	go l.supervise(run)
 	l.keep(run, ttl)
 	a.setLeading(nil)
 	a.Prober.Close()
-	a.Log.Info("leader: this host leads no more", zap.Uint64("fence", fence))
+	a.Log.Info("leader: this host leads no more", zap.Uint64("fence", l.fence))
+}
+
+// succession is an offer of a leader that stops to lead in its place.
+type succession struct {
+	request  SuccessionRequest
+	accepted chan<- error
+}
+
+// succeed takes over from a leader that stops, if it still leads. It answers when the store names this host the leader.
+func (a *Agent) succeed(ctx context.Context, s succession) {
+	if !a.Ready() || a.Server.Draining() || a.isLeading() {
+		s.accepted <- errNoSuccessor
+		return
+	}
+	l, ttl := a.acquire(ctx, s.request.Fence)
+	if l == nil {
+		s.accepted <- errNoSuccessor
+		return
+	}
+	s.accepted <- nil
+	a.serveAsLeader(ctx, l, ttl, share.Succeed(boottime.Now(), s.request.Broker))
 }
 
 func (a *Agent) setLeading(l *leadership) {
@@ -130,12 +171,54 @@
 	}
 }
 
-// Resign gives the leadership up, if this host has it.
+// Resign gives the leadership up, if this host has it. Another host takes over first, with what the broker has, so that
+// callers notice nothing of it.
 func (a *Agent) Resign() {
-	if l := a.leadership(); l != nil {
-		l.stop()
-		a.revoke(l.lease)
+	l := a.leadership()
+	if l == nil {
+		return
+	}
+	if l.handOver() {
+		time.Sleep(handOverTime)
 	}
+	l.stop()
+	a.revoke(l.lease)
+}
+
+// handOver asks other hosts to lead, until one does. From its beginning this host replaces no primary and hands out no
+// tokens, because it may not learn that a host has taken over.
+func (l *leadership) handOver() bool {
+	a := l.agent
+	l.mu.Lock()
+	l.until = time.Time{}
+	request := SuccessionRequest{Fence: l.fence, Broker: l.broker.HandOver(boottime.Now())}
+	l.mu.Unlock()
+	hosts := slices.DeleteFunc(a.view.Load().byCapacity(), func(h Host) bool { return h.ID == a.Self.ID })
+	for _, h := range hosts[:min(len(hosts), mostSuccessors)] {
+		err := a.peers.call(h, "Peer.Succeed", request, &struct{}{}, successionTimeout)
+		a.Log.Info("leader: handed over", zap.String("to", string(h.ID)), zap.Error(err))
+		if err == nil {
+			l.mu.Lock()
+			l.next = &h
+			l.mu.Unlock()
+			return true
+		}
+		if err.Error() != errNoSuccessor.Error() {
+			return false // it may lead
+		}
+	}
+	return false
+}
+
+// take hands out tokens, or returns the successor that does.
+func (l *leadership) take(r TokenRequest) (answer TokenAnswer, next *Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.until.IsZero() {
+		return TokenAnswer{Wait: replaceInterval}, l.next
+	}
+	answer.Granted, answer.Wait = l.broker.Take(boottime.Now(), r.Workspace, r.Tokens)
+	return answer, nil
 }
 
 // keep renews the lease and returns when it has ended, or another host leads. While the store is silent this host promotes
@@ -147,28 +230,45 @@
 		now := boottime.Now()
 		err := l.agent.renew(ctx, l.lease)
 		if err == nil {
-			l.mu.Lock()
-			l.until = now.Add(ttl - leaseMargin)
-			l.mu.Unlock()
+			l.extend(now.Add(ttl - leaseMargin))
 		}
-		if errors.Is(err, metastore.ErrLeaseEnded) || l.superseded() {
+		if errors.Is(err, metastore.ErrLeaseEnded) || l.superseded() && !l.handedOver() {
 			return
 		}
 	}
 }
 
+// extend moves the end of the lease, unless the leadership is being handed over.
+func (l *leadership) extend(until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.until.IsZero() {
+		l.until = until
+	}
+}
+
+// handedOver reports whether this host answers for its successor; Resign ends that.
+func (l *leadership) handedOver() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.next != nil
+}
+
 // superseded reports whether the store names another leader.
 func (l *leadership) superseded() bool {
 	known := l.agent.view.Load().leader
 	return known != nil && known.revision > l.fence
 }
 
-func (l *leadership) valid() bool {
+// remaining returns the time until the lease ends, not above zero if it has.
+func (l *leadership) remaining() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return boottime.Now().Before(l.until)
+	return l.until.Sub(boottime.Now())
 }
 
+func (l *leadership) valid() bool { return l.remaining() > 0 }
+
 // report takes a host's report.
 func (l *leadership) report(r ReportRequest) {
 	v := l.agent.view.Load()
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -18,6 +18,7 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
 	"github.com/waxwingspindle/waxwingspindle/rpccodec"
+	"github.com/waxwingspindle/waxwingspindle/share"
 	"github.com/waxwingspindle/waxwingspindle/socket"
 )
 
@@ -26,12 +27,16 @@
 	errNotLeader   = errors.New("this host is not the leader")
 	errTimeout     = errors.New("the peer did not answer in time")
 	errUnknownHost = errors.New("the host is not registered")
+	errNoSuccessor = errors.New("this host cannot lead")
 	errStarted     = errors.New("this host has another incarnation")
 )
 
 // tokenTimeout bounds a question to the broker; its caller waits, and an answer takes some milliseconds.
 const tokenTimeout = 60 * time.Millisecond
 
+// successionTimeout bounds the offer to lead; it takes two calls of the store.
+const successionTimeout = 500 * time.Millisecond
+
 // reportTimeout bounds a report; the leader answers at once.
 const reportTimeout = 500 * time.Millisecond
 
@@ -227,12 +232,31 @@
 	if l == nil {
 		return errNotLeader
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	answer.Granted, answer.Wait = l.broker.Take(boottime.Now(), r.Workspace, r.Tokens)
+	granted, next := l.take(r)
+	if next != nil {
+		return p.agent.peers.call(*next, "Peer.Take", r, answer, tokenTimeout)
+	}
+	*answer = granted
 	return nil
 }
 
+// SuccessionRequest is the offer of a leader that stops.
+type SuccessionRequest struct {
+	Fence  uint64 // revision of the leader's key
+	Broker share.State
+}
+
+// Succeed lets this host lead in place of another one. When it returns nil, the store names this host the leader.
+func (p *Peer) Succeed(r SuccessionRequest, _ *struct{}) error {
+	accepted := make(chan error, 1)
+	select {
+	case p.agent.successions <- succession{r, accepted}:
+		return <-accepted
+	default:
+		return errNoSuccessor
+	}
+}
+
 // takeTokens takes tokens from the broker, which is the leader.
 func (a *Agent) takeTokens(workspace model.Workspace, n float64) (float64, time.Duration, error) {
 	leader, ok := a.view.Load().leaderHost()
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -277,10 +277,12 @@
 
 // promote orders the promotion of a target and waits until it leads.
 func (s *supervisor) promote(ctx context.Context, target primacy.Candidate, oldTerm uint64) (uint64, bool) {
-	if !s.valid() {
+	// An order that is under way when the lease ends could reach the platform after one of the next leader.
+	left := s.remaining()
+	if left <= 0 {
 		return 0, false
 	}
-	call, cancel := context.WithTimeout(ctx, promoteTimeout)
+	call, cancel := context.WithTimeout(ctx, min(promoteTimeout, left))
 	defer cancel()
 	if err := s.agent.Promoter.Promote(call, s.service, target.ID, s.fence); err != nil {
 		s.log.Warn("primary: promotion not confirmed", zap.String("target", string(target.ID)), zap.Error(err))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -301,6 +301,39 @@
 	s.mustConnect(0, "view", "another-key")
 }
 
+// Guards against operations refused inside the limit of their workspace because the host that divides it stops as planned.
+func TestLeaderStopsWithoutRefusals(t *testing.T) {
+	s := newSystem(t)
+	configuration := lines.Configuration(5, "workshop-key")
+	workshop := configuration["tenants"].([]any)[0].(map[string]any)
+	workshop["ratePerS"], workshop["burst"] = 60, 60
+	s.store.Put("op/config", configuration)
+	time.Sleep(2 * time.Second) // it is in force, and the buckets have filled
+	value, known := s.store.Get("waxwingspindle/leader")
+	if !known {
+		t.Fatal("nobody leads")
+	}
+	leader := slices.IndexFunc([]string{"host-0", "host-1", "host-2"}, func(name string) bool { return strings.Contains(string(value), name) })
+	c := s.mustConnect((leader+1)%3, "view", "workshop-key")
+	var refused []string
+	stopped := make(chan error, 1)
+	for n := range 200 { // 40 a second
+		if n == 40 {
+			go func() { stopped <- s.hosts[leader].end() }()
+		}
+		if a := c.query(fmt.Sprintf("l-%d", n), "READ item"); a.code != "" {
+			refused = append(refused, fmt.Sprint(n, " ", a.code))
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if len(refused) > 0 {
+		t.Errorf("refused: %v", refused)
+	}
+}
+
 // Guards against a planned stop that cuts statements off, and against one that takes too long.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	s := newSystem(t)
--- a/share/share.go
+++ b/share/share.go
@@ -80,6 +80,39 @@
 	return &Broker{created: now, heard: map[model.HostID]time.Time{}, buckets: map[model.Workspace]*bucket{}, hosts: 1}
 }
 
+// State is what a broker that stops hands over to its successor.
+type State struct {
+	Levels map[model.Workspace]float64    // tokens that are left
+	Heard  map[model.HostID]time.Duration // time since the last report of a host that uses its fixed part only
+}
+
+// HandOver returns the state of the broker. It must hand out nothing afterwards.
+func (b *Broker) HandOver(now time.Time) State {
+	s := State{Levels: map[model.Workspace]float64{}, Heard: map[model.HostID]time.Duration{}}
+	part := b.part(now)
+	for workspace, k := range b.buckets {
+		limit := b.limits[workspace]
+		k.refill(now, part*limit.PerSecond, part*limit.Burst)
+		s.Levels[workspace] = k.level
+	}
+	for host, at := range b.heard {
+		s.Heard[host] = now.Sub(at)
+	}
+	return s
+}
+
+// Succeed returns a broker that goes on from the state of another one.
+func Succeed(now time.Time, s State) *Broker {
+	b := NewBroker(now)
+	for workspace, level := range s.Levels {
+		b.buckets[workspace] = &bucket{level: level, updated: now}
+	}
+	for host, age := range s.Heard {
+		b.heard[host] = now.Add(-age)
+	}
+	return b
+}
+
 // SetLimits replaces the limits and the number of registered hosts.
 func (b *Broker) SetLimits(limits Limits, hosts int) { b.limits, b.hosts = limits, max(hosts, 1) }
 
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -169,6 +169,39 @@
 	}
 }
 
+// Guards against operations refused inside the limit, or admitted beyond it, because a leader stops as planned and its
+// successor does not know what was left.
+func TestSuccessorGoesOn(t *testing.T) {
+	limits := Limits{"w": {PerSecond: 80, Burst: 80}}
+	for _, c := range []struct {
+		name  string
+		asked int
+	}{{"inside the limit", 1}, {"beyond the limit", 12}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(8, limits)
+			f.play(5*time.Second, func(int) {})
+			refused := 0
+			f.play(20*time.Second, func(step int) {
+				if step%100 == 0 {
+					f.broker = Succeed(f.now, f.broker.HandOver(f.now))
+					f.broker.SetLimits(limits, 8)
+				}
+				for range c.asked {
+					if step%4 == 0 && !f.ask(3, "w") { // 50 a second, or 600
+						refused++
+					}
+				}
+			})
+			if c.asked == 1 && refused > 0 {
+				t.Errorf("%d of 1000 operations were refused at 62%% of the limit", refused)
+			}
+			if got, most := f.mostIn(window), 80*5+80; got > most {
+				t.Errorf("%d operations in %s, at most %d are allowed", got, window, most)
+			}
+		})
+	}
+}
+
 // Guards against a restart of all hosts that grants each of them a full burst.
 func TestRestartOfAllHostsKeepsToLimit(t *testing.T) {
 	limits := Limits{"w": {PerSecond: 60, Burst: 60}}
