A leader that stops ends its replacements of primaries before it hands over

Cause, from reading the change: an order of promotion that is under way could reach the platform after one of the successor, with the lower number. The test of calls in an outage follows the configuration, which is the follower that asks a silent store.

--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -147,7 +147,7 @@
 // callsIn returns the calls that a host which does not lead makes to keep up with one prefix.
 func callsIn(t *testing.T, store *countingStore, span time.Duration) int {
 	synctest.Test(t, func(t *testing.T) {
-		a := &Agent{Config: Config{Store: store, Log: zap.NewNop()}, events: make(chan func(*control), 10000),
+		a := &Agent{Config: Config{Store: store, Log: zap.NewNop(), Decoders: Decoders{ConfigurationKey: "p/"}}, events: make(chan func(*control), 10000),
 			followers: map[string]*follower{}}
 		a.view.Store(newView())
 		ctx, cancel := context.WithTimeout(t.Context(), span)
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -36,6 +36,7 @@
 	lease metastore.Lease
 	fence uint64 // revision at which this host became the leader
 	stop  context.CancelFunc
+	rest  context.CancelFunc // ends the replacement of primaries
 
 	mu       sync.Mutex
 	until    time.Time // end of the lease on this host's clock
@@ -117,12 +118,14 @@
 func (a *Agent) serveAsLeader(ctx context.Context, l *leadership, ttl time.Duration, broker *share.Broker) {
 	run, stop := context.WithCancel(ctx)
 	defer stop()
-	l.stop, l.broker = stop, broker
+	work, rest := context.WithCancel(run)
+	defer rest()
+	l.stop, l.rest, l.broker = stop, rest, broker
 	v := a.view.Load()
 	broker.SetLimits(v.catalog.Limits, len(v.expected))
 	a.Log.Info("leader: this host leads", zap.Uint64("fence", l.fence))
 	a.setLeading(l)
-	go l.supervise(run)
+	go l.supervise(work)
 	l.keep(run, ttl)
 	a.setLeading(nil)
 	a.Prober.Close()
@@ -189,6 +192,7 @@
 // tokens, because it may not learn that a host has taken over.
 func (l *leadership) handOver() bool {
 	a := l.agent
+	l.rest() // an order of promotion that is under way must not come after one of the successor
 	l.mu.Lock()
 	l.until = time.Time{}
 	request := SuccessionRequest{Fence: l.fence, Broker: l.broker.HandOver(boottime.Now())}
