--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,9 +92,8 @@
 	r.Operations = w.played.Load()
 	r.Violations = w.check()
 	r.Codes = w.codes
-	close(w.stopAll)
+	w.halt()
 	r.Violations = distinct(append(<-found, r.Violations...))
-	w.stopAll = make(chan struct{})
 	return r, nil
 }
 
@@ -184,7 +183,7 @@
 	stops.Wait()
 }
 
-// distinct removes what was found twice, and sorts by promise.
+// distinct removes what was found twice.
 func distinct(all []Violation) []Violation {
 	seen := map[Violation]bool{}
 	all = slices.DeleteFunc(all, func(v Violation) bool {
--- a/soak/world.go
+++ b/soak/world.go
@@ -69,6 +69,7 @@
 	stopCallers, stopAll chan struct{}
 	sessions             atomic.Int64
 	served, played       atomic.Int64
+	halted               sync.Once
 	background           sync.WaitGroup
 
 	mu      sync.Mutex
@@ -348,9 +349,12 @@
 	w.configure("", "")
 }
 
+// halt ends the balancer and the checks.
+func (w *world) halt() { w.halted.Do(func() { close(w.stopAll) }) }
+
 // close ends the processes that are left, and the stand-ins.
 func (w *world) close() {
-	close(w.stopAll)
+	w.halt()
 	w.background.Wait()
 	for _, h := range w.hosts {
 		if h.running() {
