One caller's client and one address per test process for the stand-in tests, and a simpler soak

The soak wrote again what the gateway tests had: a client of the line protocol and the codes that promise that nothing is kept; both use lines.Client now. The configuration is changed by methods of the stand-in, so that the platform's names stay in it. Three copies of the loopback address become internal/loopback; the ports of the end-to-end tests need no offset for each process any more. In the soak, one function classifies the answer to a statement and to a commit, the history has one lock function, operations are collected once for all checks, and the outcome for transactions that wrote nothing is gone: the checks ask for the writes. Tests keep their assertions; behaviour is the same.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -1,10 +1,8 @@
 package gateway_test
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +18,7 @@
 	"go.uber.org/zap/zaptest"
 
 	"github.com/waxwingspindle/waxwingspindle/gateway"
+	"github.com/waxwingspindle/waxwingspindle/internal/loopback"
 	"github.com/waxwingspindle/waxwingspindle/standin/lines"
 )
 
@@ -51,7 +50,7 @@
 		t.Fatal(err)
 	}
 	s.group = group
-	s.store.Put("op/config", lines.Configuration(1, "workshop-key"))
+	s.store.Configure(lines.Configuration(1, "workshop-key"))
 	platformStore, duties := httptest.NewServer(s.store), httptest.NewServer(group)
 	for i := range 3 {
 		s.hosts = append(s.hosts, s.startHost(fmt.Sprintf("host-%d", i), platformStore, duties))
@@ -79,25 +78,25 @@
 		if err != nil {
 			return false
 		}
-		defer c.close()
-		return c.query("warm-up", "WRITE warm-up x").code == ""
+		defer c.Close()
+		return c.Query("warm-up", "WRITE warm-up x").Code == ""
 	})
 	return s
 }
 
-// loopback is an address of this test process alone, so that no other one takes a port between its choice and its use.
-var loopback = fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+// ownAddress is the address of this test process.
+var ownAddress = loopback.Address(1)
 
 // freePorts returns the first of two neighbouring ports that are free.
 func freePorts(t *testing.T) int {
 	t.Helper()
 	for range 100 {
-		first, err := net.Listen("tcp", loopback+":0")
+		first, err := net.Listen("tcp", ownAddress+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		port := first.Addr().(*net.TCPAddr).Port
-		second, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, port+1))
+		second, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ownAddress, port+1))
 		_ = first.Close()
 		if err == nil {
 			_ = second.Close()
@@ -112,12 +111,12 @@
 	front, peers := freePorts(s.t), freePorts(s.t)
 	settings := fmt.Sprintf("[host]\nname = %s\ndata_centre = z1\ncallers = %s:%d\nhealth = %s:%d\n"+
 		"peer_address = %s\npeer_ports = %d,%d\nmetrics_port = %d\nstore = %s\nduties = %s\ndrain_seconds = 6\nfuture_key = 1\n",
-		name, loopback, front, loopback, front+1, loopback, peers, peers, peers+1, address(platformStore), address(duties))
+		name, ownAddress, front, ownAddress, front+1, ownAddress, peers, peers, peers+1, address(platformStore), address(duties))
 	path := filepath.Join(s.t.TempDir(), name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	h := &hostProcess{callers: fmt.Sprintf("%s:%d", loopback, front), health: fmt.Sprintf("%s:%d", loopback, front+1),
+	h := &hostProcess{callers: fmt.Sprintf("%s:%d", ownAddress, front), health: fmt.Sprintf("%s:%d", ownAddress, front+1),
 		stop: make(chan os.Signal, 1), done: make(chan error, 1)}
 	go func() { h.done <- gateway.Run(path, s.log, gateway.Signals{Stop: h.stop}) }()
 	return h
@@ -154,84 +153,28 @@
 	}
 }
 
-// client is a caller's session.
-type client struct {
-	conn net.Conn
-	in   *bufio.Reader
-}
-
-// answer is a whole answer. An empty code is a success.
-type answer struct {
-	rows      []string
-	signature string
-	code      string
-	state     string
-	err       error
-}
-
 var errRefused = errors.New("the session was refused")
 
-func (s *system) connect(host int, database, key string) (*client, error) {
+func (s *system) connect(host int, database, key string) (*lines.Client, error) {
 	conn, err := net.Dial("tcp", s.hosts[host].callers)
 	if err != nil {
 		return nil, err
 	}
-	c := &client{conn, bufio.NewReader(conn)}
-	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
-	line, err := c.line()
-	if err != nil {
-		return nil, errors.Join(err, conn.Close())
-	}
-	if !strings.HasPrefix(line, "READY") {
-		return nil, errors.Join(fmt.Errorf("%w: %s", errRefused, line), conn.Close())
+	c := lines.NewClient(conn, 10*time.Second)
+	if a := c.Start(database, key); a.Err != nil {
+		return nil, errors.Join(a.Err, conn.Close())
+	} else if a.Code != "" {
+		return nil, errors.Join(fmt.Errorf("%w: %s", errRefused, a.Code), conn.Close())
 	}
 	return c, nil
 }
 
-func (s *system) mustConnect(host int, database, key string) *client {
+func (s *system) mustConnect(host int, database, key string) *lines.Client {
 	s.t.Helper()
 	c, err := s.connect(host, database, key)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.t.Cleanup(c.close)
+	s.t.Cleanup(c.Close)
 	return c
 }
-
-func (c *client) close() { _ = c.conn.Close() } // a test may have closed it before
-
-func (c *client) line() (string, error) {
-	if err := c.conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
-		return "", err
-	}
-	line, err := c.in.ReadString('\n')
-	return strings.TrimSuffix(line, "\r\n"), err
-}
-
-// query sends a statement and reads its whole answer.
-func (c *client) query(id, text string) answer {
-	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
-		return answer{err: err, code: "SEND"}
-	}
-	var a answer
-	for {
-		line, err := c.line()
-		if err != nil {
-			return answer{err: err, code: "LOST"}
-		}
-		word, rest, _ := strings.Cut(line, " ")
-		switch word {
-		case "DATAROW":
-			a.rows = append(a.rows, rest)
-		case "COMPLETE":
-			a.signature = rest
-		case "ERROR":
-			a.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			a.state, _, _ = strings.Cut(rest, " ")
-			return a
-		default:
-			return answer{err: io.ErrUnexpectedEOF, code: line}
-		}
-	}
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,10 +20,10 @@
 	c := s.mustConnect(1, "plans", "workshop-key")
 	for i := range 100 {
 		want := fmt.Sprintf("value-%d", i)
-		if a := c.query(fmt.Sprintf("w%d", i), "WRITE item "+want); a.code != "" {
+		if a := c.Query(fmt.Sprintf("w%d", i), "WRITE item "+want); a.Code != "" {
 			t.Fatalf("write %d: %+v", i, a)
 		}
-		if a := c.query(fmt.Sprintf("r%d", i), "READ item"); len(a.rows) != 1 || a.rows[0] != want {
+		if a := c.Query(fmt.Sprintf("r%d", i), "READ item"); len(a.Rows) != 1 || a.Rows[0] != want {
 			t.Fatalf("read %d returned %+v, want %s", i, a, want)
 		}
 	}
@@ -42,12 +42,12 @@
 				t.Error(err)
 				return
 			}
-			defer c.close()
-			c.query("-", fmt.Sprintf("SET owner session-%d", i))
-			c.query("-", "PREPARE s1 "+[]string{"READ", "WRITE"}[i%2]+" shape-"+fmt.Sprint(i))
+			defer c.Close()
+			c.Query("-", fmt.Sprintf("SET owner session-%d", i))
+			c.Query("-", "PREPARE s1 "+[]string{"READ", "WRITE"}[i%2]+" shape-"+fmt.Sprint(i))
 			for n := range 20 {
 				text := []string{"EXECUTE s1 item", "EXECUTE s1 item data"}[i%2]
-				if a := c.query(fmt.Sprintf("mix-%d-%d", i, n), text); a.code != "" {
+				if a := c.Query(fmt.Sprintf("mix-%d-%d", i, n), text); a.Code != "" {
 					t.Errorf("session %d: %+v", i, a)
 				}
 			}
@@ -83,11 +83,11 @@
 			{id("begin3"), "BEGIN", "T"}, {id("left"), "WRITE left yes", "T"},
 		}
 		for _, step := range steps {
-			if a := c.query(step.id, step.text); a.code != "" || a.state != step.state {
+			if a := c.Query(step.id, step.text); a.Code != "" || a.State != step.state {
 				t.Fatalf("host %d, %s: %+v", host, step.text, a)
 			}
 		}
-		c.close()
+		c.Close()
 	}
 	time.Sleep(200 * time.Millisecond)
 	committed := s.group.Committed()
@@ -110,12 +110,9 @@
 	longestGap      time.Duration
 }
 
-// keepsNothing are the codes that promise that nothing of the statement is kept.
-var keepsNothing = []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
-
 func (s *system) write(name string, host int, stop <-chan struct{}) *writer {
 	w := &writer{lastAck: time.Now()}
-	var c *client
+	var c *lines.Client
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -130,17 +127,17 @@
 			}
 		}
 		id := fmt.Sprintf("%s-%d", name, n)
-		a := c.query(id, "WRITE "+id+" x")
+		a := c.Query(id, "WRITE "+id+" x")
 		switch {
-		case a.code == "":
+		case a.Code == "":
 			w.acked = append(w.acked, id)
 			w.longestGap = max(w.longestGap, time.Since(w.lastAck))
 			w.lastAck = time.Now()
-		case slices.Contains(keepsNothing, a.code):
+		case slices.Contains(lines.Promising, a.Code):
 			w.promised = append(w.promised, id)
 		}
-		if a.err != nil {
-			c.close()
+		if a.Err != nil {
+			c.Close()
 			c = nil
 		}
 		time.Sleep(5 * time.Millisecond)
@@ -229,7 +226,7 @@
 	s := newSystem(t)
 	old := s.group.Primary()
 	c := s.mustConnect(0, "orders", "workshop-key")
-	if a := c.query("kept", "WRITE item value"); a.code != "" {
+	if a := c.Query("kept", "WRITE item value"); a.Code != "" {
 		t.Fatalf("%+v", a)
 	}
 	old.Empty()
@@ -240,10 +237,10 @@
 			if err != nil {
 				continue
 			}
-			a := c.query(fmt.Sprintf("read-%d-%d", host, time.Now().UnixNano()), "READ item")
-			c.close()
-			if answered = a.code == ""; answered && (len(a.rows) != 1 || a.rows[0] != "value") {
-				t.Fatalf("a read after the restart returned %q", a.rows)
+			a := c.Query(fmt.Sprintf("read-%d-%d", host, time.Now().UnixNano()), "READ item")
+			c.Close()
+			if answered = a.Code == ""; answered && (len(a.Rows) != 1 || a.Rows[0] != "value") {
+				t.Fatalf("a read after the restart returned %q", a.Rows)
 			}
 		}
 	}
@@ -286,14 +283,14 @@
 // dropped its history.
 func TestWithdrawnKeyStopsWorking(t *testing.T) {
 	s := newSystem(t)
-	var sessions []*client
+	var sessions []*lines.Client
 	for host := range s.hosts {
 		sessions = append(sessions, s.mustConnect(host, "view", "workshop-key"))
 	}
-	s.store.Put("op/config", lines.Configuration(5, "another-key"))
+	s.store.Configure(lines.Configuration(5, "another-key"))
 	s.store.Compact()
 	for host, c := range sessions {
-		s.await("an open session is refused", configurationBound, func() bool { return c.query("q", "READ item").code == "AUTHFAIL" })
+		s.await("an open session is refused", configurationBound, func() bool { return c.Query("q", "READ item").Code == "AUTHFAIL" })
 		if _, err := s.connect(host, "view", "workshop-key"); !errors.Is(err, errRefused) {
 			t.Errorf("host %d accepts the withdrawn key: %v", host, err)
 		}
@@ -313,9 +310,9 @@
 				t.Error(err)
 				return
 			}
-			defer c.close()
+			defer c.Close()
 			for n := range 100 {
-				if a := c.query(fmt.Sprintf("f-%d-%d", i, n), "READ item"); a.code == "BUSY" {
+				if a := c.Query(fmt.Sprintf("f-%d-%d", i, n), "READ item"); a.Code == "BUSY" {
 					t.Errorf("operation %d at host %d was refused", n, i)
 					return
 				}
@@ -330,9 +327,8 @@
 func TestLeaderStopsWithoutRefusals(t *testing.T) {
 	s := newSystem(t)
 	configuration := lines.Configuration(5, "workshop-key")
-	workshop := configuration["tenants"].([]any)[0].(map[string]any)
-	workshop["ratePerS"], workshop["burst"] = 60, 60
-	s.store.Put("op/config", configuration)
+	configuration.SetLimit("workshop", 60, 60)
+	s.store.Configure(configuration)
 	time.Sleep(2 * time.Second) // it is in force, and the buckets have filled
 	value, known := s.store.Get("waxwingspindle/leader")
 	if !known {
@@ -346,8 +342,8 @@
 		if n == 40 {
 			go func() { stopped <- s.hosts[leader].end() }()
 		}
-		if a := c.query(fmt.Sprintf("l-%d", n), "READ item"); a.code != "" {
-			refused = append(refused, fmt.Sprint(n, " ", a.code))
+		if a := c.Query(fmt.Sprintf("l-%d", n), "READ item"); a.Code != "" {
+			refused = append(refused, fmt.Sprint(n, " ", a.Code))
 		}
 		time.Sleep(25 * time.Millisecond)
 	}
@@ -373,13 +369,13 @@
 					return
 				default:
 				}
-				a := c.query(fmt.Sprintf("s%d-%d", i, n), "WRITE x y")
-				if a.code == "LOST" && slices.ContainsFunc(s.group.Executed(), func(e lines.Executed) bool {
+				a := c.Query(fmt.Sprintf("s%d-%d", i, n), "WRITE x y")
+				if a.Code == lines.Lost && slices.ContainsFunc(s.group.Executed(), func(e lines.Executed) bool {
 					return e.ID == fmt.Sprintf("s%d-%d", i, n)
 				}) {
 					t.Errorf("the answer of statement s%d-%d was cut off", i, n)
 				}
-				if a.err != nil {
+				if a.Err != nil {
 					return
 				}
 			}
@@ -396,7 +392,7 @@
 	close(stop)
 	wg.Wait()
 	c := s.mustConnect(0, "orders", "workshop-key")
-	if a := c.query("after", "WRITE after x"); a.code != "" {
+	if a := c.Query("after", "WRITE after x"); a.Code != "" {
 		t.Errorf("another host does not serve after the stop: %+v", a)
 	}
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -9,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/standin/lines"
 )
 
 const (
@@ -39,9 +40,6 @@
 	return openWorkspace
 }
 
-// promising are the codes that promise that nothing of an operation is kept.
-var promising = []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
-
 // caller is a client with one session at a time.
 type caller struct {
 	world    *world
@@ -53,9 +51,8 @@
 	session  int
 	host     int
 	key      string
-	refused  bool // the key was withdrawn
-	conn     net.Conn
-	in       *bufio.Reader
+	refused  bool          // the key was withdrawn
+	client   *lines.Client // nil without a session
 	values   map[string]string
 	prepared map[string]string
 }
@@ -73,7 +70,7 @@
 			return
 		case <-time.After(time.Duration(c.random.ExpFloat64() * float64(pause))):
 		}
-		if c.conn == nil && !c.connect() {
+		if c.client == nil && !c.connect() {
 			continue
 		}
 		c.operation()
@@ -81,9 +78,9 @@
 }
 
 func (c *caller) close() {
-	if c.conn != nil {
-		_ = c.conn.Close() // the session is over either way
-		c.conn = nil
+	if c.client != nil {
+		c.client.Close()
+		c.client = nil
 	}
 }
 
@@ -95,38 +92,17 @@
 		return false
 	}
 	c.session = c.world.newSession()
-	c.host, c.conn, c.in, c.key = host, conn, bufio.NewReader(conn), c.world.keyFor(c.number)
+	c.host, c.client, c.key = host, lines.NewClient(conn, answerTimeout), c.world.keyFor(c.number)
 	c.refused, c.values, c.prepared = false, map[string]string{}, map[string]string{}
 	o := &Operation{Session: c.session, Host: host, Database: c.database, Key: c.key}
 	s := &Statement{ID: c.id(), Text: startup, Operation: o}
 	c.world.history.begin(s)
-	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", c.database, c.key); err != nil {
-		c.finish(s, answer{code: lost})
-		c.close()
-		return false
-	}
-	a := answer{code: c.admission()}
+	a := c.client.Start(c.database, c.key)
 	c.finish(s, a)
-	if a.code != "" {
+	if a.Code != "" {
 		c.close()
 	}
-	return c.conn != nil
-}
-
-// admission reads the answer to the start of a session and returns its code. A refusal is followed by a close.
-func (c *caller) admission() string {
-	if err := c.conn.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
-		return lost
-	}
-	line, err := c.in.ReadString('\n')
-	if err != nil {
-		return lost
-	}
-	if rest, refused := strings.CutPrefix(strings.TrimSuffix(line, "\r\n"), "ERROR "); refused {
-		code, _, _ := strings.Cut(rest, " ")
-		return code
-	}
-	return ""
+	return c.client != nil
 }
 
 func (c *caller) id() string {
@@ -134,59 +110,24 @@
 	return fmt.Sprintf("c%d-%d", c.number, c.next)
 }
 
-type answer struct {
-	rows            []string
-	signature, code string
-	state           string
-}
-
-// read reads a whole answer.
-func (c *caller) read() answer {
-	var a answer
-	if err := c.conn.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
-		return answer{code: lost}
-	}
-	for {
-		line, err := c.in.ReadString('\n')
-		if err != nil {
-			return answer{code: lost}
-		}
-		word, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
-		switch word {
-		case "DATAROW":
-			a.rows = append(a.rows, rest)
-		case "COMPLETE":
-			a.signature = rest
-		case "ERROR":
-			a.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			a.state, _, _ = strings.Cut(rest, " ")
-			return a
-		}
-	}
-}
-
-func (c *caller) finish(s *Statement, a answer) {
+func (c *caller) finish(s *Statement, a lines.Answer) {
 	c.world.history.update(func() {
-		s.Answered, s.Code, s.Rows, s.Signature = time.Now(), a.code, a.rows, a.signature
+		s.Answered, s.Code, s.Rows, s.Signature = time.Now(), a.Code, a.Rows, a.Signature
 	})
-	c.world.count(a.code)
+	c.world.count(a.Code)
 }
 
 // query sends a statement and reads its answer.
-func (c *caller) query(o *Operation, text, shape string, write bool) answer {
+func (c *caller) query(o *Operation, text, shape string, write bool) lines.Answer {
 	s := &Statement{ID: c.id(), Text: text, Operation: o, Shape: shape, Values: c.valuesText()}
 	if write {
 		c.world.history.update(func() { o.Writes = append(o.Writes, s.ID) })
 	}
 	c.world.history.begin(s)
-	a := answer{code: lost}
-	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", s.ID, text); err == nil {
-		a = c.read()
-	}
+	a := c.client.Query(s.ID, text)
 	c.finish(s, a)
-	c.refused = a.code == "AUTHFAIL"
-	if a.code == lost || c.refused {
+	c.refused = a.Code == "AUTHFAIL"
+	if a.Err != nil || c.refused {
 		c.close()
 	}
 	return a
@@ -231,7 +172,7 @@
 
 func (c *caller) set(o *Operation) {
 	name, value := fmt.Sprintf("v%d", c.random.IntN(3)), fmt.Sprint(c.random.IntN(100))
-	if a := c.query(o, "SET "+name+" "+value, "", false); a.code != "" {
+	if a := c.query(o, "SET "+name+" "+value, "", false); a.Code != "" {
 		c.close()
 		return
 	}
@@ -244,7 +185,7 @@
 		kind = "WRITE"
 	}
 	name, shape := fmt.Sprintf("s%d", c.random.IntN(2)), fmt.Sprintf("%s shape%d", kind, c.random.IntN(4))
-	if a := c.query(o, "PREPARE "+name+" "+shape, "", false); a.code != "" {
+	if a := c.query(o, "PREPARE "+name+" "+shape, "", false); a.Code != "" {
 		c.close()
 		return
 	}
@@ -252,7 +193,7 @@
 }
 
 // statement sends a read or a write, prepared if there is a prepared statement of the kind.
-func (c *caller) statement(o *Operation, write bool) answer {
+func (c *caller) statement(o *Operation, write bool) lines.Answer {
 	item, kind := fmt.Sprintf("i%d", c.random.IntN(items)), "READ"
 	if write {
 		kind = "WRITE"
@@ -271,15 +212,18 @@
 
 // single plays an operation of one statement.
 func (c *caller) single(o *Operation, write bool) {
-	a := c.statement(o, write)
-	outcome := Unknown
+	c.end(o, outcomeOf(c.statement(o, write)), false)
+}
+
+// outcomeOf returns what a caller knows of an operation from the answer to its single statement or its commit.
+func outcomeOf(a lines.Answer) Outcome {
 	switch {
-	case a.code == "":
-		outcome = Done
-	case slices.Contains(promising, a.code):
-		outcome = Denied
+	case a.Code == "":
+		return Done
+	case slices.Contains(lines.Promising, a.Code):
+		return Denied
 	}
-	c.end(o, outcome, false)
+	return Unknown
 }
 
 // end notes what the caller of an operation knows of it. A caller that rolls back as it likes has asked for that.
@@ -293,7 +237,7 @@
 	if workspaceOf(c.key) == limitedWorkspace || c.refused {
 		return // nothing is owed to callers above their limit or without a key
 	}
-	if outcome == Done || outcome == ReadOnly || asked {
+	if outcome == Done || asked {
 		c.world.served.Add(1)
 	}
 	c.world.played.Add(1)
@@ -308,14 +252,14 @@
 	}
 	a := c.query(o, begin, "", false)
 	for range 1 + c.random.IntN(4) {
-		if a.code != "" || a.state != "T" {
+		if a.Code != "" || a.State != "T" {
 			c.abandon(o, a)
 			return
 		}
-		time.Sleep(c.pause())
+		time.Sleep(time.Duration(c.random.Int64N(int64(statementPause))))
 		a = c.statement(o, writes && c.random.IntN(2) == 0)
 	}
-	if a.code != "" || a.state != "T" {
+	if a.Code != "" || a.State != "T" {
 		c.abandon(o, a)
 		return
 	}
@@ -329,25 +273,13 @@
 		c.end(o, GivenUp, true)
 		return
 	}
-	a = c.query(o, "COMMIT", "", false)
-	switch {
-	case a.code == "" && len(o.Writes) > 0:
-		c.end(o, Done, false)
-	case a.code == "":
-		c.end(o, ReadOnly, false)
-	case slices.Contains(promising, a.code):
-		c.end(o, Denied, false)
-	default:
-		c.end(o, Unknown, false)
-	}
+	c.end(o, outcomeOf(c.query(o, "COMMIT", "", false)), false)
 }
 
 // abandon ends a transaction that failed before its commit was asked for, so nothing of it may be kept.
-func (c *caller) abandon(o *Operation, a answer) {
-	if c.conn != nil && a.state != "I" {
+func (c *caller) abandon(o *Operation, a lines.Answer) {
+	if c.client != nil && a.State != "I" {
 		c.query(o, "ROLLBACK", "", false)
 	}
 	c.end(o, GivenUp, false)
 }
-
-func (c *caller) pause() time.Duration { return time.Duration(c.random.Int64N(int64(statementPause))) }
--- a/soak/check.go
+++ b/soak/check.go
@@ -66,6 +66,7 @@
 	byID     map[string]Statement
 	executed map[string][]lines.Executed
 	commits  map[string][]*lines.Commit // by the ids of their writes
+	all      []*Operation
 	found    []Violation
 }
 
@@ -73,8 +74,13 @@
 func Check(v View) []Violation {
 	c := &checker{View: v, byID: map[string]Statement{}, executed: map[string][]lines.Executed{},
 		commits: map[string][]*lines.Commit{}}
+	known := map[*Operation]bool{}
 	for _, s := range v.Statements {
 		c.byID[s.ID] = s
+		if !known[s.Operation] {
+			known[s.Operation] = true
+			c.all = append(c.all, s.Operation)
+		}
 	}
 	for _, e := range v.Executed {
 		c.executed[e.ID] = append(c.executed[e.ID], e)
@@ -98,22 +104,9 @@
 	c.found = append(c.found, Violation{p, fmt.Sprintf(format, args...)})
 }
 
-// operations returns each operation once.
-func (c *checker) operations() []*Operation {
-	var list []*Operation
-	seen := map[*Operation]bool{}
-	for _, s := range c.Statements {
-		if !seen[s.Operation] {
-			seen[s.Operation] = true
-			list = append(list, s.Operation)
-		}
-	}
-	return list
-}
-
 // effects checks what the writes of each operation did against what its caller was told.
 func (c *checker) effects() {
-	for _, o := range c.operations() {
+	for _, o := range c.all {
 		for _, id := range o.Writes {
 			made := c.commits[id]
 			if len(made) > 1 {
@@ -149,7 +142,7 @@
 // reads checks that each read saw the commits that were acknowledged before it.
 func (c *checker) reads() {
 	var acked []*Operation
-	for _, o := range c.operations() {
+	for _, o := range c.all {
 		if o.Outcome == Done && len(o.Writes) > 0 {
 			acked = append(acked, o)
 		}
@@ -230,7 +223,7 @@
 			c.report(Unasked, "statement %s ran for workspace %s, its key belongs to %s", e.ID, e.Workspace,
 				workspaceOf(s.Operation.Key))
 		}
-		if sentText(s) != ranText(e) {
+		if withoutName(s.Text) != withoutName(e.Text) {
 			c.report(Unasked, "statement %s was %q and ran as %q", e.ID, s.Text, e.Text)
 		}
 		if e.Values != s.Values && e.Text != "COMMIT" {
@@ -259,11 +252,7 @@
 	}
 }
 
-// sentText and ranText return the parts of a statement's text that have to be the same. Prepared names may differ.
-func sentText(s Statement) string { return withoutName(s.Text) }
-
-func ranText(e lines.Executed) string { return withoutName(e.Text) }
-
+// withoutName returns a statement without the name of a prepared one, which hosts may change.
 func withoutName(text string) string {
 	if rest, ok := strings.CutPrefix(text, "EXECUTE "); ok {
 		_, arguments, _ := strings.Cut(rest, " ")
@@ -281,7 +270,7 @@
 			c.report(Answered, "statement %s (%s) at host %d had no answer within %s, code %q", s.ID, s.Text,
 				s.Operation.Host, limit, s.Code)
 		}
-		if s.Code == lost && !s.Answered.IsZero() {
+		if s.Code == lines.Lost && !s.Answered.IsZero() {
 			c.cut(s)
 		}
 		if s.Code != "" || s.Answered.IsZero() || s.Signature == "-" || s.Text == startup {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -122,11 +122,11 @@
 			s.Disturbances = []Disturbance{{From: at(0), To: at(5000), Callers: true}}
 		}, ""},
 		{"a planned stop cuts a statement off", "orders", func(s *story) {
-			s.Statements[1].Code = lost
+			s.Statements[1].Code = lines.Lost
 			s.Disturbances = []Disturbance{{From: at(0), To: at(5000), Planned: true}}
 		}, Uncut},
 		{"a reset cuts a statement off", "orders", func(s *story) {
-			s.Statements[1].Code = lost
+			s.Statements[1].Code = lines.Lost
 			s.Disturbances = []Disturbance{{From: at(0), To: at(5000), Planned: true}, {From: at(0), To: at(5000)}}
 		}, ""},
 		{"a withdrawn key works on", "orders", func(s *story) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -33,10 +34,7 @@
 func (w *world) begin(number int, f Fault) (ongoing, bool) {
 	d := &Disturbance{Host: everyHost}
 	var end func()
-	var h *host
-	if f.Host < len(w.hosts) {
-		h = w.hosts[f.Host]
-	}
+	h := w.hosts[f.Host]
 	switch f.Kind {
 	case HostKilled, HostStopped, HostFrozen:
 		d.Host, d.Callers, d.Planned = f.Host, f.Kind != HostStopped, f.Kind == HostStopped
@@ -45,10 +43,9 @@
 		d.Callers = true
 		end = w.killAll()
 	case SettingsTouched, HostReloads:
-		now := time.Now()
 		if f.Kind == HostReloads {
 			h.signal(syscall.SIGHUP)
-		} else if err := touch(h.settings, now); err != nil {
+		} else if err := os.Chtimes(h.settings, time.Now(), time.Now()); err != nil {
 			w.violation(Alive, "settings of host %d: %v", f.Host, err)
 		}
 		return ongoing{}, false
@@ -88,9 +85,7 @@
 		return func() { w.restart(h) }
 	}
 	h.signal(syscall.SIGTERM)
-	h.mu.Lock()
-	done := h.done
-	h.mu.Unlock()
+	done := h.ended()
 	late := time.AfterFunc(drainSeconds*time.Second, func() {
 		h.signal(syscall.SIGCONT) // a frozen process cannot stop
 		h.signal(syscall.SIGKILL)
--- a/soak/history.go
+++ b/soak/history.go
@@ -13,16 +13,13 @@
 	Operation *Operation
 	Sent      time.Time
 	Answered  time.Time // or the end of the connection; zero while there is no answer
-	Code      string    // empty for a success, lost if the connection ended or there was no answer
+	Code      string    // empty for a success, lines.Lost if the connection ended or there was no answer
 	Rows      []string
 	Signature string
 	Values    string // of the session, as they were acknowledged
 	Shape     string // kind and shape that the prepared name stands for
 }
 
-// lost is the code of a statement without a whole answer.
-const lost = "LOST"
-
 // startup is the text of a statement that stands for the start of a session.
 const startup = "STARTUP"
 
@@ -46,11 +43,10 @@
 
 // Outcomes of operations.
 const (
-	Unknown  Outcome = iota // nothing was promised
-	Done                    // all statements were successful
-	Denied                  // it was promised that nothing is kept
-	GivenUp                 // rolled back, or left by the caller
-	ReadOnly                // done, and wrote nothing
+	Unknown Outcome = iota // nothing was promised
+	Done                   // all statements were successful
+	Denied                 // it was promised that nothing is kept
+	GivenUp                // rolled back, or left by the caller
 )
 
 // Disturbance is a span in which a part of the system was not calm.
@@ -94,41 +90,37 @@
 	Now          time.Time
 }
 
-func (h *History) begin(s *Statement) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	s.Sent = time.Now()
-	if s.Operation.Began.IsZero() {
-		s.Operation.Began = s.Sent
-	}
-	h.statements = append(h.statements, s)
-}
-
-// update changes a statement or an operation of the history.
+// update changes the history.
 func (h *History) update(change func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	change()
 }
 
-func (h *History) disturb(d *Disturbance) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	d.From = time.Now()
-	h.disturbances = append(h.disturbances, d)
+func (h *History) begin(s *Statement) {
+	h.update(func() {
+		s.Sent = time.Now()
+		if s.Operation.Began.IsZero() {
+			s.Operation.Began = s.Sent
+		}
+		h.statements = append(h.statements, s)
+	})
 }
 
-func (h *History) calm(d *Disturbance) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	d.To = time.Now()
+func (h *History) disturb(d *Disturbance) {
+	h.update(func() {
+		d.From = time.Now()
+		h.disturbances = append(h.disturbances, d)
+	})
 }
 
+func (h *History) calm(d *Disturbance) { h.update(func() { d.To = time.Now() }) }
+
 func (h *History) changed(c Change) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	c.At = time.Now()
-	h.changes = append(h.changes, c)
+	h.update(func() {
+		c.At = time.Now()
+		h.changes = append(h.changes, c)
+	})
 }
 
 // fill copies the history into a view. Operations are copied too, one copy for all their statements.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -117,9 +117,7 @@
 		if begun {
 			under[s.fault] = fault
 		}
-		if w.options.Output != nil {
-			fmt.Fprintf(w.options.Output, "%s %v lasting=%v\n", time.Now().Format("15:04:05.000"), plan[s.fault], begun)
-		}
+		w.print("%v lasting=%v", plan[s.fault], begun)
 	}
 	ends.Wait()
 	for _, h := range w.hosts { // a signal may have been lost with a process that was ending
@@ -131,6 +129,13 @@
 	return len(plan) - len(under)
 }
 
+// print writes a line with the time for whoever watches the soak.
+func (w *world) print(format string, args ...any) {
+	if w.options.Output != nil {
+		fmt.Fprintf(w.options.Output, time.Now().Format("15:04:05.000")+" "+format+"\n", args...)
+	}
+}
+
 // watch checks the promises while the soak runs, and returns what was broken.
 func (w *world) watch() []Violation {
 	ticker := time.NewTicker(checkInterval)
@@ -141,9 +146,7 @@
 			return nil
 		case <-ticker.C:
 			if found := w.check(); len(found) > 0 {
-				if w.options.Output != nil {
-					fmt.Fprintf(w.options.Output, "%s broken: %v\n", time.Now().Format("15:04:05.000"), found[0])
-				}
+				w.print("broken: %v", found[0])
 				<-w.stopAll
 				return found
 			}
@@ -170,11 +173,8 @@
 	for _, h := range w.hosts {
 		stops.Go(func() {
 			h.signal(syscall.SIGTERM)
-			h.mu.Lock()
-			done := h.done
-			h.mu.Unlock()
 			select {
-			case <-done:
+			case <-h.ended():
 			case <-time.After(drainSeconds * time.Second):
 				w.violation(Alive, "host %d did not stop within %d s", h.number, drainSeconds)
 			}
@@ -186,10 +186,9 @@
 // distinct removes what was found twice.
 func distinct(all []Violation) []Violation {
 	seen := map[Violation]bool{}
-	all = slices.DeleteFunc(all, func(v Violation) bool {
+	return slices.DeleteFunc(all, func(v Violation) bool {
 		again := seen[v]
 		seen[v] = true
 		return again
 	})
-	return all
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -17,6 +17,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/waxwingspindle/waxwingspindle/internal/loopback"
 	"github.com/waxwingspindle/waxwingspindle/standin/lines"
 )
 
@@ -57,14 +58,14 @@
 
 // world is a system under test.
 type world struct {
-	options  Options
-	loopback string
-	history  *History
-	links    *links
-	store    *lines.Store
-	group    *lines.Group
-	servers  []*httptest.Server
-	hosts    []*host
+	options Options
+	address string // IP address of the hosts
+	history *History
+	links   *links
+	store   *lines.Store
+	group   *lines.Group
+	servers []*httptest.Server
+	hosts   []*host
 
 	stopCallers, stopAll chan struct{}
 	sessions             atomic.Int64
@@ -82,7 +83,7 @@
 }
 
 func newWorld(o Options) (*world, error) {
-	w := &world{options: o, loopback: loopback(), history: &History{}, links: newLinks(), store: lines.NewStore(), rate: limitedRate,
+	w := &world{options: o, address: loopback.Address(1 + int(systems.Add(1)%mostSystems)), history: &History{}, links: newLinks(), store: lines.NewStore(), rate: limitedRate,
 		stopCallers: make(chan struct{}), stopAll: make(chan struct{}), codes: map[string]int{}, active: map[Kind]int{},
 		keys: []string{"key-0"}}
 	group, err := lines.NewGroup(w.store, service, databases)
@@ -119,16 +120,12 @@
 
 func hostLink(peer Peer, i int) string { return fmt.Sprintf("%s %d", peer, i) }
 
-// systems counts the systems of this process.
+// systems counts the systems of this process, of which each has an address of its own.
 var systems atomic.Int32
 
-// loopback returns an address on loopback of a system alone, so that no other process takes the ports of a host while it
-// is down.
-func loopback() string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff, 1+systems.Add(1)%200)
-}
-
 const (
+	// mostSystems bounds the systems of a process that run at once.
+	mostSystems = 200
 	// firstPort and portsPerHost give each host its ports.
 	firstPort    = 20000
 	portsPerHost = 10
@@ -140,7 +137,7 @@
 		log: filepath.Join(w.options.Dir, fmt.Sprintf("host-%d.log", number))}
 	var metrics, advertised, store string
 	for i, address := range []*string{&h.direct, &h.health, &h.peers, &metrics} {
-		*address = fmt.Sprintf("%s:%d", w.loopback, firstPort+number*portsPerHost+i)
+		*address = fmt.Sprintf("%s:%d", w.address, firstPort+number*portsPerHost+i)
 	}
 	for _, link := range []struct {
 		peer     Peer
@@ -155,7 +152,7 @@
 	port := func(address string) string { return address[strings.LastIndex(address, ":")+1:] }
 	text := fmt.Sprintf("[host]\nname = host-%d\ndata_centre = z%d\ncallers = %s\nhealth = %s\npeer_address = %s\n"+
 		"peer_ports = %s,%s\nadvertise = %s\nmetrics_port = %s\nstore = %s\nduties = %s\ndrain_seconds = %d\n", number,
-		1+number%3, h.direct, h.health, w.loopback, port(h.peers), port(h.peers), advertised, port(metrics), store,
+		1+number%3, h.direct, h.health, w.address, port(h.peers), port(h.peers), advertised, port(metrics), store,
 		strings.TrimPrefix(w.servers[1].URL, "http://"), drainSeconds)
 	return h, trace.Wrap(os.WriteFile(h.settings, []byte(text), 0o600))
 }
@@ -187,6 +184,7 @@
 	return nil
 }
 
+// violation notes a promise that was broken outside what callers and databases see.
 func (w *world) violation(p Promise, format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -206,18 +204,20 @@
 // kill ends the process of a host and waits until it has ended.
 func (h *host) kill() {
 	h.signal(syscall.SIGKILL)
+	<-h.ended()
+}
+
+// ended returns the channel that is closed when the present process of a host has ended.
+func (h *host) ended() <-chan struct{} {
 	h.mu.Lock()
-	done := h.done
-	h.mu.Unlock()
-	<-done
+	defer h.mu.Unlock()
+	return h.done
 }
 
 // running reports whether the process of a host has not ended.
 func (h *host) running() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	select {
-	case <-h.done:
+	case <-h.ended():
 		return false
 	default:
 		return true
@@ -325,10 +325,9 @@
 	defer w.mu.Unlock()
 	w.version += 1 + w.version%3
 	c := lines.Configuration(w.version, openKey, w.keys[len(w.keys)-1])
-	c["services"].([]any)[0].(map[string]any)["syncReplicas"] = w.options.SyncReplicas
-	limited := c["tenants"].([]any)[1].(map[string]any)
-	limited["ratePerS"], limited["burst"] = w.rate, w.rate
-	w.store.Put("op/config", c)
+	c.SetSyncReplicas(w.options.SyncReplicas)
+	c.SetLimit(limitedWorkspace, w.rate, w.rate)
+	w.store.Configure(c)
 	w.history.changed(Change{Added: added, Withdrawn: withdrawn, Rate: w.rate, Burst: w.rate})
 }
 
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -20,6 +20,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/internal/loopback"
 )
 
 const (
@@ -134,10 +136,6 @@
 
 var nextPort atomic.Int32
 
-// portOffset differs between test processes, so that two that run at once on one machine do not choose the same port
-// between the check and its use.
-var portOffset = os.Getpid() * 211
-
 // freePort returns a port that no other test of this process uses.
 func freePort(t testing.TB) int {
 	t.Helper()
@@ -146,7 +144,7 @@
 		if n > lastPort-firstPort {
 			t.Fatal("no port is left")
 		}
-		port := firstPort + (portOffset+n)%(lastPort-firstPort)
+		port := firstPort + n
 		l, err := net.Listen("tcp", address(port))
 		if err == nil {
 			l.Close()
@@ -155,11 +153,10 @@
 	}
 }
 
-// loopback is an address of this test process alone, so that no other one listens on a port that a stopped daemon has
-// left while requests are still sent there.
-var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+// ownAddress is the address of this test process.
+var ownAddress = loopback.Address(1)
 
-func address(port int) string { return fmt.Sprintf("%s:%d", loopback, port) }
+func address(port int) string { return fmt.Sprintf("%s:%d", ownAddress, port) }
 
 // daemonProcess is a daemon with its addresses.
 type daemonProcess struct {
