One way to ask a host that may be this one, and a leader that says that it yields

Three calls chose between this host and another by themselves. A lease end of zero stood for a leader that hands over; it is a field now. Renew called the store in a goroutine that it waited for. Behaviour is the same.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -40,6 +40,7 @@
 
 	mu       sync.Mutex
 	until    time.Time // end of the lease on this host's clock
+	yielding bool      // another host is asked to take over
 	broker   *share.Broker
 	next     *Host // the successor that the broker was handed over to
 	opinions map[model.HostID]opinion
@@ -194,7 +195,7 @@
 	a := l.agent
 	l.rest() // an order of promotion that is under way must not come after one of the successor
 	l.mu.Lock()
-	l.until = time.Time{}
+	l.yielding = true
 	request := SuccessionRequest{Fence: l.fence, Broker: l.broker.HandOver(boottime.Now())}
 	l.mu.Unlock()
 	hosts := slices.DeleteFunc(a.view.Load().byCapacity(), func(h Host) bool { return h.ID == a.Self.ID })
@@ -218,7 +219,7 @@
 func (l *leadership) take(r TokenRequest) (answer TokenAnswer, next *Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.until.IsZero() {
+	if l.yielding {
 		return TokenAnswer{Wait: replaceInterval}, l.next
 	}
 	answer.Granted, answer.Wait = l.broker.Take(boottime.Now(), r.Workspace, r.Tokens)
@@ -234,7 +235,9 @@
 		now := boottime.Now()
 		err := l.agent.renew(ctx, l.lease)
 		if err == nil {
-			l.extend(now.Add(ttl - leaseMargin))
+			l.mu.Lock()
+			l.until = now.Add(ttl - leaseMargin)
+			l.mu.Unlock()
 		}
 		if errors.Is(err, metastore.ErrLeaseEnded) || l.superseded() && !l.handedOver() {
 			return
@@ -242,15 +245,6 @@
 	}
 }
 
-// extend moves the end of the lease, unless the leadership is being handed over.
-func (l *leadership) extend(until time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.until.IsZero() {
-		l.until = until
-	}
-}
-
 // handedOver reports whether this host answers for its successor; Resign ends that.
 func (l *leadership) handedOver() bool {
 	l.mu.Lock()
@@ -264,10 +258,13 @@
 	return known != nil && known.revision > l.fence
 }
 
-// remaining returns the time until the lease ends, not above zero if it has.
+// remaining returns the time for which this host may replace primaries: until its lease ends, or it yields.
 func (l *leadership) remaining() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.yielding {
+		return 0
+	}
 	return l.until.Sub(boottime.Now())
 }
 
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -65,6 +65,15 @@
 	return err
 }
 
+// ask calls a method of a host that may be this one.
+func ask[Q, R any](a *Agent, h Host, name string, method func(*Peer, Q, *R) error, request Q, answer *R,
+	timeout time.Duration) error {
+	if h.ID == a.Self.ID {
+		return method(&Peer{a}, request, answer)
+	}
+	return a.peers.call(h, name, request, answer, timeout)
+}
+
 // start calls a method of another host and waits for its answer. A method that waits for a target says nothing of the
 // connection when it gives no answer in time.
 func (p *peers) start(h Host, method string, args, reply any, timeout time.Duration) (*rpc.Client, error) {
@@ -170,13 +179,7 @@
 
 // Renew renews a lease for a host that the store turns away.
 func (p *Peer) Renew(r RenewRequest, _ *struct{}) error {
-	done := make(chan error, 1)
-	go func() {
-		ctx, cancel := contextWithTimeout(callTimeout)
-		defer cancel()
-		done <- p.agent.Store.KeepAlive(ctx, r.Lease)
-	}()
-	return <-done
+	return p.agent.renew(context.Background(), r.Lease)
 }
 
 // Fence puts a decision in force. When it returns nil, this host uses no older one.
@@ -264,12 +267,7 @@
 		return 0, 0, errNoLeader
 	}
 	request, answer := TokenRequest{workspace, n}, TokenAnswer{}
-	var err error
-	if leader.ID == a.Self.ID {
-		err = (&Peer{a}).Take(request, &answer)
-	} else {
-		err = a.peers.call(leader, "Peer.Take", request, &answer, tokenTimeout)
-	}
+	err := ask(a, leader, "Peer.Take", (*Peer).Take, request, &answer, tokenTimeout)
 	a.noteBrokerGone(err)
 	return answer.Granted, answer.Wait, err
 }
@@ -322,11 +320,7 @@
 }
 
 func (a *Agent) reportTo(leader Host, request ReportRequest) (answer SyncAnswer, err error) {
-	if leader.ID == a.Self.ID {
-		err = (&Peer{a}).Report(request, &answer)
-	} else {
-		err = a.peers.call(leader, "Peer.Report", request, &answer, reportTimeout)
-	}
+	err = ask(a, leader, "Peer.Report", (*Peer).Report, request, &answer, reportTimeout)
 	return answer, err
 }
 
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -176,10 +176,7 @@
 // tell puts a document in force at a host.
 func (s *supervisor) tell(h Host, doc primacy.Document) error {
 	request := FenceRequest{Incarnation: h.Incarnation, Document: doc}
-	if h.ID == s.agent.Self.ID {
-		return (&Peer{s.agent}).Fence(request, &struct{}{})
-	}
-	return s.agent.peers.call(h, "Peer.Fence", request, &struct{}{}, fenceTimeout)
+	return ask(s.agent, h, "Peer.Fence", (*Peer).Fence, request, &struct{}{}, fenceTimeout)
 }
 
 // awaitFenced waits until every registered host has stopped using the old primary, or is not registered any more.
