Rates on both sides of a partition: a deputy divides them, and a leader that hands over keeps a reserve

Cause: hosts that do not reach the leader use their equal part of each limit, a seventieth of it on a large fleet, while the callers of a workspace sit on few hosts.

Ruled out: queues and slots (fewer than a tenth of the refusals), limits that are used up (the same workspaces were served fully before and after).

A leader that hands over keeps a reserve of 0.3 s.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,8 @@
 	ready  atomic.Bool
 
 	successions chan succession // offers to lead
+	membership  membership      // at the broker of the rates
+	deputy      deputy          // divides the rates for others
 
 	// Boot times in nanoseconds of the last fresh answer of a relaying host, and of the last answer of the store.
 	relayHeard, storeHeard atomic.Int64
@@ -160,6 +162,7 @@
 	go a.follow(ctx, prefix, (*control).applyOwn)
 	go a.register(ctx)
 	go a.reportLoop(ctx)
+	go a.deputyLoop(ctx)
 	ticker := time.NewTicker(retryInterval)
 	defer ticker.Stop()
 	for {
@@ -440,6 +443,11 @@
 	return list
 }
 
+// withoutLeader returns the same without the last leader.
+func (v *view) withoutLeader() []Host {
+	return slices.DeleteFunc(v.byCapacity(), func(h Host) bool { return v.leader != nil && h.ID == v.leader.value.Host })
+}
+
 // hostList returns the registered hosts in the order of their ids.
 func (v *view) hostList() []Host {
 	list := make([]Host, 0, len(v.hosts))
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -273,8 +273,7 @@
 
 // candidateHosts returns the registered hosts that can carry most, without the last leader.
 func (a *Agent) candidateHosts() []Host {
-	v := a.view.Load()
-	hosts := slices.DeleteFunc(v.byCapacity(), func(h Host) bool { return v.leader != nil && h.ID == v.leader.value.Host })
+	hosts := a.view.Load().withoutLeader()
 	return hosts[:min(candidates, len(hosts))]
 }
 
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -189,8 +189,8 @@
 	a.revoke(l.lease)
 }
 
-// handOver asks other hosts to lead, until one does. From its beginning this host replaces no primary and hands out no
-// tokens, because it may not learn that a host has taken over.
+// handOver asks other hosts to lead, until one does. From its beginning this host replaces no primary and hands out only the
+// reserve of its broker, because it may not learn that a host has taken over.
 func (l *leadership) handOver() bool {
 	a := l.agent
 	l.rest() // an order of promotion that is under way must not come after one of the successor
@@ -215,14 +215,14 @@
 	return false
 }
 
-// take hands out tokens, or returns the successor that does.
+// take hands out tokens, or returns the successor that does when the reserve for the hand-over is used up.
 func (l *leadership) take(r TokenRequest) (answer TokenAnswer, next *Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.yielding {
+	answer.Granted, answer.Wait = l.broker.Take(boottime.Now(), r.Workspace, r.Tokens)
+	if answer.Granted == 0 && l.yielding {
 		return TokenAnswer{Wait: replaceInterval}, l.next
 	}
-	answer.Granted, answer.Wait = l.broker.Take(boottime.Now(), r.Workspace, r.Tokens)
 	return answer, nil
 }
 
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/rpc"
-	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +25,7 @@
 	errTimeout     = errors.New("the peer did not answer in time")
 	errUnknownHost = errors.New("the host is not registered")
 	errNoSuccessor = errors.New("this host cannot lead")
+	errOtherBroker = errors.New("another broker may count this host still")
 	errStarted     = errors.New("this host has another incarnation")
 )
 
@@ -129,10 +127,10 @@
 // RenewRequest asks the leader to renew a lease.
 type RenewRequest struct{ Lease metastore.Lease }
 
-// ReportRequest is what a host tells the leader at intervals.
+// ReportRequest is what a host tells the leader, or the deputy that stands in for it, at intervals.
 type ReportRequest struct {
 	Host      model.HostID
-	Alone     bool // the host has not heard the leader for too long
+	Alone     bool // the host uses its equal part of the rates
 	Opinions  map[model.Service]primacy.Opinion
 	Revisions map[string]uint64 // last changes of the store that the host knows, by prefix
 }
@@ -211,9 +209,10 @@
 	return nil
 }
 
-// Sync answers a host that reaches neither the leader nor the store.
-func (p *Peer) Sync(known map[string]uint64, answer *SyncAnswer) error {
-	answer.Newer, answer.Fresh = p.agent.newerThan(known), p.agent.relaysFresh()
+// Sync answers a host that does not reach the leader, and counts its part of the rates unless it is alone.
+func (p *Peer) Sync(r ReportRequest, answer *SyncAnswer) error {
+	p.agent.deputy.report(boottime.Now(), r.Host, !r.Alone, p.agent.view.Load())
+	answer.Newer, answer.Fresh = p.agent.newerThan(r.Revisions), p.agent.relaysFresh()
 	return nil
 }
 
@@ -221,6 +220,7 @@
 type TokenRequest struct {
 	Workspace model.Workspace
 	Tokens    float64
+	Deputy    bool // the question is for the host that stands in for the leader
 }
 
 // TokenAnswer is the broker's answer.
@@ -231,6 +231,10 @@
 
 // Take hands out tokens of a workspace's limit.
 func (p *Peer) Take(r TokenRequest, answer *TokenAnswer) error {
+	if r.Deputy {
+		*answer = p.agent.deputy.take(boottime.Now(), r)
+		return nil
+	}
 	l := p.agent.leadership()
 	if l == nil {
 		return errNotLeader
@@ -259,83 +263,3 @@
 		return errNoSuccessor
 	}
 }
-
-// takeTokens takes tokens from the broker, which is the leader.
-func (a *Agent) takeTokens(workspace model.Workspace, n float64) (float64, time.Duration, error) {
-	leader, ok := a.view.Load().leaderHost()
-	if !ok {
-		return 0, 0, errNoLeader
-	}
-	request, answer := TokenRequest{workspace, n}, TokenAnswer{}
-	err := ask(a, leader, "Peer.Take", (*Peer).Take, request, &answer, tokenTimeout)
-	a.noteBrokerGone(err)
-	return answer.Granted, answer.Wait, err
-}
-
-// noteBrokerGone stops to rely on the broker if an error proves that it hands out nothing any more: its process has ended,
-// or says that it does not lead.
-func (a *Agent) noteBrokerGone(err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) || err != nil && err.Error() == errNotLeader.Error() {
-		a.Server.BrokerGone()
-	}
-}
-
-// reportLoop reports to the leader. While there is none to be reached, it asks other hosts what they have seen.
-func (a *Agent) reportLoop(ctx context.Context) {
-	dep := dependency{log: a.Log, name: "leader"}
-	for ctx.Err() == nil {
-		sleep(ctx, reportInterval)
-		err := a.reportOnce(ctx)
-		dep.observe(err)
-		a.leaderLost.Store(err != nil)
-		if err != nil {
-			a.syncWithPeer(ctx)
-		}
-	}
-}
-
-func (a *Agent) reportOnce(ctx context.Context) error {
-	leader, ok := a.view.Load().leaderHost()
-	if !ok {
-		a.Server.BrokerGone()
-		return errNoLeader
-	}
-	request := ReportRequest{Host: a.Self.ID, Alone: a.Server.Alone(), Opinions: a.Server.Opinions(),
-		Revisions: a.revisions()}
-	sent := boottime.Now()
-	answer, err := a.reportTo(leader, request)
-	if err == nil && request.Alone {
-		// The leader counts the part of this host only from a report in which the host does not use it any more.
-		request.Alone, sent = false, boottime.Now()
-		a.Server.BrokerAnswered(sent)
-		answer, err = a.reportTo(leader, request)
-	}
-	if err != nil {
-		a.noteBrokerGone(err)
-		return err
-	}
-	a.Server.BrokerAnswered(sent)
-	a.adopt(ctx, leader.ID, sent, answer)
-	return nil
-}
-
-func (a *Agent) reportTo(leader Host, request ReportRequest) (answer SyncAnswer, err error) {
-	err = ask(a, leader, "Peer.Report", (*Peer).Report, request, &answer, reportTimeout)
-	return answer, err
-}
-
-// syncWithPeer asks one of the candidates what it has seen of the store.
-func (a *Agent) syncWithPeer(ctx context.Context) {
-	hosts := slices.DeleteFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
-	if len(hosts) == 0 {
-		return
-	}
-	h := hosts[rand.IntN(len(hosts))]
-	sent := boottime.Now()
-	var answer SyncAnswer
-	if err := a.peers.call(h, "Peer.Sync", a.revisions(), &answer, reportTimeout); err != nil {
-		a.Log.Info("peer: no answer", zap.String("peer", string(h.ID)), zap.Error(err))
-		return
-	}
-	a.adopt(ctx, h.ID, sent, answer)
-}
--- a/share/share.go
+++ b/share/share.go
@@ -1,7 +1,8 @@
 // Package share divides the rate and burst of each workspace over the hosts. A small fixed part of each limit belongs to the
 // hosts equally; the rest is one bucket at the broker, from which hosts take tokens when their own part is used up. A host
-// that does not reach the broker uses its equal part of the whole limit instead, and the broker leaves that much out. The
-// tokens of all hosts together never exceed the limit. The package is pure.
+// that does not reach the broker uses its equal part of the whole limit instead, and the broker leaves that much out: it
+// hands out the parts of its members only. So hosts that a partition keeps from each other may have a broker on each side.
+// The tokens of all hosts together never exceed the limit. The package is pure.
 //
 // The load that it answers: callers of a workspace that sit on few hosts, so that equal parts would refuse operations
 // inside the limit, small workspaces whose equal parts are below one operation a second, and a workspace that asks for many
@@ -35,6 +36,8 @@
 	prefetch = 60 * time.Millisecond
 	// lentFor is the time for which tokens of the broker are kept.
 	lentFor = time.Second
+	// handOverReserve is the time whose rate a broker keeps while it hands over, which takes two calls of the store.
+	handOverReserve = 300 * time.Millisecond
 	// emptyFor is the longest time for which a host does not ask again after the broker had no token.
 	emptyFor = 30 * time.Millisecond
 )
@@ -73,6 +76,7 @@
 	created time.Time
 	heard   map[model.HostID]time.Time // last report of a host that uses its fixed part only
 	buckets map[model.Workspace]*bucket
+	closed  bool // it has handed over, and has only its reserve
 }
 
 // NewBroker returns a broker with empty buckets. It regards every host as alone until it reports.
@@ -86,18 +90,22 @@
 	Heard  map[model.HostID]time.Duration // time since the last report of a host that uses its fixed part only
 }
 
-// HandOver returns the state of the broker. It must hand out nothing afterwards.
+// HandOver returns the state that the successor goes on from. The broker keeps a reserve, at most half of what is left, and
+// hands out nothing else afterwards.
 func (b *Broker) HandOver(now time.Time) State {
 	s := State{Levels: map[model.Workspace]float64{}, Heard: map[model.HostID]time.Duration{}}
 	part := b.part(now)
-	for workspace, k := range b.buckets {
-		limit := b.limits[workspace]
+	for workspace, limit := range b.limits {
+		k := b.bucket(workspace)
 		k.refill(now, part*limit.PerSecond, part*limit.Burst)
-		s.Levels[workspace] = k.level
+		reserve := math.Floor(min(part*limit.PerSecond*handOverReserve.Seconds(), k.level/2))
+		s.Levels[workspace] = k.level - reserve
+		k.level = reserve
 	}
 	for host, at := range b.heard {
 		s.Heard[host] = now.Sub(at)
 	}
+	b.closed = true
 	return s
 }
 
@@ -129,28 +137,38 @@
 func (b *Broker) Take(now time.Time, workspace model.Workspace, n float64) (granted float64, wait time.Duration) {
 	limit := b.limits[workspace]
 	part := b.part(now)
+	k := b.bucket(workspace)
+	if !b.closed {
+		k.refill(now, part*limit.PerSecond, part*limit.Burst)
+	}
+	granted = math.Floor(min(n, k.level))
+	k.level -= granted
+	return granted, k.untilToken(part * limit.PerSecond)
+}
+
+// bucket returns the bucket of a workspace, which has filled since the broker was created.
+func (b *Broker) bucket(workspace model.Workspace) *bucket {
 	k := b.buckets[workspace]
 	if k == nil {
 		k = &bucket{updated: b.created}
 		b.buckets[workspace] = k
 	}
-	k.refill(now, part*limit.PerSecond, part*limit.Burst)
-	granted = math.Floor(min(n, k.level))
-	k.level -= granted
-	return granted, k.untilToken(part * limit.PerSecond)
+	return k
 }
 
-// part returns the part of the limits that no host uses on its own.
-func (b *Broker) part(now time.Time) float64 {
-	connected := 0
+// Members returns the number of hosts that use their fixed part only.
+func (b *Broker) Members(now time.Time) int {
 	for host, at := range b.heard {
 		if now.Sub(at) > heardFor {
 			delete(b.heard, host)
-			continue
 		}
-		connected++
 	}
-	connected = min(connected, b.hosts)
+	return len(b.heard)
+}
+
+// part returns the part of the limits that no host uses on its own.
+func (b *Broker) part(now time.Time) float64 {
+	connected := min(b.Members(now), b.hosts)
 	alone := float64(b.hosts-connected) / float64(b.hosts)
 	return max(0, 1-alone-fixedPart*float64(connected)/float64(b.hosts))
 }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -202,6 +202,43 @@
 	}
 }
 
+// Guards against operations refused inside the limit while a leader that stops waits for its successor, and against tokens
+// that both of them hand out.
+func TestHandingOverServesFromReserve(t *testing.T) {
+	limits := Limits{"w": {PerSecond: 80, Burst: 80}}
+	for _, c := range []struct {
+		name  string
+		asked int
+	}{{"inside the limit", 1}, {"beyond the limit", 12}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(8, limits)
+			f.play(5*time.Second, func(int) {})
+			refused := 0
+			var next *Broker
+			f.play(20*time.Second, func(step int) {
+				switch step % 200 {
+				case 0:
+					next = Succeed(f.now, f.broker.HandOver(f.now))
+					next.SetLimits(limits, 8)
+				case 50: // 250 ms later
+					f.broker = next
+				}
+				for range c.asked {
+					if step%4 == 0 && !f.ask(3, "w") { // 50 a second, or 600
+						refused++
+					}
+				}
+			})
+			if c.asked == 1 && refused > 0 {
+				t.Errorf("%d of 1000 operations were refused at 62%% of the limit", refused)
+			}
+			if got, most := f.mostIn(window), 80*5+80; got > most {
+				t.Errorf("%d operations in %s, at most %d are allowed", got, window, most)
+			}
+		})
+	}
+}
+
 // Guards against a restart of all hosts that grants each of them a full burst.
 func TestRestartOfAllHostsKeepsToLimit(t *testing.T) {
 	limits := Limits{"w": {PerSecond: 60, Burst: 60}}
