Hosts that do not answer are asked in the background; a starting host learns from seeds when the store turns it away

Cause 3: a host that the store turns away cannot register after a restart although others reach the store. Found on the way: a registration whose answer was lost could take effect later and put its older lease in the place of the one in force; it has a condition now.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,6 +77,7 @@
 	Prober   Prober
 	Promoter Promoter
 	Server   *frontend.Server
+	Seeds    []string // addresses of other hosts that a starting one asks
 	Log      *zap.Logger
 }
 
@@ -86,6 +87,7 @@
 	peers  *peers // for control calls
 	runs   *peers // for statements, which a control call without an answer must not cut off
 	homes  homes
+	reach  reach
 	view   atomic.Pointer[view]
 	events chan func(*control)
 	ready  atomic.Bool
@@ -98,10 +100,11 @@
 	relayHeard, storeHeard atomic.Int64
 	leaderLost             atomic.Bool // the last report to the leader failed
 
-	confirmMu sync.Mutex               // guards the registration
-	lease     metastore.Lease          // of the registration, 0 while there is none
-	told      map[model.Service]uint64 // epochs that the leader has told this host itself
-	fenced    map[model.Service]uint64 // epochs that this host confirms through the store
+	confirmMu  sync.Mutex               // guards the registration
+	lease      metastore.Lease          // of the registration, 0 while there is none
+	registered uint64                   // revision of the registration
+	told       map[model.Service]uint64 // epochs that the leader has told this host itself
+	fenced     map[model.Service]uint64 // epochs that this host confirms through the store
 
 	followMu  sync.Mutex
 	followers map[string]*follower // by prefix
@@ -137,7 +140,11 @@
 		homes: homes{outstanding: map[model.HostID]int{}, avoid: map[model.HostID]time.Time{}}, events: make(chan func(*control), queuedEvents),
 		successions: make(chan succession, 1), followers: map[string]*follower{}, told: map[model.Service]uint64{},
 		fenced: map[model.Service]uint64{}}
+	a.reach.hosts = map[model.HostID]*contact{}
 	a.view.Store(newView())
+	a.follower(a.Decoders.ConfigurationKey, (*control).applyConfiguration)
+	a.follower(a.Decoders.TargetPrefix, (*control).applyTargets)
+	a.follower(prefix, (*control).applyOwn)
 	c.Server.SetBroker(a.takeTokens)
 	c.Server.SetForwarder(a)
 	return a
@@ -160,6 +167,7 @@
 	go a.follow(ctx, a.Decoders.ConfigurationKey, (*control).applyConfiguration)
 	go a.follow(ctx, a.Decoders.TargetPrefix, (*control).applyTargets)
 	go a.follow(ctx, prefix, (*control).applyOwn)
+	go a.askSeeds(ctx)
 	go a.register(ctx)
 	go a.reportLoop(ctx)
 	go a.deputyLoop(ctx)
@@ -371,10 +379,16 @@
 	}
 }
 
-// fence puts a decision in force. If it closes the use of a primary and the leader does not ask for that itself, it may not
-// reach this host, and the confirmation is written to the store.
+// fence puts a decision in force.
 func (a *Agent) fence(doc primacy.Document) {
-	if !a.Server.SetDocument(doc) || doc.Open {
+	if a.Server.SetDocument(doc) {
+		a.confirm(doc)
+	}
+}
+
+// confirm confirms through the store that this host uses a primary no more, unless the leader asks for it itself.
+func (a *Agent) confirm(doc primacy.Document) {
+	if doc.Open {
 		return
 	}
 	time.Sleep(confirmAfter)
@@ -384,9 +398,14 @@
 	}
 	ctx, cancel := contextWithTimeout(callTimeout)
 	defer cancel()
-	_, err := a.Store.Commit(ctx, txn)
+	revision, err := a.Store.Commit(ctx, txn)
 	a.Log.Info("primary: confirmed through the store", zap.String("service", string(doc.Service)),
 		zap.Uint64("epoch", doc.Epoch), zap.Error(err))
+	if err == nil {
+		a.confirmMu.Lock()
+		a.registered = max(a.registered, revision)
+		a.confirmMu.Unlock()
+	}
 }
 
 // confirmation returns the registration with the epoch of a closed decision, unless the leader has told this host itself.
@@ -397,7 +416,9 @@
 		return metastore.Txn{}, false
 	}
 	a.fenced[doc.Service] = doc.Epoch
-	return a.registrationTxn(), true
+	self := a.Self
+	self.Fenced = maps.Clone(a.fenced)
+	return self.put(a.lease, a.registered), true
 }
 
 // dependency logs once when a dependency is lost and once when it is back.
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/rpc"
 	"sync"
 	"time"
@@ -17,6 +18,9 @@
 	// avoidSlow is the time for which nothing is passed on to a host that gave no answer in time, which may be the fault of
 	// a target.
 	avoidSlow = 300 * time.Millisecond
+	// avoidUnable is the time for which nothing is passed on to a host that cannot serve at the moment, as one that has just
+	// started.
+	avoidUnable = 300 * time.Millisecond
 	// avoidDraining is the time for which nothing is passed on to a host that is about to stop, which takes some seconds.
 	avoidDraining = 5 * time.Second
 )
@@ -37,7 +41,7 @@
 	v := a.view.Load()
 	plan := v.plans[service]
 	first, spares := plan.Homes(workspace)
-	for _, list := range [][]model.HostID{first, spares} {
+	for _, list := range [][]model.HostID{first, spares, plan.Hosts} {
 		if host := a.leastBusy(v, list); host != "" {
 			return host, host == a.Self.ID
 		}
@@ -55,7 +59,7 @@
 		if id == a.Self.ID {
 			return id
 		}
-		if _, registered := v.hosts[id]; !registered || now.Before(a.homes.avoid[id]) {
+		if _, registered := v.hosts[id]; !registered || now.Before(a.homes.avoid[id]) || a.reach.isLost(id) {
 			continue
 		}
 		load := a.homes.outstanding[id]
@@ -80,21 +84,43 @@
 	defer a.homes.count(host, -1)
 	// The answer of a call that has timed out may still arrive, so each call has its own.
 	answer := new(frontend.Forwarded)
-	_, err := a.runs.start(h, "Peer.Run", f, answer, timeout)
+	_, err := a.runs.startUnlessLost(h, "Peer.Run", f, answer, timeout, func() <-chan struct{} {
+		lost := a.inquire(h)
+		if f.MayRunTwice() {
+			return lost
+		}
+		return nil // the answer may still come, and nothing else tells what has become of the statement
+	})
+	if err == nil {
+		return *answer, true, nil
+	}
+	return frontend.Forwarded{}, a.noteForwardFailure(h, err), err
+}
+
+// noteForwardFailure avoids a host that has not run a statement or gave no answer, and reports whether it may have run it.
+func (a *Agent) noteForwardFailure(h Host, err error) (mayHaveRun bool) {
 	var refused rpc.ServerError
 	var notSent *dialError
+	var network net.Error
 	switch {
-	case err == nil:
-		return *answer, true, nil
+	case errors.As(err, &refused) && err.Error() == frontend.ErrDraining.Error():
+		a.homes.avoidFor(h.ID, avoidDraining)
+		return false
 	case errors.As(err, &refused):
-		a.homes.avoidFor(host, avoidDraining)
-		return frontend.Forwarded{}, false, err
+		a.homes.avoidFor(h.ID, avoidUnable)
+		return false
+	case errors.As(err, &notSent):
+		if errors.As(err, &network) && network.Timeout() {
+			a.presumeLost(h)
+		}
+		a.homes.avoidFor(h.ID, avoidLost)
+		return false
 	case errors.Is(err, errTimeout):
-		a.homes.avoidFor(host, avoidSlow)
+		a.homes.avoidFor(h.ID, avoidSlow)
 	default:
-		a.homes.avoidFor(host, avoidLost)
+		a.homes.avoidFor(h.ID, avoidLost)
 	}
-	return frontend.Forwarded{}, !errors.As(err, &notSent), err
+	return true
 }
 
 func (h *homes) count(host model.HostID, n int) {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -23,9 +23,11 @@
 	errNoLeader    = errors.New("no leader is known")
 	errNotLeader   = errors.New("this host is not the leader")
 	errTimeout     = errors.New("the peer did not answer in time")
+	errLost        = errors.New("the peer does not answer")
 	errUnknownHost = errors.New("the host is not registered")
 	errNoSuccessor = errors.New("this host cannot lead")
 	errOtherBroker = errors.New("another broker may count this host still")
+	errStoreSilent = errors.New("this host does not hear the store")
 	errStarted     = errors.New("this host has another incarnation")
 )
 
@@ -35,6 +37,9 @@
 // successionTimeout bounds the offer to lead; it takes two calls of the store.
 const successionTimeout = 500 * time.Millisecond
 
+// enterTimeout bounds a registration through another host, which takes four calls of the store.
+const enterTimeout = 1500 * time.Millisecond
+
 // reportTimeout bounds a report; the leader answers at once.
 const reportTimeout = 500 * time.Millisecond
 
@@ -75,21 +80,44 @@
 // start calls a method of another host and waits for its answer. A method that waits for a target says nothing of the
 // connection when it gives no answer in time.
 func (p *peers) start(h Host, method string, args, reply any, timeout time.Duration) (*rpc.Client, error) {
+	return p.startUnlessLost(h, method, args, reply, timeout, nil)
+}
+
+// startUnlessLost does the same, but after suspectAfter without an answer it calls inquire, and ends when the channel that it
+// returns is closed.
+func (p *peers) startUnlessLost(h Host, method string, args, reply any, timeout time.Duration,
+	inquire func() <-chan struct{}) (*rpc.Client, error) {
 	client, err := p.client(h.Address)
 	if err != nil {
 		return nil, err
 	}
-	timer := time.NewTimer(timeout)
+	err = await(client, method, args, reply, timeout, inquire)
+	var refused rpc.ServerError
+	if err != nil && !errors.Is(err, errTimeout) && !errors.Is(err, errLost) && !errors.As(err, &refused) {
+		p.drop(h.Address, client)
+	}
+	return client, err
+}
+
+func await(client *rpc.Client, method string, args, reply any, timeout time.Duration, inquire func() <-chan struct{}) error {
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	timer, suspect := time.NewTimer(timeout), time.NewTimer(suspectAfter)
 	defer timer.Stop()
-	select {
-	case call := <-client.Go(method, args, reply, make(chan *rpc.Call, 1)).Done:
-		var refused rpc.ServerError
-		if call.Error != nil && !errors.As(call.Error, &refused) {
-			p.drop(h.Address, client)
+	defer suspect.Stop()
+	var lost <-chan struct{}
+	for {
+		select {
+		case <-call.Done:
+			return call.Error
+		case <-suspect.C:
+			if inquire != nil {
+				lost = inquire()
+			}
+		case <-lost:
+			return errLost
+		case <-timer.C:
+			return errTimeout
 		}
-		return client, call.Error
-	case <-timer.C:
-		return client, errTimeout
 	}
 }
 
@@ -100,21 +128,47 @@
 	if client != nil {
 		return client, nil
 	}
-	conn, err := socket.Dialer(peerDialTimeout).Dial("tcp", address)
+	client, err := dial(address)
 	if err != nil {
-		return nil, &dialError{err}
+		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if other := p.clients[address]; other != nil {
-		_ = conn.Close() // another goroutine was faster
+		_ = client.Close() // another goroutine was faster
 		return other, nil
 	}
-	client = rpccodec.NewClient(conn)
 	p.clients[address] = client
 	return client, nil
 }
 
+func dial(address string) (*rpc.Client, error) {
+	conn, err := socket.Dialer(peerDialTimeout).Dial("tcp", address)
+	if err != nil {
+		return nil, &dialError{err}
+	}
+	return rpccodec.NewClient(conn), nil
+}
+
+// renew replaces the connection to a host by a new one that has answered. What waits on the old one ends.
+func (p *peers) renew(h Host, timeout time.Duration) error {
+	client, err := dial(h.Address)
+	if err != nil {
+		return err
+	}
+	if err := await(client, "Peer.Ping", struct{}{}, &struct{}{}, timeout, nil); err != nil {
+		_ = client.Close()
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.clients[h.Address]; old != nil {
+		_ = old.Close()
+	}
+	p.clients[h.Address] = client
+	return nil
+}
+
 func (p *peers) drop(address string, client *rpc.Client) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -13,14 +13,21 @@
 
 const (
 	// maxForwards bounds the hosts that a statement is passed on to before this host runs it itself.
-	maxForwards = 2
+	maxForwards = 4
 	// forwardMargin is added to the latency target when a read waits for another host, before it is run elsewhere.
 	forwardMargin = 150 * time.Millisecond
 )
 
+// ErrUnable refuses to run a statement of another host because this host cannot serve it: it does not know the configuration or
+// the targets yet, or may not use primaries. The statement has not run.
+var ErrUnable = errors.New("the host cannot serve the statement")
+
 // ErrDraining refuses a forwarded statement because the host is about to stop. The statement has not run.
 var ErrDraining = errors.New("the host is about to stop")
 
+// shortestAttempt is the time that a transaction needs to begin on another host after one has not answered.
+const shortestAttempt = 100 * time.Millisecond
+
 // Forwarder passes statements on to the hosts that keep connections for their workspaces.
 type Forwarder interface {
 	// Home returns the host that should run statements of a workspace on a service; local means this host.
@@ -49,6 +56,15 @@
 	Left      time.Duration // until the statement's timeout
 }
 
+// MayRunTwice reports whether the statement can be given up and run elsewhere although it may have run: it reads, or is part of
+// a transaction whose commit is not asked for yet.
+func (f Forward) MayRunTwice() bool {
+	if f.Txn != 0 {
+		return f.Statement.Kind != Commit
+	}
+	return !f.Writes
+}
+
 // Forwarded is the answer of the host that ran a forwarded statement.
 type Forwarded struct {
 	Answer Answer
@@ -121,7 +137,10 @@
 		return result.Answer, true
 	}
 	s.logForward(t.peer, st, sent, err)
-	if !sent && !t.onPeer {
+	if !t.onPeer && (!sent || op.deadline.Sub(boottime.Now()) > shortestAttempt) {
+		if sent {
+			go s.rollbackOnPeer(t.peer, t.id) // it may have begun there
+		}
 		t.peer = ""
 		return Answer{}, false
 	}
@@ -143,15 +162,17 @@
 	}
 }
 
-// RunForwarded runs a statement for another host. It fails with ErrDraining, and then nothing has run.
+// RunForwarded runs a statement for another host. After an error nothing has run.
 func (s *Server) RunForwarded(f Forward) (Forwarded, error) {
 	now := boottime.Now()
 	s.forwardsRunning.Add(1)
 	defer s.forwardsRunning.Add(-1)
-	if f.Txn == 0 {
-		if s.Draining() {
-			return Forwarded{}, ErrDraining
+	if f.Txn == 0 || f.Begin {
+		if err := s.takesForwards(f, now); err != nil {
+			return Forwarded{}, err
 		}
+	}
+	if f.Txn == 0 {
 		sess := s.forwardedSession(f)
 		op := operation{route: f.Route, workspace: f.Workspace, service: s.service(f.Route.Service), arrived: now,
 			deadline: now.Add(f.Left), writes: f.Writes}
@@ -176,6 +197,17 @@
 	return Forwarded{answer, sess.mark}, nil
 }
 
+// takesForwards returns nil if this host can run a new statement or transaction of another one.
+func (s *Server) takesForwards(f Forward, now time.Time) error {
+	switch {
+	case s.Draining():
+		return ErrDraining
+	case !s.mayUsePrimary(now) || !s.service(f.Route.Service).connects():
+		return ErrUnable
+	}
+	return nil
+}
+
 // forwardedSession returns a session that stands for one of another host.
 func (s *Server) forwardedSession(f Forward) *session {
 	sess := &session{server: s, log: s.log.With(zap.String("origin", string(f.Origin))),
@@ -208,9 +240,6 @@
 	if !f.Begin {
 		return s.forwardedTxns[key], nil
 	}
-	if s.Draining() {
-		return nil, ErrDraining
-	}
 	sess := s.forwardedSession(f)
 	sess.onIdle = func() { s.forgetForwarded(key) }
 	svc := s.services[f.Route.Service]
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -196,6 +196,13 @@
 	}
 }
 
+// connects reports whether this host may hold connections to targets of the service.
+func (s *service) connects() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Connects()
+}
+
 // acquire waits for a connection. The request's ticket is filled in.
 func (s *service) acquire(r pool.Request) grant {
 	waiter := make(chan grant, 1)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -28,6 +28,7 @@
 	store *lines.Store
 	group *lines.Group
 	hosts []*hostProcess
+	seeds []string // addresses of the hosts for each other
 	log   *zap.Logger
 }
 
@@ -110,8 +111,10 @@
 func (s *system) startHost(name string, platformStore, duties *httptest.Server) *hostProcess {
 	front, peers := freePorts(s.t), freePorts(s.t)
 	settings := fmt.Sprintf("[host]\nname = %s\ndata_centre = z1\ncallers = %s:%d\nhealth = %s:%d\n"+
-		"peer_address = %s\npeer_ports = %d,%d\nmetrics_port = %d\nstore = %s\nduties = %s\ndrain_seconds = 6\nfuture_key = 1\n",
-		name, ownAddress, front, ownAddress, front+1, ownAddress, peers, peers, peers+1, address(platformStore), address(duties))
+		"peers = %s:%d\nseeds = %s\nmetrics = %s:%d\nstore = %s\nduties = %s\ndrain_seconds = 6\nfuture_key = 1\n",
+		name, ownAddress, front, ownAddress, front+1, ownAddress, peers, strings.Join(s.seeds, ","), ownAddress, peers+1,
+		address(platformStore), address(duties))
+	s.seeds = append(s.seeds, fmt.Sprintf("%s:%d", ownAddress, peers))
 	path := filepath.Join(s.t.TempDir(), name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,7 +64,8 @@
 	agent := fleet.New(fleet.Config{Self: self, Store: platform.NewStore(settings.Store),
 		Decoders: fleet.Decoders{ConfigurationKey: platform.ConfigurationKey, TargetPrefix: platform.TargetPrefix,
 			Configuration: platform.ParseConfiguration, Target: platform.ParseTarget},
-		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.Duties, self.ID), Server: server, Log: log})
+		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.Duties, self.ID), Server: server, Log: log,
+		Seeds: settings.SeedList()})
 
 	listeners, err := listen(settings)
 	if err != nil {
@@ -96,7 +97,7 @@
 	for _, listening := range []struct {
 		listener *net.Listener
 		address  string
-	}{{&l.callers, s.Callers}, {&l.health, s.Health}, {&l.peers, s.Peers()}, {&l.metrics, s.Metrics()}} {
+	}{{&l.callers, s.Callers}, {&l.health, s.Health}, {&l.peers, s.Peers}, {&l.metrics, s.Metrics}} {
 		if *listening.listener, err = socket.Listen(listening.address); err != nil {
 			return l, trace.Wrap(err)
 		}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,12 +24,12 @@
 	LinkMbps   float64 `ini:"link_mbps"`
 	Cores      float64 `ini:"cores"`
 
-	Callers     string `ini:"callers"`      // address that callers connect to
-	Health      string `ini:"health"`       // address of the readiness check
-	PeerAddress string `ini:"peer_address"` // IP address for other hosts
-	PeerPorts   string `ini:"peer_ports"`   // first and last port, separated by a comma
-	Advertise   string `ini:"advertise"`    // address at which other hosts reach this one, if it is not the one above
-	MetricsPort int    `ini:"metrics_port"` // port of the metrics, on the address for other hosts
+	Callers   string `ini:"callers"`   // address that callers connect to
+	Health    string `ini:"health"`    // address of the readiness check
+	Peers     string `ini:"peers"`     // address for other hosts
+	Advertise string `ini:"advertise"` // address at which other hosts reach this one, if it is not the one above
+	Seeds     string `ini:"seeds"`     // addresses of other hosts that a starting one asks, separated by commas
+	Metrics   string `ini:"metrics"`   // address of the metrics
 
 	Store  string `ini:"store"`  // address of the metadata store
 	Duties string `ini:"duties"` // address for orders of promotion
@@ -36,17 +37,13 @@
 	DrainSeconds float64 `ini:"drain_seconds"` // time between the request to stop and the kill
 }
 
-// Peers returns the address for other hosts, on the first port of the range.
-func (s Settings) Peers() string {
-	first, _, _ := strings.Cut(s.PeerPorts, ",")
-	return s.PeerAddress + ":" + first
-}
-
 // Reachable returns the address at which other hosts reach this one.
-func (s Settings) Reachable() string { return cmp.Or(s.Advertise, s.Peers()) }
+func (s Settings) Reachable() string { return cmp.Or(s.Advertise, s.Peers) }
 
-// Metrics returns the address of the metrics.
-func (s Settings) Metrics() string { return fmt.Sprintf("%s:%d", s.PeerAddress, s.MetricsPort) }
+// SeedList returns the addresses of the hosts that a starting one asks, without its own.
+func (s Settings) SeedList() []string {
+	return slices.DeleteFunc(strings.Split(s.Seeds, ","), func(seed string) bool { return seed == "" || seed == s.Reachable() })
+}
 
 // Drain returns the longest time that a planned stop may take.
 func (s Settings) Drain() time.Duration {
@@ -75,8 +72,10 @@
 		faults = append(faults, "data_centre is missing")
 	}
 	addresses := []struct{ name, value string }{{"callers", s.Callers}, {"health", s.Health}, {"store", s.Store},
-		{"duties", s.Duties}, {"peer_address with peer_ports", s.Peers()}, {"advertise", s.Reachable()},
-		{"peer_address with metrics_port", s.Metrics()}}
+		{"duties", s.Duties}, {"peers", s.Peers}, {"advertise", s.Reachable()}, {"metrics", s.Metrics}}
+	for _, seed := range s.SeedList() {
+		addresses = append(addresses, struct{ name, value string }{"seeds", seed})
+	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			faults = append(faults, fmt.Sprintf("%s: %q is not an IP address with a port", a.name, a.value))
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -13,9 +13,9 @@
 memory_mb = 200
 callers = 10.0.0.1:8465
 health = 10.0.0.1:8460
-peer_address = 10.0.0.1
-peer_ports = 7560,7575
-metrics_port = 9464
+peers = 10.0.0.1:7560
+seeds = 10.0.0.1:7560,10.0.0.2:7560
+metrics = 10.0.0.1:9464
 store = 10.0.0.9:8466
 duties = 10.0.0.8:8466
 drain_seconds = 6
@@ -37,8 +37,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Peers() != "10.0.0.1:7560" || s.Metrics() != "10.0.0.1:9464" || s.Drain().Seconds() != 4.5 {
-		t.Errorf("peers %s, metrics %s, drain %s", s.Peers(), s.Metrics(), s.Drain())
+	if s.Peers != "10.0.0.1:7560" || s.Metrics != "10.0.0.1:9464" || s.Drain().Seconds() != 4.5 {
+		t.Errorf("peers %s, metrics %s, drain %s", s.Peers, s.Metrics, s.Drain())
+	}
+	if seeds := s.SeedList(); len(seeds) != 1 || seeds[0] != "10.0.0.2:7560" {
+		t.Errorf("seeds %v", seeds)
 	}
 }
 
@@ -49,8 +52,9 @@
 		{"data_centre = north", "", "data_centre is missing"},
 		{"callers = 10.0.0.1:8465", "callers = front:8465", "callers"},
 		{"store = 10.0.0.9:8466", "store = 10.0.0.9", "store"},
-		{"peer_ports = 7560,7575", "peer_ports =", "peer_ports"},
-		{"metrics_port = 9464", "metrics_port = 99999", "metrics_port"},
+		{"peers = 10.0.0.1:7560", "peers =", "peers"},
+		{"seeds = 10.0.0.1:7560,", "seeds = front,", "seeds"},
+		{"metrics = 10.0.0.1:9464", "metrics = 10.0.0.1:99999", "metrics"},
 		{"drain_seconds = 6", "drain_seconds = -1", "drain_seconds"},
 		{"memory_mb = 200", "memory_mb = much", "memory_mb"},
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -176,10 +176,15 @@
 	return p.schedule(now)
 }
 
+// Connects reports whether there is a target that this host may connect to.
+func (p *Pool) Connects() bool {
+	return slices.ContainsFunc(slices.Collect(maps.Values(p.targets)), func(t *target) bool { return t.Limit > 0 })
+}
+
 // Push adds a request. It is granted or refused by an action of this call or of a later one.
 func (p *Pool) Push(now time.Time, r Request) []Action {
 	r.arrived = now
-	if !slices.ContainsFunc(slices.Collect(maps.Values(p.targets)), func(t *target) bool { return t.Limit > 0 }) {
+	if !p.Connects() {
 		return []Action{Refuse{r.Ticket, RefusedNoTarget}}
 	}
 	if len(p.waiting) >= p.queueLimit() {
--- a/soak/world.go
+++ b/soak/world.go
@@ -66,6 +66,7 @@
 	group   *lines.Group
 	servers []*httptest.Server
 	hosts   []*host
+	seeds   []string // addresses of the hosts for each other
 
 	stopCallers, stopAll chan struct{}
 	sessions             atomic.Int64
@@ -149,11 +150,11 @@
 			return nil, err
 		}
 	}
-	port := func(address string) string { return address[strings.LastIndex(address, ":")+1:] }
-	text := fmt.Sprintf("[host]\nname = host-%d\ndata_centre = z%d\ncallers = %s\nhealth = %s\npeer_address = %s\n"+
-		"peer_ports = %s,%s\nadvertise = %s\nmetrics_port = %s\nstore = %s\nduties = %s\ndrain_seconds = %d\n", number,
-		1+number%3, h.direct, h.health, w.address, port(h.peers), port(h.peers), advertised, port(metrics), store,
+	text := fmt.Sprintf("[host]\nname = host-%d\ndata_centre = z%d\ncallers = %s\nhealth = %s\npeers = %s\n"+
+		"seeds = %s\nadvertise = %s\nmetrics = %s\nstore = %s\nduties = %s\ndrain_seconds = %d\n", number,
+		1+number%3, h.direct, h.health, h.peers, strings.Join(w.seeds, ","), advertised, metrics, store,
 		strings.TrimPrefix(w.servers[1].URL, "http://"), drainSeconds)
+	w.seeds = append(w.seeds, advertised)
 	return h, trace.Wrap(os.WriteFile(h.settings, []byte(text), 0o600))
 }
 
