--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -119,12 +119,22 @@
 	return true
 }
 
-// stopUsing lets this host use its equal part instead of the tokens of a broker.
+// stopUsing ends the use of a broker. Unless it has gone it may count this host for a while, which uses its equal part only
+// when the last answer is old enough.
 func (a *Agent) stopUsing(b brokerHost, gone bool) {
-	if a.membership.stop(b, gone) {
+	if !a.membership.stop(b, gone) {
+		return
+	}
+	if gone {
 		a.Server.BrokerGone()
-		a.Log.Info("rate: equal part in use", zap.String("broker_before", string(b.ID)), zap.Bool("broker_gone", gone))
 	}
+	a.Log.Info("rate: broker not in use", zap.String("broker", string(b.ID)), zap.Bool("deputy", b.deputy), zap.Bool("gone", gone))
+}
+
+// leave tells a broker that this host uses its equal part from now on.
+func (a *Agent) leave(b brokerHost) {
+	_, err := a.send(b, false)
+	a.stopUsing(b, err == nil || provesGone(err))
 }
 
 // noteBrokerGone stops to rely on a broker if an error proves that it hands out nothing any more.
@@ -166,7 +176,7 @@
 	leader, ok := a.view.Load().leaderHost()
 	if !ok {
 		if b := a.membership.current(); b != nil && !b.deputy {
-			a.stopUsing(*b, true)
+			a.leave(*b)
 		}
 		return errNoLeader
 	}
@@ -195,10 +205,7 @@
 		return // the leader was reached meanwhile
 	}
 	if old := a.membership.current(); old != nil && old.id() != b.id() {
-		a.stopUsing(*old, false)
-		if _, err := a.send(*old, false); err == nil || provesGone(err) {
-			a.membership.stop(*old, true)
-		}
+		a.leave(*old)
 	}
 	if err := a.reportAsMember(ctx, b); err != nil {
 		a.Log.Info("rate: broker not joined", zap.String("broker", string(b.ID)), zap.Bool("deputy", b.deputy), zap.Error(err))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -138,9 +138,8 @@
 func New(c Config) *Agent {
 	a := &Agent{Config: c, peers: newPeers(), runs: newPeers(),
 		homes: homes{outstanding: map[model.HostID]int{}, avoid: map[model.HostID]time.Time{}}, events: make(chan func(*control), queuedEvents),
-		successions: make(chan succession, 1), followers: map[string]*follower{}, told: map[model.Service]uint64{},
+		reach: reach{patience: pingTimeout, hosts: map[model.HostID]*contact{}}, successions: make(chan succession, 1), followers: map[string]*follower{}, told: map[model.Service]uint64{},
 		fenced: map[model.Service]uint64{}}
-	a.reach.hosts = map[model.HostID]*contact{}
 	a.view.Store(newView())
 	a.follower(a.Decoders.ConfigurationKey, (*control).applyConfiguration)
 	a.follower(a.Decoders.TargetPrefix, (*control).applyTargets)
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -20,6 +20,9 @@
 	return nil
 }
 
+// Ping answers at once.
+func (Slow) Ping(struct{}, *struct{}) error { return nil }
+
 func slowPeer(t *testing.T) Host {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -28,8 +31,10 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	server := rpc.NewServer()
-	if err := server.RegisterName("Slow", Slow{}); err != nil {
-		t.Fatal(err)
+	for _, name := range []string{"Slow", "Peer"} {
+		if err := server.RegisterName(name, Slow{}); err != nil {
+			t.Fatal(err)
+		}
 	}
 	go func() {
 		for {
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -26,6 +26,8 @@
 // reach knows which hosts do not answer, so that statements which can run elsewhere do not wait for them. A host is asked only
 // while a statement waits for it for long, and while it is lost.
 type reach struct {
+	patience time.Duration // for the answer to a question
+
 	mu    sync.Mutex
 	hosts map[model.HostID]*contact
 }
@@ -91,7 +93,7 @@
 }
 
 func (a *Agent) ask(h Host, c *contact) {
-	if _, err := a.runs.start(h, "Peer.Ping", struct{}{}, &struct{}{}, pingTimeout); err == nil {
+	if _, err := a.runs.start(h, "Peer.Ping", struct{}{}, &struct{}{}, a.reach.patience); err == nil {
 		a.reach.end(h.ID)
 		return
 	}
@@ -110,7 +112,7 @@
 			a.Log.Info("peer: registered no more", zap.String("peer", string(h.ID)))
 			return
 		}
-		if err := a.runs.renew(h, pingTimeout); err == nil {
+		if err := a.runs.renew(h, a.reach.patience); err == nil {
 			a.Log.Info("peer: reached again", zap.String("peer", string(h.ID)), zap.Duration("after", boottime.Now().Sub(since)))
 			return
 		}
--- /dev/null
+++ b/fleet/register_test.go
@@ -0,0 +1,127 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/metastore"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// memoryStore is a store in memory whose changes can be delayed.
+type memoryStore struct {
+	metastore.Store
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]metastore.Item
+	leases   map[metastore.Lease]bool
+	delay    bool            // changes get no answer and wait
+	delayed  []metastore.Txn // that wait
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{revision: 1, items: map[string]metastore.Item{}, leases: map[metastore.Lease]bool{}}
+}
+
+func (s *memoryStore) Grant(context.Context, time.Duration) (metastore.Lease, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.leases[metastore.Lease(s.revision)] = true
+	return metastore.Lease(s.revision), hostLease, nil
+}
+
+func (s *memoryStore) Revoke(_ context.Context, lease metastore.Lease) error { return errNoAnswer }
+
+func (s *memoryStore) List(_ context.Context, prefix string) ([]metastore.Item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []metastore.Item
+	for key, item := range s.items {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+			items = append(items, item)
+		}
+	}
+	return items, s.revision, nil
+}
+
+func (s *memoryStore) Commit(_ context.Context, txn metastore.Txn) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.delay {
+		s.delayed = append(s.delayed, txn)
+		return 0, errNoAnswer
+	}
+	return s.apply(txn)
+}
+
+func (s *memoryStore) apply(txn metastore.Txn) (uint64, error) {
+	for _, c := range txn.Conditions {
+		if s.items[c.Key].Revision != c.Revision {
+			return 0, metastore.ErrConflict
+		}
+	}
+	s.revision++
+	for _, put := range txn.Puts {
+		put.Revision = s.revision
+		s.items[put.Key] = put
+	}
+	return s.revision, nil
+}
+
+// Guards against a registration whose answer was lost, and which takes effect after a later one: its older lease would end
+// while the host is in touch, and a leader that replaces a primary would not ask the host.
+func TestLateRegistrationChangesNothing(t *testing.T) {
+	store := newMemoryStore()
+	a := &Agent{Config: Config{Self: Host{ID: "host"}, Store: store, Log: zap.NewNop()}, followers: map[string]*follower{}}
+	store.delay = true
+	if _, err := a.enter(t.Context(), a.Self); !errors.Is(err, errNoAnswer) {
+		t.Fatalf("the delayed registration ended with %v", err)
+	}
+	store.delay = false
+	r, err := a.enter(t.Context(), a.Self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.apply(store.delayed[0]); !errors.Is(err, metastore.ErrConflict) {
+		t.Errorf("the late registration ended with %v", err)
+	}
+	if lease := store.items[hostPrefix+"host"].Lease; lease != r.Lease {
+		t.Errorf("the host is registered under lease %d, not %d", lease, r.Lease)
+	}
+}
+
+// Guards against a host that cannot register again because its key is still there from before its restart.
+func TestRegistrationReplacesOneFromBefore(t *testing.T) {
+	store := newMemoryStore()
+	store.items[hostPrefix+"host"] = metastore.Item{Key: hostPrefix + "host", Revision: 7}
+	store.items[hostPrefix+"host-2"] = metastore.Item{Key: hostPrefix + "host-2", Revision: 9}
+	a := &Agent{Config: Config{Self: Host{ID: "host"}, Store: store, Log: zap.NewNop()}, followers: map[string]*follower{}}
+	r, err := a.enter(t.Context(), a.Self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Decisions.Items) != 2 || r.Revision != store.items[hostPrefix+"host"].Revision {
+		t.Errorf("registered at %d with %d keys listed", r.Revision, len(r.Decisions.Items))
+	}
+}
+
+// Guards against a store that is silent for all hosts, and is asked once more by others for each host that tries to register.
+func TestPeerAsksSilentStoreForNobody(t *testing.T) {
+	store := newMemoryStore()
+	a := &Agent{Config: Config{Self: Host{ID: "host"}, Store: store, Log: zap.NewNop()}, followers: map[string]*follower{}}
+	var r Registration
+	if err := (&Peer{a}).Enter(Host{ID: "other"}, &r); !errors.Is(err, errStoreSilent) {
+		t.Errorf("error %v", err)
+	}
+	if store.revision != 1 {
+		t.Error("the store was asked")
+	}
+}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -318,3 +318,131 @@
 		}
 	}
 }
+
+// partitioned is a fleet whose hosts choose among brokers that they reach, as hosts do that lose and regain the leader.
+type partitioned struct {
+	*fleet
+	brokers []*Broker
+	reached []map[int]bool // by host: the brokers whose answers arrive
+	heardBy []map[int]bool // by host: the brokers at which reports arrive
+	members []Member
+	current []int // by host: the broker in use, or -1
+}
+
+func brokerID(i int) BrokerID { return BrokerID{Host: host(i), Deputy: i > 0} }
+
+// reportTo lets a host report to a broker and returns whether the answer arrives.
+func (p *partitioned) reportTo(i, broker int, member bool) bool {
+	if member && !p.members[i].Enter(p.now, brokerID(broker)) {
+		return false
+	}
+	if p.heardBy[i][broker] {
+		p.brokers[broker].Report(p.now, host(i), !member)
+	}
+	return p.heardBy[i][broker] && p.reached[i][broker]
+}
+
+// reportAll lets every host report to its broker, or look for the first one that answers.
+func (p *partitioned) reportAll() {
+	for i, l := range p.hosts {
+		if p.current[i] >= 0 && !p.reportTo(i, p.current[i], true) {
+			p.current[i] = -1
+			continue
+		}
+		for b := range p.brokers {
+			if p.current[i] == b || !p.reportTo(i, b, false) {
+				continue
+			}
+			if old := p.current[i]; old > b {
+				if p.reportTo(i, old, false) {
+					p.members[i].Left(brokerID(old))
+				}
+				p.current[i] = -1
+			}
+			if p.current[i] < 0 && p.reportTo(i, b, true) {
+				p.current[i] = b
+			}
+			break
+		}
+		if p.current[i] >= 0 {
+			l.Answered(p.now, p.now)
+		}
+	}
+}
+
+// Guards against a limit that is handed out twice while hosts change between the leader and deputies on the sides of
+// partitions, also when only one direction of a link is cut; and against deputies that leave most of the limit unused.
+func TestDeputiesKeepToLimit(t *testing.T) {
+	const hosts, limit = 8, 60
+	for seed := range uint64(30) {
+		limits := Limits{"w": {PerSecond: limit, Burst: limit}}
+		rng := rand.New(rand.NewPCG(seed, 4))
+		p := &partitioned{fleet: newFleet(hosts, limits), brokers: make([]*Broker, 3)}
+		for b := range p.brokers {
+			p.brokers[b] = NewBroker(start)
+			p.brokers[b].SetLimits(limits, hosts)
+		}
+		for range hosts {
+			p.reached, p.heardBy = append(p.reached, map[int]bool{0: true}), append(p.heardBy, map[int]bool{0: true, 1: true, 2: true})
+			p.members, p.current = append(p.members, Member{}), append(p.current, -1)
+		}
+		p.broker = nil
+		played, alone := 0, 0
+		for step := range 8000 { // 40 s
+			if rng.IntN(400) == 0 { // another partition
+				side := rng.IntN(1 << hosts)
+				for i := range hosts {
+					for b := range p.brokers {
+						cut := side>>i&1 != side>>b&1
+						p.reached[i][b], p.heardBy[i][b] = !cut, !cut || rng.IntN(4) == 0
+					}
+				}
+			}
+			if step%50 == 0 {
+				p.reportAll()
+			}
+			for range 3 { // 600 a second
+				i := rng.IntN(hosts)
+				if played++; p.current[i] < 0 {
+					p.ask(i, "w")
+					alone++
+					continue
+				}
+				p.broker = p.brokers[p.current[i]]
+				p.ask(i, "w")
+				p.broker = nil
+			}
+			p.now = p.now.Add(5 * time.Millisecond)
+		}
+		if got, most := p.mostIn(window), (limit*5+limit)*11/10+20; got > most {
+			t.Errorf("seed %d: %d operations in %s, at most %d are allowed", seed, got, window, most)
+		}
+		if spent, least := len(p.spent), limit*40*8/10; spent < least {
+			t.Errorf("seed %d: %d operations in 40 s, at least %d could run (%d of %d asked without a broker)", seed, spent, least,
+				alone, played)
+		}
+	}
+}
+
+// Guards against a host whose part two brokers count: one may count it for a while after a report whose answer was lost.
+func TestMemberOfOneBroker(t *testing.T) {
+	var m Member
+	first, second := BrokerID{Host: "a"}, BrokerID{Host: "a", Deputy: true}
+	if !m.Enter(start, first) || !m.Enter(start.Add(heardFor/2), first) {
+		t.Error("a host cannot become and stay a member")
+	}
+	if m.Enter(start.Add(heardFor), second) {
+		t.Error("two brokers count the host")
+	}
+	if !m.Enter(start.Add(heardFor/2+heardFor), second) {
+		t.Error("the host cannot change when the first broker counts it no more")
+	}
+	m.Left(first)
+	if m.Enter(start.Add(heardFor/2+heardFor), first) {
+		t.Error("the end of an earlier membership ended the present one")
+	}
+	m.Left(second)
+	if !m.Enter(start.Add(heardFor/2+heardFor), first) {
+		t.Error("the host cannot change although the second broker has let it go")
+	}
+}
