Tokens go to the broker that a host joins, and back for operations that have not run

Operations that no target ran cost a token each time they came back. Found on the way: a token at each of 70 hosts was more than the burst of a small workspace (88 operations at once, burst 20).

--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -27,20 +27,21 @@
 }
 
 // report takes the report of a host.
-func (d *deputy) report(now time.Time, host model.HostID, member bool, v *view) {
+func (d *deputy) report(now time.Time, r ReportRequest, v *view) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.broker != nil && d.broker.Members(now) == 0 {
 		d.broker = nil // the next members start with empty buckets
 	}
 	if d.broker == nil {
-		if !member {
+		if r.Alone {
 			return
 		}
 		d.broker = share.NewBroker(now)
 	}
 	d.broker.SetLimits(v.catalog.Limits, len(v.expected))
-	d.broker.Report(now, host, !member)
+	d.broker.Report(now, r.Host, r.Alone)
+	d.broker.Deposit(now, r.Deposit)
 }
 
 // take hands out tokens of the members' parts.
@@ -218,10 +219,11 @@
 	if !a.membership.enter(sent, b) {
 		return errOtherBroker
 	}
+	request := a.request(true)
 	if !a.membership.trusts(b) {
-		a.Server.BrokerAnswered(sent) // from now on: the broker hands out the rest as soon as it has the report
+		request.Deposit = a.Server.JoinBroker(sent) // the broker hands out the rest as soon as it has the report
 	}
-	answer, err := a.send(b, true)
+	answer, err := a.report(b, request)
 	news := a.membership.answered(b, err)
 	if err != nil {
 		a.noteBrokerGone(b, err)
@@ -236,8 +238,15 @@
 }
 
 // send reports to a broker as a member, or as a host that uses its equal part.
-func (a *Agent) send(b brokerHost, member bool) (answer SyncAnswer, err error) {
-	request := ReportRequest{Host: a.Self.ID, Alone: !member, Revisions: a.revisions()}
+func (a *Agent) send(b brokerHost, member bool) (SyncAnswer, error) {
+	return a.report(b, a.request(member))
+}
+
+func (a *Agent) request(member bool) ReportRequest {
+	return ReportRequest{Host: a.Self.ID, Alone: !member, Revisions: a.revisions()}
+}
+
+func (a *Agent) report(b brokerHost, request ReportRequest) (answer SyncAnswer, err error) {
 	if b.deputy {
 		err = ask(a, b.Host, "Peer.Sync", (*Peer).Sync, request, &answer, reportTimeout)
 		return answer, err
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -279,6 +279,7 @@
 	l.opinions[r.Host] = opinion{now, r.Opinions}
 	l.broker.SetLimits(v.catalog.Limits, len(v.expected))
 	l.broker.Report(now, r.Host, r.Alone)
+	l.broker.Deposit(now, r.Deposit)
 }
 
 // supervise starts a supervisor for each service of the configuration.
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -186,7 +186,8 @@
 	Host      model.HostID
 	Alone     bool // the host uses its equal part of the rates
 	Opinions  map[model.Service]primacy.Opinion
-	Revisions map[string]uint64 // last changes of the store that the host knows, by prefix
+	Revisions map[string]uint64           // last changes of the store that the host knows, by prefix
+	Deposit   map[model.Workspace]float64 // tokens of a host that becomes a member of the broker
 }
 
 // SyncAnswer brings a host what it has not seen of the store.
@@ -265,7 +266,7 @@
 
 // Sync answers a host that does not reach the leader, and counts its part of the rates unless it is alone.
 func (p *Peer) Sync(r ReportRequest, answer *SyncAnswer) error {
-	p.agent.deputy.report(boottime.Now(), r.Host, !r.Alone, p.agent.view.Load())
+	p.agent.deputy.report(boottime.Now(), r, p.agent.view.Load())
 	answer.Newer, answer.Fresh = p.agent.newerThan(r.Revisions), p.agent.relaysFresh()
 	return nil
 }
--- a/frontend/admission.go
+++ b/frontend/admission.go
@@ -61,3 +61,9 @@
 	}
 	return false, wait
 }
+
+func (s *Server) refund(workspace model.Workspace) {
+	s.limitMu.Lock()
+	defer s.limitMu.Unlock()
+	s.limiter.Refund(boottime.Now(), workspace)
+}
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -69,6 +69,7 @@
 type Forwarded struct {
 	Answer Answer
 	Mark   Mark
+	Ran    bool // a target may have run the statement
 }
 
 // txnKey names a transaction of another host's session.
@@ -101,8 +102,10 @@
 	result, sent, err := s.server.forwarder.Forward(host, s.forwardRequest(op, st), timeout)
 	if err == nil {
 		s.setMark(result.Mark)
+		s.ran = s.ran || result.Ran
 		return result.Answer, true
 	}
+	s.ran = s.ran || sent
 	s.logForward(host, st, sent, err)
 	if sent && op.writes {
 		return refuse(InDoubt, "the answer of the host that ran the statement was lost"), true
@@ -129,6 +132,7 @@
 	s.ranOn = string(t.peer)
 	result, sent, err := s.server.forwarder.Forward(t.peer, s.forwardRequest(op, st),
 		op.deadline.Sub(boottime.Now())+answerMargin)
+	s.ran = s.ran || sent && (err != nil || result.Ran)
 	if err == nil {
 		t.onPeer = true
 		s.setMark(result.Mark)
@@ -178,7 +182,7 @@
 			deadline: now.Add(f.Left), writes: f.Writes}
 		answer := sess.runHere(op, f.Statement)
 		sess.recordForwarded(f, answer, now)
-		return Forwarded{answer, sess.mark}, nil
+		return Forwarded{answer, sess.mark, sess.ran}, nil
 	}
 	key := txnKey{f.Origin, f.Incarnation, f.Txn}
 	sess, err := s.forwardedTxn(key, f)
@@ -194,7 +198,7 @@
 	if sess.txnState() != InTxn {
 		s.forgetForwarded(key)
 	}
-	return Forwarded{answer, sess.mark}, nil
+	return Forwarded{answer, sess.mark, sess.ran}, nil
 }
 
 // takesForwards returns nil if this host can run a new statement or transaction of another one.
--- a/frontend/message.go
+++ b/frontend/message.go
@@ -51,7 +51,7 @@
 // Code is the kind of an error answer, of a target or of this host.
 type Code uint8
 
-// Codes of answers. NotRun tells which ones promise that nothing is kept.
+// Codes of answers.
 const (
 	Success Code = iota
 	Busy
@@ -78,6 +78,11 @@
 // String returns the name of the code as it appears in logs and metrics.
 func (c Code) String() string { return codeNames[c] }
 
+// notRun reports whether a target answers with the code only to what it has not run.
+func (c Code) notRun() bool {
+	return c == Busy || c == Lagging || c == ReadOnly || c == WrongTarget || c == UnknownStatement
+}
+
 // Answer is the complete answer to a statement.
 type Answer struct {
 	Rows      []string // data rows, passed on as they are
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -156,6 +156,14 @@
 	s.limiter.Answered(boottime.Now(), sent)
 }
 
+// JoinBroker lets this host use its fixed part of the limits only, from the time at which it reports that to a broker. It
+// returns the tokens that do not fit into that part, for the broker.
+func (s *Server) JoinBroker(sent time.Time) map[model.Workspace]float64 {
+	s.limitMu.Lock()
+	defer s.limitMu.Unlock()
+	return s.limiter.Join(boottime.Now(), sent)
+}
+
 // BrokerGone records that the broker of the rate limits has stopped.
 func (s *Server) BrokerGone() {
 	s.limitMu.Lock()
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -85,6 +85,7 @@
 	state sessionState
 	mark  Mark
 	ranOn string // the target or the host that the last statement was given to, for logs
+	ran   bool   // a target may have run a statement of the present operation
 
 	mu  sync.Mutex // guards txn against its idle timer
 	txn *txn
@@ -223,6 +224,13 @@
 	return route, workspace, svc, Answer{}
 }
 
+// refund gives back the token of an operation that no target has run.
+func (s *session) refund(workspace model.Workspace) {
+	if !s.ran {
+		s.server.refund(workspace)
+	}
+}
+
 // operation is one attempt to run a statement or to begin a transaction.
 type operation struct {
 	route     catalog.Route
@@ -253,6 +261,8 @@
 	if refusal.Code != Success {
 		return refusal
 	}
+	s.ran = false
+	defer s.refund(workspace)
 	op := operation{route: route, workspace: workspace, service: svc, arrived: now,
 		deadline: now.Add(route.StatementTimeout - answerMargin), writes: s.writes(st)}
 	for range maxForwards {
@@ -279,6 +289,7 @@
 		began := boottime.Now()
 		reply, sent, err := op.service.run(c, &s.state, Command{Statement: st, After: after}, epoch, s.attemptTimer(op))
 		op.service.release(c, err != nil && !errors.Is(err, errNoPermission))
+		s.ran = s.ran || sent && !reply.Code.notRun()
 		if !op.writes && sent {
 			op.service.observeRead(boottime.Now().Sub(began))
 		}
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -1,12 +1,17 @@
 package frontend
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/routing"
 )
@@ -99,3 +104,23 @@
 		}
 	}
 }
+
+// Guards against a host that has just started and answers the statements of others' callers with refusals, while another host
+// could run them.
+func TestHostThatCannotServeTakesNoForwards(t *testing.T) {
+	s := New("z", nil, zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
+	f := Forward{Route: catalog.Route{Service: "stock"}, Workspace: "w", Statement: Statement{Kind: Read}, Left: time.Second}
+	for _, step := range []struct {
+		name string
+		do   func()
+	}{
+		{"without targets and permission", func() {}},
+		{"without targets", func() { s.AllowPrimaries(boottime.Now().Add(time.Hour)) }},
+		{"without connections", func() { s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock"}}, 0) }},
+	} {
+		step.do()
+		if _, err := s.RunForwarded(f); !errors.Is(err, ErrUnable) {
+			t.Errorf("%s: error %v", step.name, err)
+		}
+	}
+}
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -19,6 +19,7 @@
 	wrote    bool
 	failed   bool
 	idle     *time.Timer
+	paidBy   model.Workspace // whose token admitted it; empty at the host that runs it for another one, and after a refund
 
 	peer   model.HostID // the host that runs the transaction, empty for this host
 	id     uint64       // number of the transaction for the peer
@@ -57,11 +58,12 @@
 	if s.txn != nil {
 		return refuse(Malformed, "a transaction is open")
 	}
-	_, _, svc, refusal := s.admit()
+	_, workspace, svc, refusal := s.admit()
 	if refusal.Code != Success {
 		return refusal
 	}
-	s.txn = &txn{readOnly: st.Kind == BeginRead, service: svc}
+	s.ran = false
+	s.txn = &txn{readOnly: st.Kind == BeginRead, service: svc, paidBy: workspace}
 	defer s.startIdleTimer()
 	return Answer{}
 }
@@ -153,7 +155,8 @@
 		if refusal.Code != Success {
 			return refusal
 		}
-		reply, _, err := op.service.run(c, &s.state, Command{Statement: begin, After: after}, epoch, s.timer(op))
+		reply, sent, err := op.service.run(c, &s.state, Command{Statement: begin, After: after}, epoch, s.timer(op))
+		s.ran = s.ran || sent && !reply.Code.notRun()
 		if err == nil && reply.Code == Success {
 			t.conn, t.epoch = c, epoch
 			return Answer{}
@@ -189,6 +192,7 @@
 	}
 	if t.conn == nil {
 		if refusal := s.beginRemote(op, st); refusal.Code != Success {
+			s.refundTxn()
 			s.txn = nil
 			return refusal
 		}
@@ -216,6 +220,15 @@
 func (s *session) fail() {
 	s.rollback(s.txn)
 	s.txn.failed = true
+	s.refundTxn()
+}
+
+// refundTxn gives back the token of the open transaction if it has not begun on any target.
+func (s *session) refundTxn() {
+	if t := s.txn; t.paidBy != "" && !s.ran {
+		s.server.refund(t.paidBy)
+		t.paidBy = ""
+	}
 }
 
 // abandon closes the connection of the open transaction, which rolls it back.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -8,8 +8,10 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,16 +26,18 @@
 
 // system is a platform with three hosts and one service of three databases.
 type system struct {
-	t     *testing.T
-	store *lines.Store
-	group *lines.Group
-	hosts []*hostProcess
-	seeds []string // addresses of the hosts for each other
-	log   *zap.Logger
+	t      *testing.T
+	store  *lines.Store
+	group  *lines.Group
+	duties *httptest.Server
+	hosts  []*hostProcess
+	seeds  []string // addresses of the hosts for each other
+	log    *zap.Logger
 }
 
 type hostProcess struct {
 	callers string
+	relay   *loopback.Relay // before what other hosts send
 	health  string
 	stop    chan os.Signal
 	done    chan error
@@ -53,6 +57,7 @@
 	s.group = group
 	s.store.Configure(lines.Configuration(1, "workshop-key"))
 	platformStore, duties := httptest.NewServer(s.store), httptest.NewServer(group)
+	s.duties = duties
 	for i := range 3 {
 		s.hosts = append(s.hosts, s.startHost(fmt.Sprintf("host-%d", i), platformStore, duties))
 	}
@@ -88,38 +93,32 @@
 // ownAddress is the address of this test process.
 var ownAddress = loopback.Address(1)
 
-// freePorts returns the first of two neighbouring ports that are free.
-func freePorts(t *testing.T) int {
-	t.Helper()
-	for range 100 {
-		first, err := net.Listen("tcp", ownAddress+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		second, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ownAddress, port+1))
-		_ = first.Close()
-		if err == nil {
-			_ = second.Close()
-			return port
-		}
-	}
-	t.Fatal("no two neighbouring ports are free")
-	return 0
-}
+// lastPort is the last port that was given out. Ports are below those that the kernel takes for outgoing connections, which
+// would take one of the others at any time.
+var lastPort atomic.Int32
+
+// newPorts returns the first of two neighbouring ports that this process has not used yet.
+func newPorts() int { return 20000 + int(lastPort.Add(2)) }
 
 func (s *system) startHost(name string, platformStore, duties *httptest.Server) *hostProcess {
-	front, peers := freePorts(s.t), freePorts(s.t)
+	front, peers := newPorts(), newPorts()
 	settings := fmt.Sprintf("[host]\nname = %s\ndata_centre = z1\ncallers = %s:%d\nhealth = %s:%d\n"+
 		"peers = %s:%d\nseeds = %s\nmetrics = %s:%d\nstore = %s\nduties = %s\ndrain_seconds = 6\nfuture_key = 1\n",
 		name, ownAddress, front, ownAddress, front+1, ownAddress, peers, strings.Join(s.seeds, ","), ownAddress, peers+1,
 		address(platformStore), address(duties))
-	s.seeds = append(s.seeds, fmt.Sprintf("%s:%d", ownAddress, peers))
+
+	relay, err := loopback.NewRelay(fmt.Sprintf("%s:%d", ownAddress, newPorts()), fmt.Sprintf("%s:%d", ownAddress, peers))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(relay.Close)
+	settings += "advertise = " + relay.Address + "\n"
+	s.seeds = append(s.seeds, relay.Address)
 	path := filepath.Join(s.t.TempDir(), name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	h := &hostProcess{callers: fmt.Sprintf("%s:%d", ownAddress, front), health: fmt.Sprintf("%s:%d", ownAddress, front+1),
+	h := &hostProcess{relay: relay, callers: fmt.Sprintf("%s:%d", ownAddress, front), health: fmt.Sprintf("%s:%d", ownAddress, front+1),
 		stop: make(chan os.Signal, 1), done: make(chan error, 1)}
 	go func() { h.done <- gateway.Run(path, s.log, gateway.Signals{Stop: h.stop}) }()
 	return h
@@ -146,6 +145,18 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// leader returns the number of the host that leads.
+func (s *system) leader() int {
+	s.t.Helper()
+	leader := -1
+	s.await("a host leads", 10*time.Second, func() bool {
+		value, _ := s.store.Get("waxwingspindle/leader")
+		leader = slices.IndexFunc([]string{"host-0", "host-1", "host-2"}, func(name string) bool { return strings.Contains(string(value), name) })
+		return leader >= 0
+	})
+	return leader
+}
+
 // await waits until a condition holds.
 func (s *system) await(what string, limit time.Duration, holds func() bool) {
 	s.t.Helper()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -330,11 +331,7 @@
 	configuration.SetLimit("workshop", 60, 60)
 	s.store.Configure(configuration)
 	time.Sleep(2 * time.Second) // it is in force, and the buckets have filled
-	value, known := s.store.Get("waxwingspindle/leader")
-	if !known {
-		t.Fatal("nobody leads")
-	}
-	leader := slices.IndexFunc([]string{"host-0", "host-1", "host-2"}, func(name string) bool { return strings.Contains(string(value), name) })
+	leader := s.leader()
 	c := s.mustConnect((leader+1)%3, "view", "workshop-key")
 	var refused []string
 	stopped := make(chan error, 1)
@@ -355,6 +352,51 @@
 	}
 }
 
+// Guards against hosts that serve a workspace at a fraction of its limit because they do not reach the leader.
+func TestRatesWithoutLeader(t *testing.T) {
+	s := newSystem(t)
+	configuration := lines.Configuration(5, "workshop-key")
+	configuration.SetLimit("workshop", 60, 60)
+	s.store.Configure(configuration)
+	leader := s.leader()
+	c := s.mustConnect((leader+1)%3, "view", "workshop-key")
+	s.hosts[leader].relay.SetSilent(true)
+	admitted := 0
+	for n := 0; admitted < 120; n++ { // 30 a second: an equal part brings 20, and has 20 to begin with
+		if a := c.Query(fmt.Sprintf("p-%d", n), "READ item"); a.Code == "BUSY" {
+			admitted = -1
+		}
+		if admitted++; n > 900 {
+			t.Fatal("operations at half of the limit are refused for 30 s")
+		}
+		time.Sleep(33 * time.Millisecond)
+	}
+	s.hosts[leader].relay.SetSilent(false)
+}
+
+// Guards against a host that does not serve after its start because the store turns it away, while it serves others.
+func TestStartWhileStoreTurnsHostAway(t *testing.T) {
+	s := newSystem(t)
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(refusing.Close)
+	s.hosts = append(s.hosts, s.startHost("host-3", refusing, s.duties))
+	t.Cleanup(func() {
+		if err := s.hosts[3].end(); err != nil {
+			t.Error(err)
+		}
+	})
+	s.await("the host is ready", 10*time.Second, s.hosts[3].ready)
+	c := s.mustConnect(3, "orders", "workshop-key")
+	for n := range 20 { // longer than its first lease
+		if a := c.Query(fmt.Sprintf("t-%d", n), "WRITE item x"); a.Code != "" {
+			t.Errorf("write %d: %+v", n, a)
+		}
+		time.Sleep(450 * time.Millisecond)
+	}
+}
+
 // Guards against a planned stop that cuts statements off, and against one that takes too long.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	s := newSystem(t)
--- a/share/share.go
+++ b/share/share.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// fixedPart is the part of a limit that is divided equally while hosts reach the broker. More of it spares questions
-	// to the broker; less of it lies unused at hosts without callers of the workspace.
+	// fixedPart is the usual part of a limit that is divided equally while hosts reach the broker. More of it spares
+	// questions to the broker; less of it lies unused at hosts without callers of the workspace.
 	fixedPart = 0.1
 	// heardFor is the time for which a report proves to the broker that a host uses its fixed part only. It is shorter than
 	// aloneAfter, so that the broker leaves the host's equal part out before the host uses it.
@@ -27,7 +27,7 @@
 	// aloneAfter is the time without an answer of the broker after which a host uses its equal part of the whole limit. It
 	// is three reports.
 	aloneAfter = 800 * time.Millisecond
-	// startingPart is the part of its equal part of a second's rate that a host starts with. All hosts together start with
+	// startingPart is the part of its equal part of a second's rate that a host starts with, and hands over to its broker. All hosts together start with
 	// a third of a second's rate after a crash of all, which stays inside the tenth by which a limit may be exceeded in
 	// five seconds.
 	startingPart = 0.3
@@ -42,6 +42,15 @@
 	emptyFor = 30 * time.Millisecond
 )
 
+// fixedPartOf returns the part of a limit that is divided equally while hosts reach the broker. It is nothing where a host's
+// bucket would not hold a token: one token at each host of a large fleet could be more than the burst.
+func fixedPartOf(limit catalog.Limit, hosts int) float64 {
+	if limit.Burst*fixedPart < float64(hosts) {
+		return 0
+	}
+	return fixedPart
+}
+
 // Limits are the limits of all workspaces.
 type Limits map[model.Workspace]catalog.Limit
 
@@ -94,9 +103,8 @@
 // hands out nothing else afterwards.
 func (b *Broker) HandOver(now time.Time) State {
 	s := State{Levels: map[model.Workspace]float64{}, Heard: map[model.HostID]time.Duration{}}
-	part := b.part(now)
 	for workspace, limit := range b.limits {
-		k := b.bucket(workspace)
+		part, k := b.part(now, limit), b.bucket(workspace)
 		k.refill(now, part*limit.PerSecond, part*limit.Burst)
 		reserve := math.Floor(min(part*limit.PerSecond*handOverReserve.Seconds(), k.level/2))
 		s.Levels[workspace] = k.level - reserve
@@ -133,11 +141,23 @@
 	b.heard[host] = now
 }
 
+// Deposit takes over the tokens that a host has left when it becomes a member.
+func (b *Broker) Deposit(now time.Time, tokens map[model.Workspace]float64) {
+	if b.closed {
+		return
+	}
+	for workspace, n := range tokens {
+		limit := b.limits[workspace]
+		part, k := b.part(now, limit), b.bucket(workspace)
+		k.refill(now, part*limit.PerSecond, part*limit.Burst)
+		k.level = min(k.level+n, max(1, part*limit.Burst))
+	}
+}
+
 // Take hands out up to n tokens, whole ones. Without a token the wait tells when there may be one.
 func (b *Broker) Take(now time.Time, workspace model.Workspace, n float64) (granted float64, wait time.Duration) {
 	limit := b.limits[workspace]
-	part := b.part(now)
-	k := b.bucket(workspace)
+	part, k := b.part(now, limit), b.bucket(workspace)
 	if !b.closed {
 		k.refill(now, part*limit.PerSecond, part*limit.Burst)
 	}
@@ -166,11 +186,10 @@
 	return len(b.heard)
 }
 
-// part returns the part of the limits that no host uses on its own.
-func (b *Broker) part(now time.Time) float64 {
-	connected := min(b.Members(now), b.hosts)
-	alone := float64(b.hosts-connected) / float64(b.hosts)
-	return max(0, 1-alone-fixedPart*float64(connected)/float64(b.hosts))
+// part returns the part of a limit that no host uses on its own.
+func (b *Broker) part(now time.Time, limit catalog.Limit) float64 {
+	members := float64(min(b.Members(now), b.hosts)) / float64(b.hosts)
+	return members * (1 - fixedPartOf(limit, b.hosts))
 }
 
 type account struct {
@@ -212,6 +231,21 @@
 	l.limits, l.hosts = limits, max(hosts, 1)
 }
 
+// Join lets this host use its fixed part only, from the time at which it reports that to a broker. It returns the tokens that
+// do not fit into the fixed part, for the broker.
+func (l *Limiter) Join(now, sent time.Time) map[model.Workspace]float64 {
+	surplus := map[model.Workspace]float64{}
+	for workspace, limit := range l.limits {
+		a := l.account(now, workspace)
+		if over := a.level - fixedPartOf(limit, l.hosts)/float64(l.hosts)*limit.Burst; over > 0 {
+			surplus[workspace] = over
+			a.level -= over
+		}
+	}
+	l.answered = sent
+	return surplus
+}
+
 // Answered records that the broker has answered a report that was sent at the given time.
 func (l *Limiter) Answered(now, sent time.Time) {
 	for workspace := range l.limits {
@@ -235,7 +269,7 @@
 	if l.Take(now, workspace) {
 		return Verdict{Admitted: true}
 	}
-	v := Verdict{Wait: a.untilToken(l.part(now) * limit.PerSecond)}
+	v := Verdict{Wait: a.untilToken(l.part(now, limit) * limit.PerSecond)}
 	if !l.Alone(now) && now.After(a.empty) {
 		v.Ask = math.Ceil(1 + a.demand*prefetch.Seconds())
 	}
@@ -278,15 +312,23 @@
 	l.answered = time.Time{}
 }
 
-func (l *Limiter) part(now time.Time) float64 {
+// Refund gives a token back whose operation has not run.
+func (l *Limiter) Refund(now time.Time, workspace model.Workspace) {
+	if _, known := l.limits[workspace]; known {
+		l.Lend(now, workspace, 1, 0)
+	}
+}
+
+func (l *Limiter) part(now time.Time, limit catalog.Limit) float64 {
 	if l.Alone(now) {
 		return 1 / float64(l.hosts)
 	}
-	return fixedPart / float64(l.hosts)
+	return fixedPartOf(limit, l.hosts) / float64(l.hosts)
 }
 
 func (l *Limiter) account(now time.Time, workspace model.Workspace) *account {
-	limit, part := l.limits[workspace], l.part(now)
+	limit := l.limits[workspace]
+	part := l.part(now, limit)
 	a := l.accounts[workspace]
 	if a == nil {
 		a = &account{}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -37,12 +37,22 @@
 func (f *fleet) report() {
 	for i, l := range f.hosts {
 		if !f.cut[i] && f.broker != nil {
-			f.broker.Report(f.now, host(i), l.Alone(f.now))
-			l.Answered(f.now, f.now)
+			join(f.now, f.broker, host(i), l)
 		}
 	}
 }
 
+// join lets a host report as a member of the broker, with the tokens that it has if it was none.
+func join(now time.Time, b *Broker, id model.HostID, l *Limiter) {
+	var surplus map[model.Workspace]float64
+	if l.Alone(now) {
+		surplus = l.Join(now, now)
+	}
+	l.Answered(now, now)
+	b.Report(now, id, false)
+	b.Deposit(now, surplus)
+}
+
 // ask lets an operation of the workspace start at a host if it is admitted.
 func (f *fleet) ask(i int, workspace model.Workspace) bool {
 	l := f.hosts[i]
@@ -365,7 +375,7 @@
 			break
 		}
 		if p.current[i] >= 0 {
-			l.Answered(p.now, p.now)
+			join(p.now, p.brokers[p.current[i]], host(i), l)
 		}
 	}
 }
@@ -446,3 +456,60 @@
 		t.Error("the host cannot change although the second broker has let it go")
 	}
 }
+
+// Guards against a workspace that has nothing for the first second of a fleet, of a leader or of a partition, because each
+// host has less than one token of it and the broker begins empty.
+func TestBrokerBeginsWithWhatHostsHave(t *testing.T) {
+	const hosts = 70
+	limits := Limits{"w": {PerSecond: 20, Burst: 20}}
+	f := newFleet(hosts, limits)
+	f.report()
+	if !f.ask(3, "w") {
+		t.Error("a workspace has no token after the start of all hosts")
+	}
+	f.play(5*time.Second, func(int) {})
+	f.broker = nil
+	f.play(2*time.Second, func(int) {}) // the hosts fill their equal parts
+	f.broker = NewBroker(f.now)
+	f.broker.SetLimits(limits, hosts)
+	f.report()
+	served := 0
+	for range 15 {
+		if f.ask(3, "w") {
+			served++
+		}
+	}
+	if served < 15 {
+		t.Errorf("%d of 15 operations started at a new broker, of a burst of 20", served)
+	}
+}
+
+// Guards against a token at each host of a large fleet, which together are more than the burst of a small workspace.
+func TestSmallWorkspaceOfLargeFleetKeepsToBurst(t *testing.T) {
+	const hosts = 70
+	f := newFleet(hosts, Limits{"w": {PerSecond: 20, Burst: 20}})
+	f.play(time.Minute, func(int) {})
+	for range 3 {
+		for i := range hosts {
+			f.ask(i, "w")
+		}
+	}
+	if got := len(f.spent); got > 20 {
+		t.Errorf("%d operations at once, the burst is 20", got)
+	}
+}
+
+// Guards against operations that pay for attempts which have not run.
+func TestRefundedTokenCanBeUsed(t *testing.T) {
+	l := NewLimiter()
+	l.SetLimits(start, Limits{"w": {PerSecond: 1, Burst: 1}}, 1)
+	now := start.Add(5 * time.Second)
+	l.Admit(now, "w")
+	if l.Admit(now, "w").Admitted {
+		t.Fatal("two operations of a burst of 1")
+	}
+	l.Refund(now, "w")
+	if !l.Admit(now, "w").Admitted || l.Admit(now, "w").Admitted {
+		t.Error("a refund is not worth one operation")
+	}
+}
