Hosts ask seeds and candidates before they follow the store themselves

Change: hosts with seeds ask these until a leader relays, candidates follow the store before the others need them, and a host registers when the store was heard.

--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -170,6 +170,9 @@
 		err := a.reportToLeader(ctx)
 		dep.observe(err)
 		a.leaderLost.Store(err != nil)
+		if since(&a.relayHeard) > askSilence && !a.followsStore() {
+			go a.askCandidate(ctx) // the leader or the deputy does not hear the store
+		}
 	}
 }
 
@@ -274,9 +277,6 @@
 			}
 		}
 		a.join(ctx, *b)
-		if since(&a.relayHeard) > 2*reportInterval {
-			a.askCandidate(ctx) // the deputy does not hear the store
-		}
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -78,6 +78,7 @@
 	Promoter Promoter
 	Server   *frontend.Server
 	Seeds    []string // addresses of other hosts that a starting one asks
+	Seed     bool     // other hosts ask this one when they start
 	Log      *zap.Logger
 }
 
@@ -96,6 +97,7 @@
 	membership  membership      // at the broker of the rates
 	deputy      deputy          // divides the rates for others
 
+	started int64 // boot time in nanoseconds
 	// Boot times in nanoseconds of the last fresh answer of a relaying host, and of the last answer of the store.
 	relayHeard, storeHeard atomic.Int64
 	leaderLost             atomic.Bool // the last report to the leader failed
@@ -141,6 +143,7 @@
 		reach: reach{patience: pingTimeout, hosts: map[model.HostID]*contact{}}, successions: make(chan succession, 1), followers: map[string]*follower{}, told: map[model.Service]uint64{},
 		fenced: map[model.Service]uint64{}}
 	a.view.Store(newView())
+	a.leaderLost.Store(true)
 	a.follower(a.Decoders.ConfigurationKey, (*control).applyConfiguration)
 	a.follower(a.Decoders.TargetPrefix, (*control).applyTargets)
 	a.follower(prefix, (*control).applyOwn)
@@ -162,7 +165,8 @@
 func (a *Agent) Run(ctx context.Context) {
 	c := &control{agent: a, view: newView(), removed: map[model.TargetID]time.Time{},
 		left: map[model.HostID]time.Time{}}
-	a.relayHeard.Store(boottime.Now().UnixNano()) // usually a leader relays before a host that starts has to watch the store
+	a.started = boottime.Now().UnixNano()
+	a.relayHeard.Store(a.started) // usually a leader relays before a host that starts has to watch the store
 	go a.follow(ctx, a.Decoders.ConfigurationKey, (*control).applyConfiguration)
 	go a.follow(ctx, a.Decoders.TargetPrefix, (*control).applyTargets)
 	go a.follow(ctx, prefix, (*control).applyOwn)
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -25,6 +25,10 @@
 	// relaySilence is the time without a fresh answer of a relaying host after which a host follows the store itself. With
 	// freshFor it leaves one of the three seconds in which a configuration has to be in force.
 	relaySilence = 800 * time.Millisecond
+	// candidateSilence is the same for the hosts that the others ask; they are ready before the others need them.
+	candidateSilence = 400 * time.Millisecond
+	// askSilence is the time without a fresh answer after which a host asks one of them.
+	askSilence = 2 * reportInterval
 	// maxRemoved bounds the removals that are remembered; hosts and targets come and go some hundred times a day.
 	maxRemoved = 1000
 	// candidates is the number of hosts that follow the store while there is no leader; the others ask them.
@@ -255,20 +259,28 @@
 	return true
 }
 
-// followsStore reports whether this host has to follow the store itself.
+// followsStore reports whether this host has to follow the store itself. Hosts that are asked by the others do so first.
 func (a *Agent) followsStore() bool {
-	return a.isLeading() || a.leaderLost.Load() && a.isCandidate() || since(&a.relayHeard) > relaySilence
+	silence := relaySilence
+	if a.isCandidate() {
+		if a.leaderLost.Load() {
+			return true
+		}
+		silence = candidateSilence
+	}
+	return a.isLeading() || since(&a.relayHeard) > silence
 }
 
 // watches reports whether this host has to follow a prefix of the store itself. The product's own keys tell who leads, so
-// they are followed until a leader is known.
+// hosts without seeds follow them until a leader is known.
 func (a *Agent) watches(of string) bool {
-	return a.followsStore() || of == prefix && a.view.Load().leader == nil
+	return a.followsStore() || of == prefix && len(a.Seeds) == 0 && a.view.Load().leader == nil
 }
 
-// isCandidate reports whether this host is one of those that follow the store while there is no leader.
+// isCandidate reports whether this host is one of those that follow the store while there is no leader: the other hosts know
+// it as one that can carry most, or from their settings.
 func (a *Agent) isCandidate() bool {
-	return slices.ContainsFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
+	return a.Seed || slices.ContainsFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
 }
 
 // candidateHosts returns the registered hosts that can carry most, without the last leader.
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -13,6 +13,12 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
+// seedInterval is the time between two questions to a seed; a fleet has a leader half a second after its start.
+const seedInterval = 100 * time.Millisecond
+
+// awaitInterval is the time between two looks whether the store has been heard, about the time of a call.
+const awaitInterval = 5 * time.Millisecond
+
 // Registration is a live registration of a host, with the product's keys as they were listed after it.
 type Registration struct {
 	Lease     metastore.Lease
@@ -27,6 +33,7 @@
 	dep := dependency{log: a.Log, name: "store registration"}
 	attempts := backoff{agent: a}
 	for ctx.Err() == nil {
+		a.awaitStore(ctx)
 		sent := boottime.Now()
 		r, err := a.enter(ctx, a.self())
 		if err != nil {
@@ -208,15 +215,28 @@
 	return err
 }
 
-// askSeeds asks the hosts of the settings what they have seen of the store, until this host knows a configuration.
+// askSeeds asks the hosts of the settings what they have seen of the store until a leader relays it, so that the watches of a
+// fleet that starts do not all end with each registration.
 func (a *Agent) askSeeds(ctx context.Context) {
-	for ctx.Err() == nil && a.view.Load().catalog.Version == 0 {
+	for ctx.Err() == nil && a.leaderLost.Load() {
 		for _, seed := range a.Seeds {
 			if a.sync(ctx, Host{ID: model.HostID(seed), Address: seed}) {
 				break
 			}
 		}
-		sleep(ctx, retryInterval)
+		sleep(ctx, seedInterval)
+	}
+}
+
+// awaitStore waits until this host, or one that relays, has heard the store lately: the followers ask a silent store often
+// enough.
+func (a *Agent) awaitStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		heard := max(a.storeHeard.Load(), a.relayHeard.Load())
+		if heard > a.started && boottime.Now().UnixNano()-heard < freshFor.Nanoseconds() {
+			return
+		}
+		sleep(ctx, awaitInterval)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,7 @@
 		Decoders: fleet.Decoders{ConfigurationKey: platform.ConfigurationKey, TargetPrefix: platform.TargetPrefix,
 			Configuration: platform.ParseConfiguration, Target: platform.ParseTarget},
 		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.Duties, self.ID), Server: server, Log: log,
-		Seeds: settings.SeedList()})
+		Seeds: settings.SeedList(), Seed: settings.IsSeed()})
 
 	listeners, err := listen(settings)
 	if err != nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -45,6 +45,9 @@
 	return slices.DeleteFunc(strings.Split(s.Seeds, ","), func(seed string) bool { return seed == "" || seed == s.Reachable() })
 }
 
+// IsSeed reports whether other hosts ask this one when they start.
+func (s Settings) IsSeed() bool { return slices.Contains(strings.Split(s.Seeds, ","), s.Reachable()) }
+
 // Drain returns the longest time that a planned stop may take.
 func (s Settings) Drain() time.Duration {
 	return time.Duration(s.DrainSeconds * drainPart * float64(time.Second))
