Operations wait for a token that comes soon, behind those that were denied before

Cause: an operation without a token slept once and then looked only at its host's own part, which large fleets do not have. Change: the broker tells the wait behind the questions that it denied a moment ago; an operation asks again after it, or is refused at once if that is too long.

--- a/frontend/admission.go
+++ b/frontend/admission.go
@@ -14,29 +14,41 @@
 // refused caller can come back in time.
 const longestAdmission = 50 * time.Millisecond
 
-// admit takes a token for an operation of the workspace, from this host's own part of the limit or from the broker. If it
-// is refused, the wait tells when a token may be there.
+// shortestWait bounds the questions of a waiting operation to the broker.
+const shortestWait = 5 * time.Millisecond
+
+// admit takes a token for an operation of the workspace, from this host's own part of the limit or from the broker. Without one
+// it waits, if a token comes soon enough. If the operation is refused, the wait tells when a token may be there.
 func (s *Server) admit(workspace model.Workspace, longest time.Duration) (admitted bool, wait time.Duration) {
-	verdict := s.verdict(workspace)
-	if verdict.Admitted {
-		return true, 0
-	}
-	if verdict.Ask > 0 && s.takeTokens != nil {
-		granted, brokerWait, err := s.takeTokens(workspace, verdict.Ask)
-		if err != nil {
-			s.log.Info("rate: broker not reached", zap.String("workspace", string(workspace)), zap.Error(err))
-		} else if s.lend(workspace, granted, brokerWait) {
+	end := boottime.Now().Add(longest)
+	for again := false; ; again = true {
+		verdict := s.verdict(workspace, again)
+		if verdict.Admitted {
 			return true, 0
 		}
-		verdict.Wait = min(verdict.Wait, max(brokerWait, time.Millisecond))
+		wait = verdict.Wait
+		if verdict.Ask > 0 && s.takeTokens != nil {
+			granted, brokerWait, err := s.takeTokens(workspace, verdict.Ask)
+			if err != nil {
+				s.log.Info("rate: broker not reached", zap.String("workspace", string(workspace)), zap.Error(err))
+			} else if s.lend(workspace, granted, brokerWait) {
+				return true, 0
+			} else {
+				wait = min(wait, brokerWait)
+			}
+		}
+		wait = max(wait, shortestWait)
+		if boottime.Now().Add(wait).After(end) {
+			return false, wait
+		}
+		time.Sleep(wait)
 	}
-	return s.reserve(workspace, longest, verdict.Wait)
 }
 
-func (s *Server) verdict(workspace model.Workspace) share.Verdict {
+func (s *Server) verdict(workspace model.Workspace, again bool) share.Verdict {
 	s.limitMu.Lock()
 	defer s.limitMu.Unlock()
-	return s.limiter.Admit(boottime.Now(), workspace)
+	return s.limiter.Admit(boottime.Now(), workspace, again)
 }
 
 // lend adds tokens of the broker and takes one.
@@ -48,20 +60,6 @@
 	return s.limiter.Take(now, workspace)
 }
 
-// reserve waits for a token of this host's own part, if it comes soon.
-func (s *Server) reserve(workspace model.Workspace, longest, wait time.Duration) (bool, time.Duration) {
-	if wait > longest {
-		return false, wait
-	}
-	time.Sleep(wait)
-	s.limitMu.Lock()
-	defer s.limitMu.Unlock()
-	if s.limiter.Take(boottime.Now(), workspace) {
-		return true, 0
-	}
-	return false, wait
-}
-
 func (s *Server) refund(workspace model.Workspace) {
 	s.limitMu.Lock()
 	defer s.limitMu.Unlock()
--- a/share/share.go
+++ b/share/share.go
@@ -38,8 +38,10 @@
 	lentFor = time.Second
 	// handOverReserve is the time whose rate a broker keeps while it hands over, which takes two calls of the store.
 	handOverReserve = 300 * time.Millisecond
+	// unmetMemory is the time after which half of the denied questions have come back or have given up.
+	unmetMemory = 50 * time.Millisecond
 	// emptyFor is the longest time for which a host does not ask again after the broker had no token.
-	emptyFor = 30 * time.Millisecond
+	emptyFor = 250 * time.Millisecond
 )
 
 // fixedPartOf returns the part of a limit that is divided equally while hosts reach the broker. It is nothing where a host's
@@ -70,12 +72,26 @@
 	b.level = min(b.level, max(1, burst))
 }
 
-// untilToken returns the time until the bucket has a token.
-func (b *bucket) untilToken(rate float64) time.Duration {
+// untilToken returns the time until the bucket has a token beyond those that others wait for.
+func (b *bucket) untilToken(rate, waiting float64) time.Duration {
 	if rate <= 0 {
 		return time.Second
 	}
-	return time.Duration(max(0, 1-b.level) / rate * float64(time.Second))
+	return time.Duration(math.Ceil(max(0, 1+waiting-b.level) / rate * float64(time.Second)))
+}
+
+// pooled is a broker's bucket of a workspace.
+type pooled struct {
+	bucket
+	unmet  float64 // denied questions that probably wait, averaged
+	denied time.Time
+}
+
+// deny records a question without a token and returns the number of those before it that probably wait.
+func (p *pooled) deny(now time.Time) float64 {
+	waiting := p.unmet * math.Exp2(-now.Sub(p.denied).Seconds()/unmetMemory.Seconds())
+	p.unmet, p.denied = waiting+1, now
+	return waiting
 }
 
 // Broker hands out what is not divided. It is not safe for concurrent use.
@@ -84,13 +100,13 @@
 	hosts   int
 	created time.Time
 	heard   map[model.HostID]time.Time // last report of a host that uses its fixed part only
-	buckets map[model.Workspace]*bucket
+	buckets map[model.Workspace]*pooled
 	closed  bool // it has handed over, and has only its reserve
 }
 
 // NewBroker returns a broker with empty buckets. It regards every host as alone until it reports.
 func NewBroker(now time.Time) *Broker {
-	return &Broker{created: now, heard: map[model.HostID]time.Time{}, buckets: map[model.Workspace]*bucket{}, hosts: 1}
+	return &Broker{created: now, heard: map[model.HostID]time.Time{}, buckets: map[model.Workspace]*pooled{}, hosts: 1}
 }
 
 // State is what a broker that stops hands over to its successor.
@@ -121,7 +137,7 @@
 func Succeed(now time.Time, s State) *Broker {
 	b := NewBroker(now)
 	for workspace, level := range s.Levels {
-		b.buckets[workspace] = &bucket{level: level, updated: now}
+		b.buckets[workspace] = &pooled{bucket: bucket{level: level, updated: now}}
 	}
 	for host, age := range s.Heard {
 		b.heard[host] = now.Add(-age)
@@ -154,7 +170,8 @@
 	}
 }
 
-// Take hands out up to n tokens, whole ones. Without a token the wait tells when there may be one.
+// Take hands out up to n tokens, whole ones. Without a token the wait tells when there may be one, after those that others
+// were denied before.
 func (b *Broker) Take(now time.Time, workspace model.Workspace, n float64) (granted float64, wait time.Duration) {
 	limit := b.limits[workspace]
 	part, k := b.part(now, limit), b.bucket(workspace)
@@ -162,15 +179,18 @@
 		k.refill(now, part*limit.PerSecond, part*limit.Burst)
 	}
 	granted = math.Floor(min(n, k.level))
-	k.level -= granted
-	return granted, k.untilToken(part * limit.PerSecond)
+	if granted > 0 {
+		k.level -= granted
+		return granted, 0
+	}
+	return 0, k.untilToken(part*limit.PerSecond, k.deny(now))
 }
 
 // bucket returns the bucket of a workspace, which has filled since the broker was created.
-func (b *Broker) bucket(workspace model.Workspace) *bucket {
+func (b *Broker) bucket(workspace model.Workspace) *pooled {
 	k := b.buckets[workspace]
 	if k == nil {
-		k = &bucket{updated: b.created}
+		k = &pooled{bucket: bucket{updated: b.created}}
 		b.buckets[workspace] = k
 	}
 	return k
@@ -258,19 +278,25 @@
 func (l *Limiter) Alone(now time.Time) bool { return now.Sub(l.answered) > aloneAfter }
 
 // Admit takes a token for an operation of the workspace. An operation that is not admitted may ask the broker, add what it
-// gets, and try Take.
-func (l *Limiter) Admit(now time.Time, workspace model.Workspace) Verdict {
+// gets, and try Take; or it tries again after the wait.
+func (l *Limiter) Admit(now time.Time, workspace model.Workspace, again bool) Verdict {
 	limit, known := l.limits[workspace]
 	if !known {
 		return Verdict{Admitted: true} // only callers of public routes have no workspace with a limit
 	}
 	a := l.account(now, workspace)
-	a.count(now)
+	if !again {
+		a.count(now)
+	}
 	if l.Take(now, workspace) {
 		return Verdict{Admitted: true}
 	}
-	v := Verdict{Wait: a.untilToken(l.part(now, limit) * limit.PerSecond)}
-	if !l.Alone(now) && now.After(a.empty) {
+	v := Verdict{Wait: a.untilToken(l.part(now, limit)*limit.PerSecond, 0)}
+	switch {
+	case l.Alone(now):
+	case now.Before(a.empty):
+		v.Wait = min(v.Wait, a.empty.Sub(now))
+	default:
 		v.Ask = math.Ceil(1 + a.demand*prefetch.Seconds())
 	}
 	return v
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -56,7 +56,7 @@
 // ask lets an operation of the workspace start at a host if it is admitted.
 func (f *fleet) ask(i int, workspace model.Workspace) bool {
 	l := f.hosts[i]
-	v := l.Admit(f.now, workspace)
+	v := l.Admit(f.now, workspace, false)
 	admitted := v.Admitted
 	if !admitted && v.Ask > 0 && !f.cut[i] && f.broker != nil {
 		granted, wait := f.broker.Take(f.now, workspace, v.Ask)
@@ -504,12 +504,38 @@
 	l := NewLimiter()
 	l.SetLimits(start, Limits{"w": {PerSecond: 1, Burst: 1}}, 1)
 	now := start.Add(5 * time.Second)
-	l.Admit(now, "w")
-	if l.Admit(now, "w").Admitted {
+	l.Admit(now, "w", false)
+	if l.Admit(now, "w", false).Admitted {
 		t.Fatal("two operations of a burst of 1")
 	}
 	l.Refund(now, "w")
-	if !l.Admit(now, "w").Admitted || l.Admit(now, "w").Admitted {
+	if !l.Admit(now, "w", false).Admitted || l.Admit(now, "w", false).Admitted {
 		t.Error("a refund is not worth one operation")
 	}
 }
+
+// Guards against operations refused although a token comes within milliseconds, and against operations that wait for tokens
+// which will go to others.
+func TestWaitTellsWhoIsAhead(t *testing.T) {
+	f := newFleet(1, Limits{"w": {PerSecond: 100, Burst: 100}})
+	f.play(2*time.Second, func(int) {})
+	for f.broker.bucket("w").level >= 1 {
+		f.broker.Take(f.now, "w", 100)
+		f.now = f.now.Add(time.Microsecond)
+	}
+	_, first := f.broker.Take(f.now, "w", 1)
+	if first > 15*time.Millisecond {
+		t.Errorf("the first operation without a token waits %s at 100 a second", first)
+	}
+	last := first
+	for range 20 {
+		_, last = f.broker.Take(f.now, "w", 1)
+	}
+	if last < 150*time.Millisecond {
+		t.Errorf("an operation behind 20 others waits %s at 100 a second", last)
+	}
+	f.now = f.now.Add(first)
+	if granted, _ := f.broker.Take(f.now, "w", 1); granted != 1 {
+		t.Error("there is no token after the wait")
+	}
+}
