--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,19 +38,19 @@
 
 // Home implements frontend.Forwarder. This host comes first if it is a home; otherwise the home with the fewest statements
 // of this host does.
-func (a *Agent) Home(service model.Service, workspace model.Workspace) (model.HostID, bool) {
+func (a *Agent) Home(service model.Service, workspace model.Workspace, unable frontend.Unable) (model.HostID, bool) {
 	v := a.view.Load()
 	plan := v.plans[service]
 	first, spares := plan.Homes(workspace)
 	for _, list := range [][]model.HostID{first, spares, plan.Hosts} {
-		if host := a.leastBusy(v, list); host != "" {
+		if host := a.leastBusy(v, list, unable); host != "" {
 			return host, host == a.Self.ID
 		}
 	}
 	return "", true
 }
 
-func (a *Agent) leastBusy(v *view, list []model.HostID) model.HostID {
+func (a *Agent) leastBusy(v *view, list []model.HostID, unable frontend.Unable) model.HostID {
 	a.homes.mu.Lock()
 	defer a.homes.mu.Unlock()
 	now := boottime.Now()
@@ -57,8 +58,14 @@
 	least := 0
 	for _, id := range list {
 		if id == a.Self.ID {
+			if unable.Here {
+				continue
+			}
 			return id
 		}
+		if slices.Contains(unable.Hosts, id) {
+			continue
+		}
 		if _, registered := v.hosts[id]; !registered || now.Before(a.homes.avoid[id]) || a.reach.isLost(id) {
 			continue
 		}
@@ -106,6 +113,8 @@
 	case errors.As(err, &refused) && err.Error() == frontend.ErrDraining.Error():
 		a.homes.avoidFor(h.ID, avoidDraining)
 		return false
+	case errors.As(err, &refused) && err.Error() == frontend.ErrNoPrimary.Error():
+		return false
 	case errors.As(err, &refused):
 		a.homes.avoidFor(h.ID, avoidUnable)
 		return false
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -43,8 +43,9 @@
 	answered time.Time
 	status   primacy.Status
 	known    bool
-	epoch    uint64 // epoch that status belongs to
-	listed   uint64 // closed epoch after whose decision the hosts were listed
+	epoch    uint64    // epoch that status belongs to
+	lost     time.Time // since when half of the hosts do not reach the primary
+	listed   uint64    // closed epoch after whose decision the hosts were listed
 }
 
 func (s *supervisor) run(ctx context.Context) {
@@ -96,6 +97,14 @@
 			view.Opinions = append(view.Opinions, o.byTarget[s.service])
 		}
 	}
+	if !primacy.Lost(doc, view) {
+		s.lost = time.Time{}
+	} else if s.lost.IsZero() {
+		s.lost = now
+	}
+	if !s.lost.IsZero() {
+		view.LostFor = now.Sub(s.lost)
+	}
 	return view
 }
 
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -28,10 +28,21 @@
 // shortestAttempt is the time that a transaction needs to begin on another host after one has not answered.
 const shortestAttempt = 100 * time.Millisecond
 
+// ErrNoPrimary refuses to run a statement of another host because this host does not reach the primary. The statement has not
+// run, and the host may be able to run others.
+var ErrNoPrimary = errors.New("the host does not reach the primary")
+
+// Unable are the hosts that cannot run a statement.
+type Unable struct {
+	Here  bool // this host does not reach the primary
+	Hosts []model.HostID
+}
+
 // Forwarder passes statements on to the hosts that keep connections for their workspaces.
 type Forwarder interface {
-	// Home returns the host that should run statements of a workspace on a service; local means this host.
-	Home(service model.Service, workspace model.Workspace) (host model.HostID, local bool)
+	// Home returns the host that should run statements of a workspace on a service, without those that cannot; local means
+	// this host, which is also the answer if there is no other one.
+	Home(service model.Service, workspace model.Workspace, unable Unable) (host model.HostID, local bool)
 	// Forward lets a host run a statement. After an error, sent tells whether the statement may have run.
 	Forward(host model.HostID, f Forward, timeout time.Duration) (answer Forwarded, sent bool, err error)
 }
@@ -65,6 +76,11 @@
 	return !f.Writes
 }
 
+// needsPrimary reports whether only the primary can run the statement or the transaction that it begins.
+func (f Forward) needsPrimary() bool {
+	return f.Writes || f.Begin && !f.ReadOnly || f.Route.Consistency == catalog.Primary
+}
+
 // Forwarded is the answer of the host that ran a forwarded statement.
 type Forwarded struct {
 	Answer Answer
@@ -208,6 +224,8 @@
 		return ErrDraining
 	case !s.mayUsePrimary(now) || !s.service(f.Route.Service).connects():
 		return ErrUnable
+	case f.needsPrimary() && s.service(f.Route.Service).primaryLost(now):
+		return ErrNoPrimary
 	}
 	return nil
 }
@@ -262,10 +280,10 @@
 	delete(s.forwardedTxns, key)
 }
 
-// home returns the host that should run statements of a workspace.
-func (s *Server) home(service model.Service, workspace model.Workspace) (host model.HostID, local bool) {
+// home returns the host that should run statements of a workspace, without those that cannot.
+func (s *Server) home(service model.Service, workspace model.Workspace, unable Unable) (host model.HostID, local bool) {
 	if s.forwarder == nil {
 		return "", true
 	}
-	return s.forwarder.Home(service, workspace)
+	return s.forwarder.Home(service, workspace, unable)
 }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -35,6 +35,11 @@
 	shortestPatience = 100 * time.Millisecond
 	// readTimeWeight is the part of the average that each read makes up.
 	readTimeWeight = 0.05
+	// primaryPatience is the time without an answer after which other hosts run what needs the primary. Two connections to a
+	// live target fit into it.
+	primaryPatience = 200 * time.Millisecond
+	// askPrimaryInterval is the time between two attempts to reach a primary again.
+	askPrimaryInterval = 300 * time.Millisecond
 	// settleTime is the time in which a new primary applies what it had received; it is behind by the usual lag of replicas.
 	settleTime = time.Second
 	// unknownLag stands for the lag of a replica that is behind every known position of its primary.
@@ -65,6 +70,8 @@
 	highest    model.Position               // highest position that the primary of doc has answered
 	reached    time.Time                    // last answer of the primary of doc
 	failing    time.Time                    // first failure since then
+	asked      time.Time                    // when a primary that is not reached was asked last
+	workspace  model.Workspace              // of the last request
 }
 
 // targetConn is an open connection with the session state that it carries.
@@ -209,6 +216,7 @@
 	s.mu.Lock()
 	s.nextTicket++
 	r.Ticket = s.nextTicket
+	s.workspace = r.Workspace
 	s.waiters[r.Ticket] = waiter
 	s.perform(s.pool.Push(boottime.Now(), r))
 	s.mu.Unlock()
@@ -433,11 +441,50 @@
 	return o
 }
 
-// tick refuses requests that have waited too long.
+// primaryLost reports whether this host does not reach the primary, so that another host should run what needs it.
+func (s *service) primaryLost(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost(now)
+}
+
+func (s *service) lost(now time.Time) bool {
+	return s.doc.Open && !s.failing.IsZero() && now.Sub(s.failing) >= primaryPatience
+}
+
+// tick refuses requests that have waited too long, and asks a primary that is not reached whether it is back.
 func (s *service) tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.perform(s.pool.Tick(boottime.Now()))
+	now := boottime.Now()
+	s.perform(s.pool.Tick(now))
+	if t, registered := s.targets[s.doc.Primary]; registered && s.lost(now) && now.Sub(s.asked) >= askPrimaryInterval {
+		s.asked = now
+		go s.askPrimary(t, s.workspace)
+	}
+}
+
+// askPrimary opens a connection to a primary that is not reached, because statements that need it run elsewhere meanwhile.
+func (s *service) askPrimary(t catalog.Target, workspace model.Workspace) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	sent := boottime.Now()
+	s.mu.Lock()
+	epoch, least := s.doc.Epoch, s.least(sent)
+	s.mu.Unlock()
+	conn, position, err := s.server.dialer.Dial(ctx, t, workspace)
+	s.server.metrics.opened(s.name, err)
+	if err != nil {
+		return // as before; the first failure is logged
+	}
+	conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.doc.Epoch != epoch || position.Later(least) != position {
+		return // another decision is in force, or the primary has lost data
+	}
+	s.log.Info("target: primary reached again", zap.String("target", string(t.ID)))
+	s.observe(sent, boottime.Now(), t.ID, position)
 }
 
 // primaryEpoch returns the epoch of the open decision about the primary, or false while there is none.
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -242,6 +242,9 @@
 	own       bool // the primary has to serve it because no replica can
 }
 
+// needsPrimary reports whether only the primary can run the operation.
+func (op operation) needsPrimary() bool { return op.writes || op.route.Consistency == catalog.Primary }
+
 func (s *session) writes(st Statement) bool {
 	return st.Kind == Write || st.Kind == Execute && s.state.prepared[st.Name].Kind == PrepareWrite
 }
@@ -265,14 +268,16 @@
 	defer s.refund(workspace)
 	op := operation{route: route, workspace: workspace, service: svc, arrived: now,
 		deadline: now.Add(route.StatementTimeout - answerMargin), writes: s.writes(st)}
+	unable := Unable{Here: op.needsPrimary() && svc.primaryLost(now)}
 	for range maxForwards {
-		host, local := s.server.home(route.Service, workspace)
+		host, local := s.server.home(route.Service, workspace, unable)
 		if local {
 			break
 		}
 		if answer, settled := s.forwardAlone(host, op, st); settled {
 			return answer
 		}
+		unable.Hosts = append(unable.Hosts, host)
 	}
 	return s.runHere(op, st)
 }
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
 	"github.com/waxwingspindle/waxwingspindle/routing"
 )
 
@@ -124,3 +126,56 @@
 		}
 	}
 }
+
+// silentDialer reaches no target.
+type silentDialer struct{ Dialer }
+
+func (silentDialer) Dial(context.Context, catalog.Target, model.Workspace) (Conn, model.Position, error) {
+	return nil, model.Position{}, errors.New("no answer")
+}
+
+// otherHosts passes nothing on, and records the hosts that could be asked.
+type otherHosts struct{ asked []Unable }
+
+func (o *otherHosts) Home(_ model.Service, _ model.Workspace, unable Unable) (model.HostID, bool) {
+	o.asked = append(o.asked, unable)
+	return "other", !unable.Here || len(unable.Hosts) > 0
+}
+
+func (o *otherHosts) Forward(model.HostID, Forward, time.Duration) (Forwarded, bool, error) {
+	return Forwarded{}, false, ErrNoPrimary
+}
+
+// Guards against writes that wait for a primary which this host does not reach, while another host could run them, and against
+// hosts that pass such writes to each other.
+func TestWriteGoesToHostThatReachesThePrimary(t *testing.T) {
+	s, others := New("z", silentDialer{}, zap.NewNop(), NewMetrics(prometheus.NewRegistry())), &otherHosts{}
+	s.SetForwarder(others)
+	route := catalog.Route{Service: "stock", Consistency: catalog.Primary, StatementTimeout: time.Second, Public: true}
+	s.SetCatalog(&catalog.Catalog{Version: 1, Routes: map[string]catalog.Route{"orders": route}}, 1)
+	s.AllowPrimaries(boottime.Now().Add(time.Hour))
+	s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock"}}, 1)
+	s.SetDocument(primacy.Document{Service: "stock", Epoch: 1, Open: true, Primary: "a"})
+	svc := s.service("stock")
+	svc.mu.Lock()
+	svc.failing = boottime.Now().Add(-primaryPatience)
+	svc.mu.Unlock()
+	stop := make(chan struct{})
+	defer close(stop)
+	go s.Run(stop)
+
+	f := Forward{Route: route, Statement: Statement{Kind: Read}, Left: time.Second}
+	if _, err := s.RunForwarded(f); !errors.Is(err, ErrNoPrimary) {
+		t.Errorf("a statement of another host ended with %v", err)
+	}
+	f.Route.Consistency = catalog.BoundedStaleness
+	if err := s.takesForwards(f, boottime.Now()); err != nil {
+		t.Errorf("a read that replicas can serve is refused: %v", err)
+	}
+	sess := &session{server: s, log: s.log, database: "orders", state: sessionState{prepared: map[string]Prepared{}}}
+	sess.runStatement(boottime.Now(), Statement{Kind: Write})
+	want := []Unable{{Here: true}, {Here: true, Hosts: []model.HostID{"other"}}}
+	if diff := cmp.Diff(want, others.asked); diff != "" {
+		t.Errorf("hosts that cannot run the write (-want +got):\n%s", diff)
+	}
+}
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -104,18 +105,22 @@
 func (s *session) runOnPeer(op operation, st Statement) (Answer, bool) {
 	t := s.txn
 	op.writes = s.writes(st)
+	needsPrimary := !t.readOnly || op.route.Consistency == catalog.Primary
+	unable := Unable{Here: needsPrimary && t.service.primaryLost(op.arrived)}
 	for range maxForwards {
 		if t.conn == nil && t.peer == "" && s.forwarded == nil {
-			if host, local := s.server.home(op.route.Service, op.workspace); !local {
+			if host, local := s.server.home(op.route.Service, op.workspace, unable); !local {
 				t.peer, t.id = host, s.server.lastTxn.Add(1)
 			}
 		}
 		if t.peer == "" {
 			break
 		}
+		host := t.peer
 		if answer, settled := s.forwardInTxn(op, st); settled {
 			return answer, true
 		}
+		unable.Hosts = append(unable.Hosts, host)
 	}
 	return Answer{}, false
 }
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -20,6 +20,9 @@
 	// longestDelay is the time for which a planned replacement waits for hosts that do not answer. A draining target gets no
 	// work after seven seconds, of which the leader may take two to learn that it drains.
 	longestDelay = 4 * time.Second
+	// longestCutOff is the time after which a primary that half of the hosts do not reach is replaced although other hosts do
+	// not report. Their permission ends before that, unless they reach the store, and then they confirm through it.
+	longestCutOff = 9 * time.Second
 	// opinionAge is the age up to which a host's view of a primary counts; hosts report every 250 ms.
 	opinionAge = time.Second
 )
@@ -52,7 +55,9 @@
 	CauseRestarted   Cause = "restarted_without_data"
 	CauseDemoted     Cause = "not_primary"
 	CauseUnreachable Cause = "unreachable" // for the leader and for at least half of all hosts
-	CauseCutOff      Cause = "cut_off"     // for at least half of all hosts, but the leader reaches it
+	// CauseCutOff is the same, but the leader reaches the primary. As other hosts may use it, and pass statements on to those
+	// that reach it, it is replaced only when that takes no wait for hosts that do not report.
+	CauseCutOff Cause = "cut_off"
 )
 
 // Opinion is how a host sees the primary of a service.
@@ -75,7 +80,8 @@
 	IsPrimary   bool
 	Term        uint64
 	Silent      time.Duration
-	Opinions    []Opinion // of the other hosts, none older than opinionAge
+	LostFor     time.Duration // for how long at least half of the hosts have not reached the primary
+	Opinions    []Opinion     // of the other hosts, none older than opinionAge
 }
 
 // OpinionAge is the age up to which the leader should count a host's opinion.
@@ -92,9 +98,9 @@
 		return CauseRestarted
 	case v.StatusKnown && !v.IsPrimary && v.Term >= doc.Term:
 		return CauseDemoted
-	case lost(doc, v) && v.Silent >= unreachableTime:
+	case Lost(doc, v) && v.Silent >= unreachableTime:
 		return CauseUnreachable
-	case lost(doc, v):
+	case Lost(doc, v) && (v.AllReport || v.LostFor >= longestCutOff):
 		return CauseCutOff
 	case v.Draining && (v.AllReport || v.DrainingFor >= longestDelay):
 		return CauseDraining
@@ -102,9 +108,9 @@
 	return CauseNone
 }
 
-// lost reports whether at least half of the hosts that have an opinion, the leader included, have not reached the
+// Lost reports whether at least half of the hosts that have an opinion, the leader included, have not reached the
 // primary for unreachableTime. A leader that is cut off from a primary which serves the others replaces nothing.
-func lost(doc Document, v View) bool {
+func Lost(doc Document, v View) bool {
 	against, in := 0, 0
 	if v.Silent >= unreachableTime {
 		against++
--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -50,6 +50,12 @@
 		{"most hosts do not reach it, the leader does", open(), func(v *View) {
 			v.Opinions = []Opinion{unreached(), unreached(), unreached(), reached()}
 		}, CauseCutOff},
+		{"the same, but a host does not report and may use it", open(), func(v *View) {
+			v.AllReport, v.Opinions = false, []Opinion{unreached(), unreached(), reached()}
+		}, CauseNone},
+		{"the same for so long that the host has confirmed or lost its permission", open(), func(v *View) {
+			v.AllReport, v.LostFor, v.Opinions = false, longestCutOff, []Opinion{unreached(), unreached(), reached()}
+		}, CauseCutOff},
 		{"hosts speak of an earlier primary", open(), func(v *View) {
 			v.Opinions = []Opinion{{Epoch: 2, Unreachable: time.Minute}, {Epoch: 2, Unreachable: time.Minute}}
 		}, CauseNone},
