--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -189,13 +189,13 @@
 		return a.reportAsMember(ctx, b)
 	}
 	// A report that this host uses its own part comes first, so that only a broker that answers becomes its broker.
-	sent := boottime.Now()
-	answer, err := a.send(b, false)
+	sent, request := boottime.Now(), a.request(false)
+	answer, err := a.report(b, request)
 	if err != nil {
 		a.noteBrokerGone(b, err)
 		return err
 	}
-	a.adopt(ctx, leader.ID, sent, answer)
+	a.adopt(ctx, leader, sent, request.Revisions, answer)
 	a.leaderLost.Store(false)
 	a.join(ctx, b)
 	return nil
@@ -236,7 +236,7 @@
 	if news {
 		a.Log.Info("rate: broker in use", zap.String("broker", string(b.ID)), zap.Bool("deputy", b.deputy))
 	}
-	a.adopt(ctx, b.ID, sent, answer)
+	a.adopt(ctx, b.Host, sent, request.Revisions, answer)
 	return nil
 }
 
@@ -284,22 +284,23 @@
 func (a *Agent) askCandidate(ctx context.Context) {
 	hosts := slices.DeleteFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
 	if len(hosts) > 0 {
-		a.sync(ctx, hosts[rand.IntN(len(hosts))])
+		a.sync(ctx, hosts[rand.IntN(len(hosts))], a.revisions())
 	}
 }
 
-// sync asks a host what it has seen of the store, and reports whether it answered.
-func (a *Agent) sync(ctx context.Context, h Host) bool {
+// sync asks a host what it has seen of the store since the known revisions, and reports whether it answered.
+func (a *Agent) sync(ctx context.Context, h Host, known map[string]uint64) bool {
 	if b := a.membership.current(); b != nil && b.deputy && b.ID == h.ID {
 		return true // it is asked as the broker
 	}
-	sent := boottime.Now()
-	answer, err := a.send(brokerHost{h, true}, false)
+	sent, request := boottime.Now(), a.request(false)
+	request.Revisions = known
+	answer, err := a.report(brokerHost{h, true}, request)
 	if err != nil {
 		a.Log.Info("peer: no answer", zap.String("peer", string(h.ID)), zap.Error(err))
 		return false
 	}
-	a.adopt(ctx, h.ID, sent, answer)
+	a.adopt(ctx, h, sent, known, answer)
 	return true
 }
 
@@ -310,7 +311,7 @@
 	answered := make([]bool, len(hosts))
 	var wg sync.WaitGroup
 	for i, h := range hosts {
-		wg.Go(func() { answered[i] = a.sync(ctx, h) })
+		wg.Go(func() { answered[i] = a.sync(ctx, h, a.revisions()) })
 	}
 	wg.Wait()
 	if first := slices.Index(answered, true); first >= 0 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -89,6 +89,7 @@
 	runs   *peers // for statements, which a control call without an answer must not cut off
 	homes  homes
 	reach  reach
+	bulk   bulk
 	view   atomic.Pointer[view]
 	events chan func(*control)
 	ready  atomic.Bool
@@ -138,7 +139,7 @@
 
 // New returns an agent that does nothing until Run.
 func New(c Config) *Agent {
-	a := &Agent{Config: c, peers: newPeers(), runs: newPeers(),
+	a := &Agent{Config: c, peers: newPeers(), runs: newPeers(), bulk: bulk{peers: newPeers()},
 		homes: homes{outstanding: map[model.HostID]int{}, avoid: map[model.HostID]time.Time{}}, events: make(chan func(*control), queuedEvents),
 		reach: reach{patience: pingTimeout, hosts: map[model.HostID]*contact{}}, successions: make(chan succession, 1), followers: map[string]*follower{}, told: map[model.Service]uint64{},
 		fenced: map[model.Service]uint64{}}
@@ -159,7 +160,7 @@
 }
 
 // Ready reports whether the host can serve callers.
-func (a *Agent) Ready() bool { return a.ready.Load() }
+func (a *Agent) Ready() bool { return a.ready.Load() && a.view.Load().catalog.Version > 0 }
 
 // Run follows the store until the context ends.
 func (a *Agent) Run(ctx context.Context) {
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -318,14 +318,23 @@
 	a.followMu.Lock()
 	defer a.followMu.Unlock()
 	newer := map[string]PrefixState{}
-	for prefix, f := range a.followers {
-		if f.revision > known[prefix] {
-			newer[prefix] = f.since(known[prefix])
+	for prefix, revision := range known {
+		if f := a.followers[prefix]; f != nil && f.revision > revision {
+			newer[prefix] = f.since(revision)
 		}
 	}
 	return newer
 }
 
+// relay answers a host that knows the given revisions.
+func (a *Agent) relay(known map[string]uint64) SyncAnswer {
+	answer := SyncAnswer{Newer: a.newerThan(known), Fresh: a.relaysFresh()}
+	if size(answer.Newer) > largeState {
+		answer.Newer, answer.Large = nil, true
+	}
+	return answer
+}
+
 // since returns what has changed since a revision, or everything if that is not known. The lock is held.
 func (f *follower) since(revision uint64) PrefixState {
 	state := PrefixState{Since: revision, Revision: f.revision}
@@ -345,12 +354,21 @@
 	return state
 }
 
-// adopt takes over what another host has seen of the store, as it answered to a question sent at the given time.
-func (a *Agent) adopt(ctx context.Context, from model.HostID, sent time.Time, answer SyncAnswer) {
+// adopt takes over what another host has seen of the store, as it answered to a question sent at the given time. Large
+// changes are asked for separately.
+func (a *Agent) adopt(ctx context.Context, from Host, sent time.Time, known map[string]uint64, answer SyncAnswer) {
+	if answer.Large {
+		go a.fetch(ctx, from, known)
+		return
+	}
 	if answer.Fresh {
 		a.relayHeard.Store(sent.UnixNano())
 	}
-	for prefix, state := range answer.Newer {
+	a.takeOver(ctx, from.ID, answer.Newer)
+}
+
+func (a *Agent) takeOver(ctx context.Context, from model.HostID, newer map[string]PrefixState) {
+	for prefix, state := range newer {
 		a.followMu.Lock()
 		f := a.followers[prefix]
 		a.followMu.Unlock()
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -193,6 +193,7 @@
 // SyncAnswer brings a host what it has not seen of the store.
 type SyncAnswer struct {
 	Newer map[string]PrefixState
+	Large bool // there is more than fits here; Fetch returns it
 	Fresh bool // the host follows the store and has heard it lately
 }
 
@@ -260,14 +261,14 @@
 		return errNotLeader
 	}
 	l.report(r)
-	answer.Newer, answer.Fresh = a.newerThan(r.Revisions), a.relaysFresh()
+	*answer = a.relay(r.Revisions)
 	return nil
 }
 
 // Sync answers a host that does not reach the leader, and counts its part of the rates unless it is alone.
 func (p *Peer) Sync(r ReportRequest, answer *SyncAnswer) error {
 	p.agent.deputy.report(boottime.Now(), r, p.agent.view.Load())
-	answer.Newer, answer.Fresh = p.agent.newerThan(r.Revisions), p.agent.relaysFresh()
+	*answer = p.agent.relay(r.Revisions)
 	return nil
 }
 
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -16,6 +16,9 @@
 // seedInterval is the time between two questions to a seed; a fleet has a leader half a second after its start.
 const seedInterval = 100 * time.Millisecond
 
+// seedPatience is the time for which a host that starts leaves the configuration and the targets to the store.
+const seedPatience = 400 * time.Millisecond
+
 // awaitInterval is the time between two looks whether the store has been heard, about the time of a call.
 const awaitInterval = 5 * time.Millisecond
 
@@ -219,8 +222,12 @@
 // fleet that starts do not all end with each registration.
 func (a *Agent) askSeeds(ctx context.Context) {
 	for ctx.Err() == nil && a.leaderLost.Load() {
+		known := a.revisions()
+		if boottime.Now().UnixNano()-a.started < seedPatience.Nanoseconds() {
+			known = map[string]uint64{prefix: known[prefix]} // the store brings the rest, which may be large
+		}
 		for _, seed := range a.Seeds {
-			if a.sync(ctx, Host{ID: model.HostID(seed), Address: seed}) {
+			if a.sync(ctx, Host{ID: model.HostID(seed), Address: seed}, known) {
 				break
 			}
 		}
