--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -22,6 +22,7 @@
 func followerOf(t *testing.T) (*Agent, *follower) {
 	t.Helper()
 	a := &Agent{events: make(chan func(*control), queuedEvents), followers: map[string]*follower{}}
+	a.view.Store(newView())
 	return a, a.follower("p/", func(*control, change) {})
 }
 
