--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -284,12 +284,12 @@
 func (a *Agent) askCandidate(ctx context.Context) {
 	hosts := slices.DeleteFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
 	if len(hosts) > 0 {
-		a.sync(ctx, hosts[rand.IntN(len(hosts))], a.revisions())
+		a.syncWith(ctx, hosts[rand.IntN(len(hosts))], a.revisions())
 	}
 }
 
-// sync asks a host what it has seen of the store since the known revisions, and reports whether it answered.
-func (a *Agent) sync(ctx context.Context, h Host, known map[string]uint64) bool {
+// syncWith asks a host what it has seen of the store since the known revisions, and reports whether it answered.
+func (a *Agent) syncWith(ctx context.Context, h Host, known map[string]uint64) bool {
 	if b := a.membership.current(); b != nil && b.deputy && b.ID == h.ID {
 		return true // it is asked as the broker
 	}
@@ -311,7 +311,7 @@
 	answered := make([]bool, len(hosts))
 	var wg sync.WaitGroup
 	for i, h := range hosts {
-		wg.Go(func() { answered[i] = a.sync(ctx, h, a.revisions()) })
+		wg.Go(func() { answered[i] = a.syncWith(ctx, h, a.revisions()) })
 	}
 	wg.Wait()
 	if first := slices.Index(answered, true); first >= 0 {
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -78,7 +78,7 @@
 func (a *Agent) inquire(h Host) <-chan struct{} {
 	c, begun := a.reach.begin(h.ID)
 	if begun {
-		go a.ask(h, c)
+		go a.contact(h, c)
 	}
 	return c.lost
 }
@@ -92,7 +92,8 @@
 	}
 }
 
-func (a *Agent) ask(h Host, c *contact) {
+// contact asks a host whether it is there, and searches it if it is not.
+func (a *Agent) contact(h Host, c *contact) {
 	if _, err := a.runs.start(h, "Peer.Ping", struct{}{}, &struct{}{}, a.reach.patience); err == nil {
 		a.reach.end(h.ID)
 		return
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -227,7 +227,7 @@
 			known = map[string]uint64{prefix: known[prefix]} // the store brings the rest, which may be large
 		}
 		for _, seed := range a.Seeds {
-			if a.sync(ctx, Host{ID: model.HostID(seed), Address: seed}, known) {
+			if a.syncWith(ctx, Host{ID: model.HostID(seed), Address: seed}, known) {
 				break
 			}
 		}
