--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,6 +46,10 @@
 	reportInterval = 250 * time.Millisecond
 )
 
+// planPause is the time between two plans in the time that one takes, so that plans take at most a tenth of the control
+// goroutine.
+const planPause = 10
+
 // queuedEvents bounds the events that wait for the control goroutine; each takes microseconds.
 const queuedEvents = 256
 
@@ -124,6 +128,9 @@
 	left    map[model.HostID]time.Time   // hosts whose registration has disappeared, with the time
 	asking  bool                         // an attempt to become the leader is under way
 	basis   planBasis
+
+	stale    bool      // the plans do not follow from what is known now
+	nextPlan time.Time // they are made anew no earlier
 }
 
 // planBasis is what the plans of the services were made from.
@@ -190,6 +197,9 @@
 			if len(c.left) > 0 {
 				c.noteLeft(c.view.hosts)
 			}
+			if c.stale && !boottime.Now().Before(c.nextPlan) {
+				c.publish()
+			}
 			c.seekLeadership(ctx)
 		}
 	}
@@ -375,12 +385,23 @@
 	}
 }
 
-// replan divides the workspaces anew if what the plans follow from has changed. It takes milliseconds on large fleets.
+// replan divides the workspaces anew if what the plans follow from has changed. On large fleets that takes a good part of a
+// second, and hosts come and go in numbers, so the next one waits for a multiple of that time; the ticker brings it then. A
+// change of the services does not wait.
 func (c *control) replan() {
 	basis := planBasis{c.view.catalog, slices.Clone(c.view.expected)}
-	if c.view.plans == nil || !basis.equal(c.basis) {
-		c.view.plans, c.basis = c.view.plan(), basis
+	if c.view.plans != nil && basis.equal(c.basis) {
+		c.stale = false
+		return
+	}
+	sameServices := c.view.plans != nil && c.basis.catalog != nil && maps.Equal(c.basis.catalog.Services, basis.catalog.Services)
+	if c.stale = sameServices && boottime.Now().Before(c.nextPlan); c.stale {
+		return
 	}
+	started := boottime.Now()
+	c.view.plans, c.basis = c.view.plan(), basis
+	ended := boottime.Now()
+	c.nextPlan = ended.Add(planPause * ended.Sub(started))
 }
 
 // fence puts a decision in force.
