Soak: a fault counts from its begin, not from its end

Ruled out: the host, whose log ends 0.72 s after SIGTERM without a line of its own, when all hosts were killed.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -32,7 +32,7 @@
 
 // begin begins a fault, or returns false if it cannot come beside those that are under way.
 func (w *world) begin(number int, f Fault) (ongoing, bool) {
-	d := &Disturbance{Host: everyHost}
+	d := &Disturbance{Host: everyHost, From: time.Now()} // callers may see the fault before its begin returns
 	var end func()
 	h := w.hosts[f.Host]
 	switch f.Kind {
--- a/soak/history.go
+++ b/soak/history.go
@@ -108,10 +108,7 @@
 }
 
 func (h *History) disturb(d *Disturbance) {
-	h.update(func() {
-		d.From = time.Now()
-		h.disturbances = append(h.disturbances, d)
-	})
+	h.update(func() { h.disturbances = append(h.disturbances, d) })
 }
 
 func (h *History) calm(d *Disturbance) { h.update(func() { d.To = time.Now() }) }
