--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,6 +107,7 @@
 	relayHeard, storeHeard atomic.Int64
 	leaderLost             atomic.Bool // the last report to the leader failed
 
+	confirming sync.Mutex               // held while a confirmation is written
 	confirmMu  sync.Mutex               // guards the registration
 	lease      metastore.Lease          // of the registration, 0 while there is none
 	registered uint64                   // revision of the registration
@@ -417,6 +418,8 @@
 		return
 	}
 	time.Sleep(confirmAfter)
+	a.confirming.Lock() // each confirmation has the revision that the one before has left
+	defer a.confirming.Unlock()
 	txn, needed := a.confirmation(doc)
 	if !needed {
 		return
--- a/fleet/register_test.go
+++ b/fleet/register_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/metastore"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
 )
 
 var errNoAnswer = errors.New("no answer")
@@ -22,6 +26,7 @@
 	revision uint64
 	items    map[string]metastore.Item
 	leases   map[metastore.Lease]bool
+	pause    time.Duration   // before each change
 	delay    bool            // changes get no answer and wait
 	delayed  []metastore.Txn // that wait
 }
@@ -53,6 +58,7 @@
 }
 
 func (s *memoryStore) Commit(_ context.Context, txn metastore.Txn) (uint64, error) {
+	time.Sleep(s.pause)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.delay {
@@ -125,3 +131,30 @@
 		t.Error("the store was asked")
 	}
 }
+
+// Guards against confirmations of several services at once of which only the first is stored, so that a leader which does not
+// reach this host waits for the end of its lease.
+func TestConfirmationsFollowEachOther(t *testing.T) {
+	store := newMemoryStore()
+	a := &Agent{Config: Config{Self: Host{ID: "host"}, Store: store, Log: zap.NewNop()}, followers: map[string]*follower{},
+		told: map[model.Service]uint64{}, fenced: map[model.Service]uint64{}}
+	r, err := a.enter(t.Context(), a.Self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.lease, a.registered = r.Lease, r.Revision
+	store.pause = 20 * time.Millisecond
+	var wg sync.WaitGroup
+	for _, service := range []model.Service{"a", "b", "c"} {
+		wg.Go(func() { a.confirm(primacy.Document{Service: service, Epoch: 3}) })
+	}
+	wg.Wait()
+	var stored Host
+	if err := json.Unmarshal(store.items[hostPrefix+"host"].Value, &stored); err != nil {
+		t.Fatal(err)
+	}
+	want := map[model.Service]uint64{"a": 3, "b": 3, "c": 3}
+	if diff := cmp.Diff(want, stored.Fenced); diff != "" {
+		t.Errorf("confirmed decisions (-want +got):\n%s", diff)
+	}
+}
