--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zaptest"
 
 	"github.com/waxwingspindle/waxwingspindle/gateway"
 	"github.com/waxwingspindle/waxwingspindle/internal/loopback"
@@ -49,7 +48,11 @@
 	t.Helper()
 	fleet := &testFleet{t: t, store: lines.NewStore(), log: zap.NewNop()}
 	if os.Getenv("E2E_LOGS") != "" {
-		fleet.log = zaptest.NewLogger(t)
+		log, err := zap.NewDevelopment() // hosts may log after the end of the test, when t.Log panics
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet.log = log
 	}
 	group, err := lines.NewGroup(fleet.store, "stock", 3)
 	if err != nil {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,7 +1,14 @@
 package soak
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"os"
 	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -26,3 +33,39 @@
 		t.Errorf("the kill was recorded at %s, after the process exited at %s", started.window.From, ended)
 	}
 }
+
+// Guards against two faults that end at the same time and both start the host: the second process cannot listen and exits
+// (seed 504).
+func TestConcurrentRestartsStartOneProcess(t *testing.T) {
+	dir := t.TempDir()
+	program, starts := filepath.Join(dir, "host"), filepath.Join(dir, "starts")
+	script := "#!/bin/sh\necho started >> " + starts + "\nexec sleep 60\n"
+	if err := os.WriteFile(program, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	ready := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(ready.Close)
+	exited := make(chan struct{})
+	close(exited)
+	h := &host{done: exited, healthAddress: strings.TrimPrefix(ready.URL, "http://"), logFile: filepath.Join(dir, "log")}
+	sys := &system{options: Options{Program: program}}
+	var restarts sync.WaitGroup
+	for range 2 {
+		restarts.Go(func() { sys.restart(h) })
+	}
+	restarts.Wait()
+	for !isFile(starts) {
+		time.Sleep(time.Millisecond)
+	}
+	h.signal(syscall.SIGKILL)
+	<-h.exited()
+	got, err := os.ReadFile(starts)
+	if err != nil || strings.Count(string(got), "started") != 1 {
+		t.Errorf("starts: %q, %v, want one", got, err)
+	}
+}
+
+func isFile(path string) bool {
+	_, err := os.Stat(path)
+	return err == nil
+}
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -18,4 +18,6 @@
 		"a primary that had restarted without its data served reads until its registration showed the restart"},
 	{321, 5, 30, 30 * time.Second, 1,
 		"a kill during a planned stop was recorded after it took effect, so the stop was blamed (soak test bug)"},
+	{504, 5, 30, 30 * time.Second, 0,
+		"a planned stop and a kill of one host ended together and both started it (soak test bug)"},
 }
--- a/soak/system.go
+++ b/soak/system.go
@@ -161,14 +161,18 @@
 	return h, trace.Wrap(os.WriteFile(h.settingsFile, []byte(text), 0o600))
 }
 
-// start starts the process of a host and waits for its exit in the background. An unexpected exit is a violation.
+// start starts the process of a host unless it is running, and waits for its exit in the background. An unexpected exit is
+// a violation. Two faults that end at the same time may both start the host.
 func (sys *system) start(h *host) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.done != nil && !isClosed(h.done) {
+		return nil
+	}
 	out, err := os.OpenFile(h.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.cmd = exec.Command(sys.options.Program, "gateway", "--settings", h.settingsFile)
 	h.cmd.Stdout, h.cmd.Stderr = out, out
 	if err := h.cmd.Start(); err != nil {
@@ -219,21 +223,20 @@
 }
 
 // running reports whether the process of a host is running.
-func (h *host) running() bool {
+func (h *host) running() bool { return !isClosed(h.exited()) }
+
+func isClosed(done <-chan struct{}) bool {
 	select {
-	case <-h.exited():
-		return false
-	default:
+	case <-done:
 		return true
+	default:
+		return false
 	}
 }
 
 // restart starts a host whose process has exited and waits until it is ready.
 func (sys *system) restart(h *host) {
 	time.Sleep(restartPause)
-	if h.running() {
-		return
-	}
 	if err := sys.start(h); err != nil {
 		sys.addViolation(NoUnexpectedExit, "host %d failed to start: %v", h.number, err)
 		return
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"os"
@@ -137,21 +136,15 @@
 
 var nextPort atomic.Int32
 
-// freePort returns a free port that is not used by other tests in this process.
-func freePort(t testing.TB) int {
+// unusedPort returns a port of testIP that no other test in this process has used. It does not try to listen: a process
+// that is started between the test and the close of such a listener inherits it and occupies the port until its exec.
+func unusedPort(t testing.TB) int {
 	t.Helper()
-	for {
-		n := int(nextPort.Add(1))
-		if n > lastPort-firstPort {
-			t.Fatal("no free port is left")
-		}
-		port := firstPort + n
-		l, err := net.Listen("tcp", localAddress(port))
-		if err == nil {
-			l.Close()
-			return port
-		}
+	port := firstPort + int(nextPort.Add(1))
+	if port > lastPort {
+		t.Fatal("no unused port is left")
 	}
+	return port
 }
 
 // testIP is the loopback IP address of this test process.
@@ -196,13 +189,13 @@
 func startDependencies(t testing.TB, groupArgs ...string) *system {
 	t.Helper()
 	s := &system{t: t, dir: t.TempDir()}
-	platform, admin := localAddress(freePort(t)), localAddress(freePort(t))
+	platform, admin := localAddress(unusedPort(t)), localAddress(unusedPort(t))
 	s.platformURL, s.platformAdminURL = "http://"+platform, "http://"+admin
 	s.platform = startProcess(t, "platform", "standin-platform", "--listen", platform, "--admin", admin)
 	for range 3 {
-		s.targetAddresses = append(s.targetAddresses, localAddress(freePort(t)))
+		s.targetAddresses = append(s.targetAddresses, localAddress(unusedPort(t)))
 	}
-	groupAdmin := localAddress(freePort(t))
+	groupAdmin := localAddress(unusedPort(t))
 	s.groupAdminURL = "http://" + groupAdmin
 	s.group = startProcess(t, "group", "standin-target",
 		append([]string{"--listen", strings.Join(s.targetAddresses, ","), "--admin", groupAdmin}, groupArgs...)...)
@@ -260,8 +253,8 @@
 
 func (s *system) startDaemon(id string) *daemonProcess {
 	s.t.Helper()
-	d := &daemonProcess{id: id, callerAddress: localAddress(freePort(s.t)), operatorAddress: localAddress(freePort(s.t)),
-		peerAddress: localAddress(freePort(s.t))}
+	d := &daemonProcess{id: id, callerAddress: localAddress(unusedPort(s.t)), operatorAddress: localAddress(unusedPort(s.t)),
+		peerAddress: localAddress(unusedPort(s.t))}
 	s.setHostList(append(s.daemons, d)...)
 	d.process = startProcess(s.t, id, "waxwingspindle", "serve", "--config", s.baseFile, "--host", id,
 		"--caller-listen", d.callerAddress, "--operator-listen", d.operatorAddress, "--peer-listen", d.peerAddress,
--- a/test/e2e/operate_test.go
+++ b/test/e2e/operate_test.go
@@ -162,7 +162,7 @@
 		{"config", "apply", s.baseFile, "--expect-version", "1"}, {"key", "create", "workshop"},
 		{"key", "withdraw", s.keyID}, {"workspace", "set", "workshop", "--rate", "1"},
 	} {
-		nobody := "http://" + localAddress(freePort(t))
+		nobody := "http://" + localAddress(unusedPort(t))
 		runCommand(t, append(args, "--operator", nobody, "--token", operatorToken)...).expect(t, cli.ExitUnavailable,
 			"did not answer")
 		runCommand(t, append(args, "--operator", operator, "--token", operatorToken+"x")...).expect(t, cli.ExitInvalid,
--- a/test/e2e/proxy_test.go
+++ b/test/e2e/proxy_test.go
@@ -33,7 +33,7 @@
 // addProxy starts a proxy to an upstream address and returns the proxy's address.
 func (n *proxyNetwork) addProxy(name, upstream string) string {
 	n.t.Helper()
-	p := toxiproxy.NewProxy(n.server, name, localAddress(freePort(n.t)), upstream)
+	p := toxiproxy.NewProxy(n.server, name, localAddress(unusedPort(n.t)), upstream)
 	if err := p.Start(); err != nil {
 		n.t.Fatal(err)
 	}
