One malformed message ends no process: decoders survive a panic, unexpected forwards are refused

A forwarded SET or PREPARE, which no host of this version sends, wrote to a map that does not exist, and net/rpc does not recover: the whole process ended (TestUnexpectedForwardsAreMalformed without the check: panic, assignment to entry in nil map). Such kinds are answered as malformed. Panics while messages of other hosts, configurations and target entries are decoded become errors (package guard). A registration that cannot be read keeps its id, so that a leader still waits for it.

Reports name only services whose targets the host connects to: 20 services in each report were most of its 0.6 KB.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
+	"github.com/waxwingspindle/waxwingspindle/guard"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/placement"
@@ -273,7 +274,11 @@
 }
 
 func (c *control) setConfiguration(value []byte) {
-	next, err := c.agent.Decoders.Configuration(value)
+	var next *catalog.Catalog
+	err := guard.Decode(func() (err error) {
+		next, err = c.agent.Decoders.Configuration(value)
+		return err
+	})
 	if err != nil {
 		c.agent.Log.Error("configuration: rejected", zap.Error(err))
 		return
@@ -295,7 +300,11 @@
 			c.markRemoved(id, now)
 			continue
 		}
-		t, err := c.agent.Decoders.Target(name, e.Value)
+		var t catalog.Target
+		err := guard.Decode(func() (err error) {
+			t, err = c.agent.Decoders.Target(name, e.Value)
+			return err
+		})
 		if err != nil {
 			c.agent.Log.Warn("targets: entry ignored", zap.String("key", e.Key), zap.Error(err))
 			c.markRemoved(id, now)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -90,7 +90,8 @@
 		}
 		var h Host
 		err := json.Unmarshal(e.Value, &h)
-		v.hosts[model.HostID(id)] = h
+		h.ID = model.HostID(id) // a registration that cannot be read still has to be fenced or to end
+		v.hosts[h.ID] = h
 		return err
 	}
 	if e.Key == leaderKey {
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -193,6 +193,9 @@
 	now := boottime.Now()
 	s.forwardsRunning.Add(1)
 	defer s.forwardsRunning.Add(-1)
+	if !f.Statement.Kind.runsOnTarget() {
+		return ForwardReply{Answer: errorAnswer(Malformed, "a statement that no other host runs")}, nil
+	}
 	if f.TxnID == 0 || f.BeginTxn {
 		if err := s.checkForward(f, now); err != nil {
 			return ForwardReply{}, err
--- a/frontend/message.go
+++ b/frontend/message.go
@@ -30,6 +30,16 @@
 	Demote // turns a primary of an older term into a replica
 )
 
+// runsOnTarget reports whether statements of this kind run on a target or end a transaction there. A host answers the others
+// itself and forwards none of them.
+func (k StatementKind) runsOnTarget() bool {
+	switch k {
+	case Read, Write, Execute, Commit, Rollback:
+		return true
+	}
+	return false
+}
+
 // Statement is one request of a session.
 type Statement struct {
 	ID   string
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -131,11 +131,14 @@
 	return s.service(doc.Service).applyDocument(doc)
 }
 
-// PrimaryObservations returns, for each service, whether and since when this host reaches the primary.
+// PrimaryObservations returns, for each service whose targets this host may connect to, whether and since when it reaches the
+// primary. A host of a large fleet connects to the targets of few services.
 func (s *Server) PrimaryObservations() map[model.Service]primacy.Observation {
 	observations := map[model.Service]primacy.Observation{}
 	for _, svc := range s.allServices() {
-		observations[svc.name] = svc.primaryObservation()
+		if svc.canConnect() {
+			observations[svc.name] = svc.primaryObservation()
+		}
 	}
 	return observations
 }
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -194,3 +196,37 @@
 		t.Errorf("excluded hosts (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against reports that grow with the number of services, and against hosts that count as reaching a primary to which
+// they never connect.
+func TestObservesOnlyConnectedServices(t *testing.T) {
+	s := New("z", nil, zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
+	for service, limit := range map[model.Service]int{"home": 2, "elsewhere": 0} {
+		s.SetTargets(service, []catalog.Target{{ID: "a", Service: service}}, limit)
+		s.ApplyPrimaryDocument(primacy.Document{Service: service, Epoch: 1, Open: true, Primary: "a"})
+	}
+	got := slices.Sorted(maps.Keys(s.PrimaryObservations()))
+	if diff := cmp.Diff([]model.Service{"home"}, got); diff != "" {
+		t.Errorf("observed services (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a process that ends because of one message of another host, for example of another version: it has no maps
+// for the session's variables and prepared statements.
+func TestUnexpectedForwardsAreMalformed(t *testing.T) {
+	s := New("z", nil, zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
+	s.AllowPrimariesUntil(boottime.Now().Add(time.Hour))
+	s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock"}}, 1)
+	route := catalog.Route{Service: "stock", Consistency: catalog.Primary}
+	for kind := Invalid; kind <= Demote+1; kind++ {
+		if kind.runsOnTarget() {
+			continue
+		}
+		for _, txn := range []uint64{0, uint64(kind) + 1} {
+			f := ForwardRequest{TxnID: txn, BeginTxn: txn > 0, Route: route, Statement: Statement{Kind: kind, Name: "n"}}
+			if reply, err := s.RunForwarded(f); err != nil || reply.Answer.Code != Malformed {
+				t.Errorf("kind %d, transaction %d: %+v, %v", kind, txn, reply.Answer, err)
+			}
+		}
+	}
+}
--- a/rpccodec/rpccodec.go
+++ b/rpccodec/rpccodec.go
@@ -8,6 +8,8 @@
 	"net/rpc"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/waxwingspindle/waxwingspindle/guard"
 )
 
 // bufferBytes is the size of each of a connection's two buffers. Most messages are below 1 KB.
@@ -44,10 +46,17 @@
 
 // readBody decodes a body, or skips it if the argument is nil.
 func (c codec) readBody(body any) error {
-	if body == nil {
-		return c.decoder.Skip()
-	}
-	return c.decoder.Decode(body)
+	return guard.Decode(func() error {
+		if body == nil {
+			return c.decoder.Skip()
+		}
+		return c.decoder.Decode(body)
+	})
+}
+
+// readHeader decodes a header.
+func (c codec) readHeader(header any) error {
+	return guard.Decode(func() error { return c.decoder.Decode(header) })
 }
 
 // Close closes the connection.
@@ -67,7 +76,7 @@
 
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	var h responseHeader
-	if err := c.decoder.Decode(&h); err != nil {
+	if err := c.readHeader(&h); err != nil {
 		return err
 	}
 	r.ServiceMethod, r.Seq, r.Error = h.Method, h.Sequence, h.Error
@@ -86,7 +95,7 @@
 
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	var h requestHeader
-	if err := c.decoder.Decode(&h); err != nil {
+	if err := c.readHeader(&h); err != nil {
 		return err
 	}
 	r.ServiceMethod, r.Seq = h.Method, h.Sequence
