--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,8 +39,11 @@
 	// hostRenewInterval is the interval at which hosts renew their longer leases. After a failure three more attempts fit
 	// into the lease.
 	hostRenewInterval = 2200 * time.Millisecond
-	// hostRenewRetryInterval is the interval after an attempt that has failed.
-	hostRenewRetryInterval = 1100 * time.Millisecond
+	// hostRenewRetryInterval is the interval after an attempt that has failed. Together with renewTimeout it decides how soon
+	// after the end of a partition a lease is renewed that is about to end.
+	hostRenewRetryInterval = 600 * time.Millisecond
+	// renewTimeout bounds a renewal. A connection from before a partition stays silent for a while after its end.
+	renewTimeout = 600 * time.Millisecond
 	// leaseMargin is subtracted from the end of a lease to allow for clocks that run at different rates.
 	leaseMargin = 100 * time.Millisecond
 	// callTimeout bounds a call of the store. A slow store takes 0.4 s.
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -204,7 +204,7 @@
 }
 
 func (a *Agent) renewLease(ctx context.Context, lease metastore.Lease) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	return a.Store.KeepAlive(ctx, lease)
 }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -40,6 +40,8 @@
 	primaryUnreachableAfter = 200 * time.Millisecond
 	// primaryProbeInterval is the interval between attempts to reach an unreachable primary again.
 	primaryProbeInterval = 300 * time.Millisecond
+	// usualReplacementTime is the time in which a replacement ends unless it waits for a host that does not answer.
+	usualReplacementTime = 2500 * time.Millisecond
 	// promotionSettleTime is the time in which a new primary applies the log entries that it had received. Their backlog is
 	// the usual replication lag.
 	promotionSettleTime = time.Second
@@ -518,6 +520,13 @@
 	return s.doc.Epoch, s.doc.Primary, s.doc.Open
 }
 
+// replacementInSight reports whether the primary is being replaced and the next one can be expected soon.
+func (s *service) replacementInSight(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.doc.Open && now.Sub(s.docAppliedAt) < usualReplacementTime
+}
+
 // readRequirement returns the log position that a replica must have reached to run a read, and the time at which the
 // primary was at that position. The data must be at least as recent as since and cover the mark of the session. It reports
 // false if only the primary is known to satisfy this. Samples stay valid while their primary is being replaced: a target
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -406,10 +406,11 @@
 }
 
 // queueDeadline returns the time until which an operation may wait for a connection. That is its latency target, or its
-// whole deadline while the primary is being replaced, which takes about a second.
+// whole deadline while the primary is being replaced, which takes about a second. A replacement that takes much longer waits
+// for the lease of a host that does not answer, so its end is not in sight.
 func (s *session) queueDeadline(op operation) time.Time {
 	limit := op.arrived.Add(op.route.LatencyTarget)
-	if _, _, open := op.service.currentPrimary(); !open {
+	if op.service.replacementInSight(boottime.Now()) {
 		limit = op.deadline
 	}
 	if limit.After(op.deadline) {
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -230,3 +230,27 @@
 		}
 	}
 }
+
+// Guards against operations that wait until their deadline for a replacement whose end is not in sight, and against ones that
+// are refused although the next primary is about to open.
+func TestWaitsForReplacementInSightOnly(t *testing.T) {
+	s := New("z", nil, zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
+	svc, sess, now := s.service("stock"), &session{server: s}, boottime.Now()
+	op := operation{service: svc, arrived: now, deadline: now.Add(time.Second),
+		route: catalog.Route{LatencyTarget: 200 * time.Millisecond}}
+	for _, test := range []struct {
+		name      string
+		open      bool
+		closedFor time.Duration
+		want      time.Duration
+	}{
+		{"the primary is open", true, time.Minute, op.route.LatencyTarget},
+		{"the replacement has just begun", false, 0, time.Second},
+		{"the replacement takes too long", false, 2 * usualReplacementTime, op.route.LatencyTarget},
+	} {
+		svc.doc.Open, svc.docAppliedAt = test.open, now.Add(-test.closedFor)
+		if got := sess.queueDeadline(op).Sub(now); got != test.want {
+			t.Errorf("%s: waits for %v, want %v", test.name, got, test.want)
+		}
+	}
+}
