--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -418,7 +418,7 @@
 	for _, doc := range v.documents {
 		go a.applyDocument(doc.value)
 	}
-	a.Server.SetCatalog(v.catalog, len(v.expected))
+	a.Server.SetCatalog(v.catalog, v.sharingHosts(a.Self))
 	if v.catalog.Version == 0 {
 		return
 	}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -193,6 +193,24 @@
 	}
 }
 
+// mergeItems applies items that this host has listed under a part of the prefix. The revision stays as it is, because other
+// keys may have changed before.
+func (f *prefixFollower) mergeItems(ctx context.Context, items []metastore.Item) {
+	var events []metastore.Event
+	f.agent.followMu.Lock()
+	for _, item := range items {
+		if item.Revision > f.items[item.Key].Revision {
+			events = append(events, metastore.Event{Item: item})
+			f.recordEvent(metastore.Event{Item: item})
+		}
+	}
+	apply := f.apply
+	f.agent.followMu.Unlock()
+	if len(events) > 0 {
+		f.agent.post(ctx, func(c *control) { apply(c, prefixChange{events: events}) })
+	}
+}
+
 // recordEvent updates items and removed with one event. The caller holds followMu.
 func (f *prefixFollower) recordEvent(e metastore.Event) {
 	if e.Removed {
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// Guards against a host that misses changes of other keys because it has listed a part of the prefix, and against a listed
+// item that replaces a later one.
+func TestMergedItemsKeepRevision(t *testing.T) {
+	ctx := context.Background()
+	_, leader := newTestFollower(t)
+	leader.replaceState(ctx, PrefixState{Revision: 20, Items: []metastore.Item{item("p/a", 3), item("p/b", 15),
+		item("p/d", 18)}}, true)
+	_, f := newTestFollower(t)
+	f.replaceState(ctx, PrefixState{Revision: 10, Items: []metastore.Item{item("p/a", 3), item("p/c", 9)}}, true)
+	f.mergeItems(ctx, []metastore.Item{item("p/d", 18), item("p/a", 2)})
+	if diff := cmp.Diff(map[string]uint64{"p/a": 3, "p/c": 9, "p/d": 18}, itemRevisions(f)); diff != "" {
+		t.Errorf("items (-want +got):\n%s", diff)
+	}
+	if !f.applyRelayed(ctx, leader.changesSince(f.revision)) || f.items["p/b"].Revision != 15 {
+		t.Errorf("after the merge the host is at revision %d and misses a change", f.revision)
+	}
+}
+
 // Guards against a relay that sends whole prefixes for each change: with 70 hosts they saturated the link of the
 // leader.
 func TestRelaySendsOnlyChanges(t *testing.T) {
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -23,12 +23,12 @@
 // storePollInterval is the interval between checks for a reply of the store, about the duration of a call.
 const storePollInterval = 5 * time.Millisecond
 
-// Registration is a live registration of a host, with the control keys as listed after it was written.
+// Registration is a live registration of a host, with the primary documents as listed after it was written.
 type Registration struct {
-	Lease        metastore.Lease
-	TTL          time.Duration
-	Revision     uint64 // of the host's key
-	ControlState PrefixState
+	Lease     metastore.Lease
+	TTL       time.Duration
+	Revision  uint64 // of the host's key
+	Documents []metastore.Item
 }
 
 // keepRegistered keeps this host registered until the context ends. Primaries may be used only after the documents
@@ -54,7 +54,7 @@
 		a.registrationMu.Lock()
 		a.lease, a.registeredRevision = r.Lease, r.Revision
 		a.registrationMu.Unlock()
-		a.follower(controlPrefix, (*control).applyControlKeys).replaceState(ctx, r.ControlState, true)
+		a.follower(controlPrefix, (*control).applyControlKeys).mergeItems(ctx, r.Documents)
 		if err := a.runAndWait(ctx, func(*control) {}); err != nil { // waits for all events posted before
 			return
 		}
@@ -70,21 +70,17 @@
 
 // refreshControlKeys reads the control keys from the store and returns once they are in force.
 func (a *Agent) refreshControlKeys(ctx context.Context) error {
-	state, err := a.listControlKeys(ctx)
+	items, revision, err := listWithTimeout(ctx, controlPrefix, a.Store.List)
 	if err != nil {
 		return err
 	}
+	state := PrefixState{Revision: revision, Items: items}
 	a.follower(controlPrefix, (*control).applyControlKeys).replaceState(ctx, state, true)
 	return a.runAndWait(ctx, func(*control) {}) // waits for all events posted before
 }
 
-func (a *Agent) listControlKeys(ctx context.Context) (PrefixState, error) {
-	items, revision, err := listWithTimeout(ctx, controlPrefix, a.Store.List)
-	return PrefixState{Revision: revision, Items: items}, err
-}
-
-// registerHost registers this host, or one that cannot reach the store, and lists the control keys. The write is
-// conditional on the known revision of the host's key: a call without a reply may take effect seconds later, and must
+// registerHost registers this host, or one that cannot reach the store, and lists the primary documents. It does not list
+// the other control keys, whose number grows with the fleet. The write is conditional on the known revision of the host's key: a call without a reply may take effect seconds later, and must
 // not replace the current registration by one with an older lease.
 func (a *Agent) registerHost(ctx context.Context, h Host) (r Registration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
@@ -99,7 +95,7 @@
 		}
 	}
 	if err == nil {
-		r.ControlState, err = a.listControlKeys(ctx)
+		r.Documents, _, err = listWithTimeout(ctx, primaryPrefix, a.Store.List)
 	}
 	if err != nil {
 		go a.revoke(r.Lease)
