Hosts whose shares hold tokens wait for the next leader; a host does not divide rates among an unknown number of hosts

Deputies were joined within 50 ms of the start since they are looked for at once, so each host gave up its equal share for a broker without tokens, and changed again when the leader came. Hosts of fleets where an equal share holds a token of most limits serve with it for up to a second; the others, as on the large site, need a deputy at once.

A host that knew the configuration before the hosts divided each limit by one, and lost or multiplied its initial tokens. The limiter admits nothing until the number of hosts is known (50 ms at a start), and creates its buckets then.

--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -25,6 +25,9 @@
 	// brokerChangeTime is the time in which a host that has lost its broker usually joins another one: a report times out,
 	// and the deputies answer.
 	brokerChangeTime = 1500 * time.Millisecond
+	// nextLeaderTime is the time in which another leader is usually found after a restart or a planned stop. A host that can
+	// serve without a broker spares the two changes to a deputy and back.
+	nextLeaderTime = time.Second
 	// deputyAnswerTime is the time for which answers of further deputies are awaited after the first one. All hosts on one
 	// side of a partition should choose the same deputy.
 	deputyAnswerTime = 60 * time.Millisecond
@@ -350,6 +353,9 @@
 		if !a.leaderUnreachable.Load() {
 			continue
 		}
+		if a.Server.ServesWithoutBroker() && elapsedSince(&a.lastBrokerReply) < nextLeaderTime {
+			continue
+		}
 		b := a.membership.current()
 		if b != nil && (!a.membership.isResponsive(*b) || a.Server.Standalone()) {
 			a.dropBroker(*b, false)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -30,8 +30,6 @@
 	// restartGrace is the time for which a departed host is still counted when connections and rates are divided. A
 	// restart takes a few seconds.
 	restartGrace = 10 * time.Second
-	// unknownFleetSize is the number of hosts assumed by a host that does not know the others yet.
-	unknownFleetSize = 1000
 	// reservedConnections is the number of connections to each target that are reserved: one for the leader's probes,
 	// and one for a connection that is still closing when its replacement is opened.
 	reservedConnections = 2
@@ -119,14 +117,14 @@
 	return nil
 }
 
-// sharingHosts returns the number of hosts that divide the rate limits, as far as a host knows. A host that has just started
-// may know nobody; as long as its own registration is not among those that it knows, it assumes many.
+// sharingHosts returns the number of hosts that divide the rate limits, or 0 if it is not known: a host that has just started
+// may know no other, until its own registration is among those that it knows.
 func (v *clusterView) sharingHosts(self Host) int {
 	own, registered := v.hosts[self.ID]
 	if registered && own.Incarnation == self.Incarnation || len(v.hosts) > 1 {
 		return len(v.expected)
 	}
-	return max(len(v.expected), unknownFleetSize)
+	return 0
 }
 
 // targetsOf returns the registered targets of a service sorted by id.
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -109,7 +109,7 @@
 }
 
 // SetCatalog applies a configuration if it is newer than the active one, and sets the number of hosts that share the
-// limits.
+// limits, or 0 if it is not known.
 func (s *Server) SetCatalog(c *catalog.Catalog, hosts int) {
 	if c.Version > s.catalog().Version {
 		s.activeCatalog.Store(c)
@@ -158,6 +158,13 @@
 	return s.limiter.Standalone(boottime.Now())
 }
 
+// ServesWithoutBroker reports whether this host's equal share of the limits lets it serve callers for a while without a broker.
+func (s *Server) ServesWithoutBroker() bool {
+	s.limitMu.Lock()
+	defer s.limitMu.Unlock()
+	return s.limiter.SharesHoldTokens()
+}
+
 // BrokerAnswered records that the broker answered a report that was sent at the given time.
 func (s *Server) BrokerAnswered(sent time.Time) {
 	s.limitMu.Lock()
--- a/share/share.go
+++ b/share/share.go
@@ -44,6 +44,8 @@
 	handOverReserve = 300 * time.Millisecond
 	// denialHalfLife is the time after which half of the denied requests have been repeated or abandoned.
 	denialHalfLife = 50 * time.Millisecond
+	// unknownHostsWait is the time in which a starting host learns how many hosts share the limits.
+	unknownHostsWait = 50 * time.Millisecond
 	// maxRequestBackoff is the longest time that a host waits before its next request after the broker had no token.
 	maxRequestBackoff = 250 * time.Millisecond
 )
@@ -242,22 +244,38 @@
 // Limiter admits the operations of one host. It is not safe for concurrent use.
 type Limiter struct {
 	limits       Limits
-	hosts        int
+	hosts        int       // 0 if not known yet; nothing is admitted then
 	lastAnswered time.Time // send time of the last report that the broker answered
 	buckets      map[model.Workspace]*hostBucket
 }
 
 // NewLimiter returns a limiter without limits, which admits everything.
 func NewLimiter() *Limiter {
-	return &Limiter{hosts: 1, buckets: map[model.Workspace]*hostBucket{}}
+	return &Limiter{buckets: map[model.Workspace]*hostBucket{}}
 }
 
-// SetLimits replaces the limits and the number of hosts that the limits are divided among.
+// SetLimits replaces the limits and the number of hosts that the limits are divided among. If the number is 0, it is not
+// known, and the last one stays.
 func (l *Limiter) SetLimits(now time.Time, limits Limits, hosts int) {
 	for workspace := range l.limits {
 		l.bucket(now, workspace) // refill at the old rate up to now
 	}
-	l.limits, l.hosts = limits, max(hosts, 1)
+	l.limits = limits
+	if hosts > 0 {
+		l.hosts = hosts
+	}
+}
+
+// SharesHoldTokens reports whether the equal share of a host holds a token of most limits, so that a host can serve callers
+// without a broker for a while. In a large fleet it does not. As long as the limits or the hosts are not known, it is true.
+func (l *Limiter) SharesHoldTokens() bool {
+	holding := 0
+	for _, limit := range l.limits {
+		if fixedFractionOf(limit, l.hosts) > 0 {
+			holding++
+		}
+	}
+	return 2*holding >= len(l.limits)
 }
 
 // JoinBroker restricts this host to its fixed share, from the time at which it sends its report to a broker. It returns the
@@ -293,6 +311,9 @@
 	if !known {
 		return Decision{Admitted: true} // only callers of public routes belong to no workspace with a limit
 	}
+	if l.hosts == 0 {
+		return Decision{Wait: unknownHostsWait}
+	}
 	bucket := l.bucket(now, workspace)
 	if !retry {
 		bucket.recordDemand(now)
@@ -366,6 +387,9 @@
 
 // bucket returns the refilled bucket of a workspace.
 func (l *Limiter) bucket(now time.Time, workspace model.Workspace) *hostBucket {
+	if l.hosts == 0 {
+		return &hostBucket{} // the initial level depends on the number of hosts
+	}
 	limit := l.limits[workspace]
 	fraction := l.fraction(now, limit)
 	bucket := l.buckets[workspace]
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -544,3 +544,28 @@
 		t.Error("there is no token after the wait")
 	}
 }
+
+// Guards against a starting host that knows the limits before it knows the other hosts: it must neither use the whole limit
+// nor lose its initial tokens.
+func TestLimiterWaitsForNumberOfHosts(t *testing.T) {
+	l, now := NewLimiter(), time.Unix(1000, 0)
+	limits := Limits{"w": {PerSecond: 100, Burst: 100}}
+	l.SetLimits(now, limits, 0)
+	if d := l.Admit(now, "w", false); d.Admitted || d.Wait <= 0 {
+		t.Errorf("without a number of hosts: %+v", d)
+	}
+	l.SetLimits(now, limits, 10)
+	l.SetLimits(now, limits, 0)
+	admitted := 0
+	for l.Admit(now, "w", false).Admitted {
+		admitted++
+	}
+	if want := int(initialFraction * 100 / 10); admitted != want {
+		t.Errorf("%d operations admitted of 10 hosts' 100/s, want %d", admitted, want)
+	}
+	for hosts, want := range map[int]bool{10: true, 200: false} {
+		if l.SetLimits(now, limits, hosts); l.SharesHoldTokens() != want {
+			t.Errorf("shares of %d hosts hold a token: %t, want %t", hosts, !want, want)
+		}
+	}
+}
