--- a/placement/homes_test.go
+++ b/placement/homes_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -99,3 +101,49 @@
 		t.Errorf("in %d of %d plays one side had no host of the service", without, plays)
 	}
 }
+
+// Guards against homes that see too few statements: a read that may be 1.5 s old can run on a replica only if its home knows
+// a position of the primary that is as recent, and otherwise adds to the load of the primary. The load is that of one of 20
+// services on 195 hosts: 58 operations a second of 140 workspaces, a quarter of which run on the primary.
+func TestHomesKnowRecentPositions(t *testing.T) {
+	const (
+		rate         = 58.0
+		primaryShare = 0.25
+		maxStaleness = 1500 * time.Millisecond
+		wantShare    = 0.9 // of the reads, so that the primary gets few that a replica could run
+	)
+	weights := map[model.Workspace]float64{}
+	var workspaces []model.Workspace
+	var cumulative []float64
+	total := 0.0
+	for i := range 140 {
+		workspace := model.Workspace(fmt.Sprintf("w%d", i))
+		weights[workspace] = 1 / math.Pow(float64(i+1), 0.8)
+		total += weights[workspace]
+		workspaces, cumulative = append(workspaces, workspace), append(cumulative, total)
+	}
+	p := NewPlan(PlanInput{Service: "booking", Connections: 178, Rate: 1.6 * rate, Weights: weights, Hosts: planHosts(195)})
+	rng := rand.New(rand.NewPCG(1, 0))
+	lastSample := map[model.HostID]time.Duration{}
+	reads, known := 0, 0
+	for now := time.Duration(0); now < time.Minute; now += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
+		index, _ := slices.BinarySearch(cumulative, rng.Float64()*total)
+		homes, _ := p.Homes(workspaces[index])
+		home := homes[rng.IntN(len(homes))]
+		at, sampled := lastSample[home]
+		recent := sampled && now-at <= maxStaleness
+		onPrimary := rng.Float64() < primaryShare
+		if !onPrimary {
+			reads++
+			if recent {
+				known++
+			}
+		}
+		if onPrimary || !recent { // the read runs on the primary as well, whose answer is the next sample
+			lastSample[home] = now
+		}
+	}
+	if share := float64(known) / float64(reads); share < wantShare {
+		t.Errorf("%.2f of the reads found a recent position at their home, want %.2f", share, wantShare)
+	}
+}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -237,6 +237,26 @@
 	}
 }
 
+// A workspace that is used every few seconds must find its connection open: opening one takes a slot for half the time of a
+// statement. Ten workspaces, each with a statement every two seconds, on a home of a large fleet.
+func TestKeepsConnectionsOfOccasionalWorkspaces(t *testing.T) {
+	f := newFixture(t, Target{ID: "a", DataCentre: "east", Limit: 24})
+	id := RequestID(0)
+	for range 10 { // rounds of two seconds
+		for workspace := range 10 {
+			id++
+			f.enqueue(writeRequest(id, model.Workspace(rune('a'+workspace))))
+			f.advance(25 * time.Millisecond)
+			f.release(id)
+			f.advance(175 * time.Millisecond)
+		}
+	}
+	if len(f.granted) != int(id) || len(f.opened) != 10 {
+		t.Errorf("%d of %d statements were granted a connection, %d connections opened for 10 workspaces", len(f.granted), id,
+			len(f.opened))
+	}
+}
+
 // A connection must not be reopened for another workspace while statements of its own workspace wait, because reopening
 // costs the target as much as a statement. The other workspace must not starve either.
 func TestServesOwnWorkspaceBeforeReopening(t *testing.T) {
