Decisions are in effect before a host may use primaries again; confirmations that fail are repeated with the next one

Found in the reading of the change: after a registration the documents were put into effect by goroutines that nothing waited for, so a host whose lease had ended could use a replaced primary for a moment after its next registration, and its confirmation could be written before the decision was in effect; coalescing confirmations made that likelier.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -479,6 +479,10 @@
 	defer a.registrationMu.Unlock()
 	if err == nil {
 		a.registeredRevision = max(a.registeredRevision, revision)
+		return
+	}
+	for service, epoch := range confirmed { // the next confirmation includes them
+		a.unconfirmed[service] = max(a.unconfirmed[service], epoch)
 	}
 }
 
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -60,14 +60,20 @@
 		}
 		a.Log.Info("registration: active", zap.Int64("lease", int64(r.Lease)), zap.Duration("ttl", r.TTL),
 			zap.Uint64("revision", r.Revision))
-		for _, doc := range a.view.Load().documents {
-			go a.confirmViaStore(doc.value)
-		}
+		a.enforceDocuments()
 		a.keepRegistrationLease(ctx, r, sent)
 		a.Server.AllowPrimariesUntil(time.Time{})
 	}
 }
 
+// enforceDocuments puts all known documents into effect before this host may use primaries, and confirms the closed ones.
+func (a *Agent) enforceDocuments() {
+	for _, doc := range a.view.Load().documents {
+		a.Server.ApplyPrimaryDocument(doc.value)
+		go a.confirmViaStore(doc.value)
+	}
+}
+
 // refreshControlKeys reads the control keys from the store and returns once they are in force.
 func (a *Agent) refreshControlKeys(ctx context.Context) error {
 	items, revision, err := listWithTimeout(ctx, controlPrefix, a.Store.List)
@@ -80,8 +86,9 @@
 }
 
 // registerHost registers this host, or one that cannot reach the store, and lists the primary documents. It does not list
-// the other control keys, whose number grows with the fleet. The write is conditional on the known revision of the host's key: a call without a reply may take effect seconds later, and must
-// not replace the current registration by one with an older lease.
+// the other control keys, whose number grows with the fleet. The write is conditional on the known revision of the host's
+// key: a call without a reply may take effect seconds later, and must not replace the current registration by one with an
+// older lease.
 func (a *Agent) registerHost(ctx context.Context, h Host) (r Registration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
--- a/fleet/register_test.go
+++ b/fleet/register_test.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
@@ -214,3 +216,19 @@
 		}
 	}
 }
+
+// Guards against a host that uses a replaced primary in the moment after its registration, because the decision that closed
+// the primary was not in effect yet.
+func TestDocumentsAreInEffectBeforePrimariesAreAllowed(t *testing.T) {
+	server := frontend.New("z", nil, zap.NewNop(), frontend.NewMetrics(prometheus.NewRegistry()))
+	a := &Agent{Config: Config{Server: server, Log: zap.NewNop()}, unconfirmed: map[model.Service]uint64{}}
+	server.ApplyPrimaryDocument(primacy.Document{Service: "stock", Epoch: 2, Open: true, Primary: "old"})
+	closed := primacy.Document{Service: "stock", Epoch: 3, Primary: "old"}
+	v := newClusterView()
+	v.documents["stock"] = versioned[primacy.Document]{closed, 7}
+	a.view.Store(v)
+	a.enforceDocuments()
+	if server.ApplyPrimaryDocument(closed) {
+		t.Error("the closed decision was not in effect")
+	}
+}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -158,7 +158,8 @@
 	return s.limiter.Standalone(boottime.Now())
 }
 
-// ServesWithoutBroker reports whether this host's equal share of the limits lets it serve callers for a while without a broker.
+// ServesWithoutBroker reports whether this host can serve callers for a while without a broker, because its equal share of most
+// limits holds a token.
 func (s *Server) ServesWithoutBroker() bool {
 	s.limitMu.Lock()
 	defer s.limitMu.Unlock()
