--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -345,18 +345,17 @@
 // deputyLoop syncs with other hosts while the leader is unreachable, and uses one of them as a deputy broker.
 func (a *Agent) deputyLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if b := a.membership.current(); b != nil && b.deputy {
+		b := a.membership.current()
+		usesDeputy := b != nil && b.deputy
+		if usesDeputy {
 			sleep(ctx, reportInterval)
 		} else {
 			sleep(ctx, relayCheckInterval)
 		}
-		if !a.leaderUnreachable.Load() {
-			continue
-		}
-		if a.Server.ServesWithoutBroker() && elapsedSince(&a.lastBrokerReply) < nextLeaderTime {
+		if !a.leaderUnreachable.Load() || !usesDeputy && a.expectsNextLeader() {
 			continue
 		}
-		b := a.membership.current()
+		b = a.membership.current()
 		if b != nil && (!a.membership.isResponsive(*b) || a.Server.Standalone()) {
 			a.dropBroker(*b, false)
 		}
@@ -369,6 +368,11 @@
 	}
 }
 
+// expectsNextLeader reports whether this host should rather serve without a broker until the next leader than use a deputy.
+func (a *Agent) expectsNextLeader() bool {
+	return a.Server.ServesWithoutBroker() && elapsedSince(&a.lastBrokerReply) < nextLeaderTime
+}
+
 // syncWithCandidate syncs with one of the hosts that follow the store while there is no leader.
 func (a *Agent) syncWithCandidate(ctx context.Context) {
 	hosts := slices.DeleteFunc(a.candidateHosts(), func(h Host) bool { return h.ID == a.Self.ID })
