Hosts with narrow links campaign last; a host campaigns only with a view that has its registration

Hosts with less than half of the widest link wait a second longer. A host whose registration is not in its view does not campaign, because larger hosts may be missing there as well. TestWeakHostsCampaignLast does not hold before: 240 ms against 150 ms for the last wide host.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -23,6 +23,10 @@
 	// maxSuccessors bounds the hosts that are asked to take over. Hosts that are shutting down as well refuse at
 	// once.
 	maxSuccessors = 8
+	// weakHostDelay is the additional time for which hosts wait whose link is below weakHostFraction of the widest one. Such a
+	// host cannot carry the reports of a large fleet, and hosts notice the end of a leader's lease up to 0.5 s apart.
+	weakHostDelay    = time.Second
+	weakHostFraction = 0.5
 	// superviseInterval is the interval between checks of a service's primary.
 	superviseInterval = 100 * time.Millisecond
 )
@@ -55,7 +59,7 @@
 }
 
 // campaign tries to become the leader while there is none. Hosts try in order of capacity, each after a delay that
-// grows with its rank, so that usually only one of them writes.
+// grows with its rank, so that usually only one of them writes and a large host leads.
 func (c *control) campaign(ctx context.Context) {
 	a := c.agent
 	if c.acquiring || !a.Ready() || a.Server.Draining() {
@@ -69,20 +73,35 @@
 		}
 		expectedRevision = v.leader.revision // this host was the leader before it restarted
 	}
-	rank := slices.IndexFunc(v.hostsByCapacity(), func(h Host) bool { return h.ID == a.Self.ID })
-	if rank < 0 {
+	delay, eligible := v.campaignDelay(a.Self)
+	if expectedRevision == 0 && !eligible {
 		return
 	}
 	c.acquiring = true
 	go func() {
 		if expectedRevision == 0 {
-			sleep(ctx, time.Duration(rank)*replacePollInterval)
+			sleep(ctx, delay)
 		}
 		a.lead(ctx, expectedRevision)
 		a.post(ctx, func(c *control) { c.acquiring = false })
 	}()
 }
 
+// campaignDelay returns the time for which a host waits before it tries to become the leader. It reports false if the view is
+// older than the registration of the host, so that larger hosts may be missing.
+func (v *clusterView) campaignDelay(self Host) (time.Duration, bool) {
+	hosts := v.hostsByCapacity()
+	rank := slices.IndexFunc(hosts, func(h Host) bool { return h.ID == self.ID })
+	if rank < 0 || hosts[rank].Incarnation != self.Incarnation {
+		return 0, false
+	}
+	delay := time.Duration(rank) * replacePollInterval
+	if self.LinkMbps < weakHostFraction*hosts[0].LinkMbps {
+		delay += weakHostDelay
+	}
+	return delay, true
+}
+
 // lead becomes the leader if the leader's key has the expected revision, and leads until the lease is lost.
 func (a *Agent) lead(ctx context.Context, expectedRevision uint64) {
 	if v := a.view.Load(); expectedRevision == 0 && v.leader != nil {
--- /dev/null
+++ b/fleet/leader_test.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// Guards against a host with a narrow link that leads a large fleet because it noticed the end of the last lease a little
+// earlier than the large hosts: its link fills, its probes time out, and it replaces primaries that serve (grown Nairobi site,
+// trouble-3). Guards as well against a host that campaigns with a view in which larger hosts are missing.
+func TestWeakHostsCampaignLast(t *testing.T) {
+	v := newClusterView()
+	add := func(name string, count int, linkMbps float64) {
+		for i := range count {
+			id := model.HostID(fmt.Sprintf("%s-%d", name, i))
+			v.hosts[id] = Host{ID: id, Incarnation: 1, LinkMbps: linkMbps}
+		}
+	}
+	add("wide", 6, 200)
+	add("narrow", 75, 10)
+	const noticedApart = 500 * time.Millisecond // two checks of the control goroutine
+	lastWide, wideEligible := v.campaignDelay(v.hosts["wide-5"])
+	firstNarrow, narrowEligible := v.campaignDelay(v.hosts["narrow-0"])
+	if !wideEligible || !narrowEligible || firstNarrow < lastWide+noticedApart {
+		t.Errorf("the last wide host waits for %v, the first narrow one for %v", lastWide, firstNarrow)
+	}
+	if _, eligible := v.campaignDelay(Host{ID: "narrow-0", Incarnation: 2}); eligible {
+		t.Error("a host campaigns with a view that is older than its registration")
+	}
+	same := newClusterView()
+	same.hosts["a"], same.hosts["b"] = Host{ID: "a", LinkMbps: 10}, Host{ID: "b", LinkMbps: 10}
+	if delay, eligible := same.campaignDelay(same.hosts["b"]); !eligible || delay > replacePollInterval {
+		t.Errorf("in a fleet of equal hosts the second one waits for %v", delay)
+	}
+}
