Remove a needless split of readRequirement and an else branch

From the last reading of the change: readsNeedPrimary asks readRequirement, so the variant for callers that hold the lock goes, and reportAsMember returns early on an error.

--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -309,12 +309,11 @@
 	}
 	reply, err := a.sendReport(b, request)
 	changed := a.membership.recordReply(b, err)
-	if err == nil {
-		a.lastBrokerReply.Store(boottime.Now().UnixNano())
-	} else {
+	if err != nil {
 		a.dropBrokerIfEnded(b, err)
 		return err
 	}
+	a.lastBrokerReply.Store(boottime.Now().UnixNano())
 	a.Server.BrokerAnswered(sent)
 	if changed {
 		a.Log.Info("rate: broker in use", zap.String("broker", string(b.ID)), zap.Bool("deputy", b.deputy))
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -534,11 +534,6 @@
 func (s *service) readRequirement(since time.Time, mark HighWaterMark) (model.Position, time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.readRequirementLocked(since, mark)
-}
-
-// readRequirementLocked is readRequirement for callers that hold the lock.
-func (s *service) readRequirementLocked(since time.Time, mark HighWaterMark) (model.Position, time.Time, bool) {
 	at, position, found := s.samples.OldestSince(since)
 	if !found {
 		return model.Position{}, time.Time{}, false
@@ -551,8 +546,6 @@
 
 // readsNeedPrimary reports whether a read that arrives now has to run on the primary, because no sample is recent enough.
 func (s *service) readsNeedPrimary(now time.Time, maxStaleness time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, _, known := s.readRequirementLocked(now.Add(-maxStaleness), HighWaterMark{})
+	_, _, known := s.readRequirement(now.Add(-maxStaleness), HighWaterMark{})
 	return !known
 }
