--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs the case. TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x target/bin/waxwingspindle ] || [ ! -x review/bin/plannedstop ]; then
+  echo "run the build of deploy/system.toml and review/build.sh first" >&2
+  exit 2
+fi
+exec review/bin/plannedstop review/3/record.txt
