A planned stop answers statements of open transactions before the process exits

Cause: after three quarters of the time until the kill the stop returned although sessions with open transactions were being served. It neither refused their statements nor waited for the running ones, and the process exited.

Ruled out: replies lost between hosts (those are answered, and logged as "forward: no answer"), and sessions that the stop does not count (sessions_cut named them).

Change: the times of a stop are settled when it is requested. Statements of open transactions are answered with ABORTED from TransactionsEnd on, at half of the time until the kill or later, and the transaction is rolled back, so the answer is true. No statement has a deadline after StatementsEnd; idle transactions end then, and the process waits for all answers. On related paths: statements for other hosts count until their reply is sent, a session counts before its caller is told that it is open, and a statement that is arriving when its session is told to end is read and answered instead of being torn apart.

Why it works: every statement that is read is either refused at once or has a deadline before the end of the drain, and the process does not exit before the answers are written.

TestReadSettings compared DrainTimeout with 4.5 s to see that drain_seconds was read. It compares DrainSeconds with 6 now, and TestStopTimes checks the times of a stop against the kill and the half that transactions have.

--- a/cmd/waxbench/soak.go
+++ b/cmd/waxbench/soak.go
@@ -24,6 +24,7 @@
 	Callers int           `help:"Callers of a system." default:"30"`
 	Length  time.Duration `help:"Time in which faults come." default:"30s"`
 	Sync    int           `help:"Replicas that have to receive a commit; -1 means none for even seeds and one for odd ones." default:"-1"`
+	Planned bool          `help:"Inject planned operations only, and use long transactions."`
 	Keep    bool          `help:"Keep all logs."`
 	Verbose bool          `help:"Print the faults as they come."`
 
@@ -65,7 +66,7 @@
 	}
 	for i := range c.Seeds {
 		o := soak.Options{Seed: c.Seed + uint64(i), Hosts: c.Hosts, Callers: c.Callers, FaultDuration: c.Length,
-			SyncReplicas: c.Sync}
+			SyncReplicas: c.Sync, PlannedOnly: c.Planned, LongTransactions: c.Planned}
 		if c.Sync < 0 {
 			o.SyncReplicas = int(o.Seed % 2)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,6 +25,7 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/placement"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/rpccodec"
 )
 
 const (
@@ -109,6 +110,7 @@
 	view             atomic.Pointer[clusterView]
 	events           chan func(*control)
 	ready            atomic.Bool
+	forwardCounter   rpccodec.CallCounter // statements of other hosts
 
 	successions chan successionOffer // succession offers from a leader that resigns
 	membership  brokerMembership     // membership in the rate limit broker
@@ -173,11 +175,12 @@
 // New returns an agent that is idle until Run is called.
 func New(c Config) *Agent {
 	a := &Agent{Config: c, controlClients: newPeerClients(), statementClients: newPeerClients(),
-		bulkTransfer: bulkTransfer{clients: newPeerClients()},
-		homes:        homeSelector{outstanding: map[model.HostID]int{}, avoidUntil: map[model.HostID]time.Time{}},
-		events:       make(chan func(*control), eventQueueLength),
-		reachability: reachability{timeout: pingTimeout, hosts: map[model.HostID]*hostProbe{}},
-		successions:  make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
+		bulkTransfer:   bulkTransfer{clients: newPeerClients()},
+		homes:          homeSelector{outstanding: map[model.HostID]int{}, avoidUntil: map[model.HostID]time.Time{}},
+		events:         make(chan func(*control), eventQueueLength),
+		reachability:   reachability{timeout: pingTimeout, hosts: map[model.HostID]*hostProbe{}},
+		forwardCounter: rpccodec.CallCounter{Method: runMethod},
+		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
 		unconfirmed: map[model.Service]uint64{}}
 	a.view.Store(newClusterView())
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -27,6 +27,9 @@
 	avoidDraining = 5 * time.Second
 )
 
+// runMethod is the RPC method that runs a statement for another host.
+const runMethod = "Peer.Run"
+
 // remoteLoadPenalty is added to the load of hosts in other data centres when a home is chosen, in outstanding
 // statements.
 const remoteLoadPenalty = 1
@@ -106,7 +109,7 @@
 	defer a.homes.addOutstanding(host, -1)
 	// A reply may still arrive after a timeout, so each call needs its own.
 	reply := new(frontend.ForwardReply)
-	_, err := a.statementClients.callUnlessUnreachable(h, "Peer.Run", f, reply, timeout, func() <-chan struct{} {
+	_, err := a.statementClients.callUnlessUnreachable(h, runMethod, f, reply, timeout, func() <-chan struct{} {
 		lost := a.probeHost(h)
 		if f.SafeToRetry() {
 			return lost
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -229,10 +229,13 @@
 			time.Sleep(retryInterval)
 			continue
 		}
-		go rpccodec.Serve(server, conn)
+		go rpccodec.Serve(server, conn, &a.forwardCounter)
 	}
 }
 
+// RunningForwards returns the number of statements of other hosts that have not been answered yet.
+func (a *Agent) RunningForwards() int { return a.forwardCounter.Running() }
+
 // Renew renews a lease on behalf of a host that the store rejects.
 func (p *Peer) Renew(r RenewRequest, _ *struct{}) error {
 	return p.agent.renewLease(context.Background(), r.Lease)
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -103,7 +103,7 @@
 			if err != nil {
 				return
 			}
-			go rpccodec.Serve(server, conn)
+			go rpccodec.Serve(server, conn, &rpccodec.CallCounter{})
 		}
 	}()
 	return Host{ID: id, Address: listener.Addr().String()}
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -191,8 +191,6 @@
 // RunForwarded runs a statement for another host. If it returns an error, nothing has run.
 func (s *Server) RunForwarded(f ForwardRequest) (ForwardReply, error) {
 	now := boottime.Now()
-	s.forwardsRunning.Add(1)
-	defer s.forwardsRunning.Add(-1)
 	if !f.Statement.Kind.runsOnTarget() {
 		return ForwardReply{Answer: errorAnswer(Malformed, "a statement that no other host runs")}, nil
 	}
@@ -204,7 +202,7 @@
 	if f.TxnID == 0 {
 		sess := s.newForwardedSession(f)
 		op := operation{route: f.Route, workspace: f.Workspace, service: s.service(f.Route.Service), arrived: now,
-			deadline: now.Add(f.Remaining), isWrite: f.IsWrite}
+			deadline: s.statementDeadline(now, f.Remaining), isWrite: f.IsWrite}
 		answer := sess.runLocally(op, f.Statement)
 		sess.logForwarded(f, answer, now)
 		return ForwardReply{answer, sess.mark, sess.mayHaveRun}, nil
--- a/frontend/message.go
+++ b/frontend/message.go
@@ -123,8 +123,10 @@
 
 // CallerConn is the connection of a caller. Only Interrupt may be called concurrently with the other methods.
 type CallerConn interface {
+	// Accept tells the caller that the session is open.
+	Accept() error
 	// ReadStatement waits for the next statement. It returns ErrInterrupted after a call of Interrupt if no part of a
-	// statement has arrived, and io.EOF when the caller has ended the session.
+	// statement has arrived, and io.EOF when the caller has ended the session. A statement that has arrived is returned first.
 	ReadStatement() (Statement, error)
 	// WriteAnswer sends the answer to the last statement and the resulting transaction state.
 	WriteAnswer(a Answer, state TxnState) error
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -38,16 +38,15 @@
 	metrics    *Metrics
 
 	activeCatalog       atomic.Pointer[catalog.Catalog]
-	draining            atomic.Bool  // a planned stop was announced
-	closing             atomic.Bool  // sessions end as soon as they have no open transaction
-	primaryAllowedUntil atomic.Int64 // boot time in nanoseconds until which primaries may be used
+	stopTimes           atomic.Pointer[StopTimes] // nil unless a planned stop was announced
+	closing             atomic.Bool               // sessions end as soon as they have no open transaction
+	primaryAllowedUntil atomic.Int64              // boot time in nanoseconds until which primaries may be used
 
 	mu       sync.Mutex
 	services map[model.Service]*service
 	sessions map[*session]CallerConn
 	// forwardedTxns holds the sessions of transactions that this host runs for other hosts.
-	forwardedTxns   map[txnKey]*session
-	forwardsRunning atomic.Int64
+	forwardedTxns map[txnKey]*session
 
 	forwarder Forwarder     // nil if all statements run on this host
 	lastTxnID atomic.Uint64 // number of the last transaction that was forwarded
@@ -198,8 +197,8 @@
 	s.acquireTokens, s.brokerChanging = take, changing
 }
 
-// Authenticate checks the database and the key of a new session. It returns Success, or the code of the refusal.
-func (s *Server) Authenticate(database, key string) Code {
+// authenticate checks the database and the key of a new session. It returns Success, or the code of the refusal.
+func (s *Server) authenticate(database, key string) Code {
 	c := s.catalog()
 	if c.Version == 0 {
 		return Busy
@@ -214,35 +213,40 @@
 	return Success
 }
 
-// Serve runs a session that Authenticate has accepted until it ends.
-func (s *Server) Serve(conn CallerConn, database, key string) {
+// Serve accepts the session of a caller and runs it until it ends. If it refuses the session it returns the code of the
+// refusal, and Success otherwise.
+func (s *Server) Serve(conn CallerConn, database, key string) Code {
+	if code := s.authenticate(database, key); code != Success {
+		return code
+	}
 	sess := &session{server: s, log: s.log, database: database, key: key,
 		state: sessionState{variables: map[string]string{}, prepared: map[string]PreparedStatement{}}}
-	s.mu.Lock()
-	s.sessions[sess] = conn
-	s.mu.Unlock()
+	if !s.addSession(sess, conn) {
+		return Busy
+	}
+	defer s.removeSession(sess)
+	if err := conn.Accept(); err != nil {
+		s.log.Info("session: not accepted by the caller", zap.Error(err))
+		return Success
+	}
 	sess.serve(conn)
-	s.mu.Lock()
-	delete(s.sessions, sess)
-	s.mu.Unlock()
+	return Success
 }
 
-// CloseSessions makes every session end as soon as it has no open transaction. It returns the number of sessions that are
-// still open plus the number of statements and transactions that run here for other hosts.
-func (s *Server) CloseSessions() int {
-	first := !s.closing.Swap(true)
+// addSession adds a session unless sessions are being closed. A session is added before its caller can send a statement, so
+// that a planned stop waits for every statement.
+func (s *Server) addSession(sess *session, conn CallerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if first {
-		for _, conn := range s.sessions {
-			conn.Interrupt()
-		}
+	if s.closing.Load() {
+		return false
 	}
-	return len(s.sessions) + len(s.forwardedTxns) + int(s.forwardsRunning.Load())
+	s.sessions[sess] = conn
+	return true
 }
 
-// Drain announces a planned stop of this host.
-func (s *Server) Drain() { s.draining.Store(true) }
-
-// Draining reports whether a planned stop was announced.
-func (s *Server) Draining() bool { return s.draining.Load() }
+func (s *Server) removeSession(sess *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, sess)
+}
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -88,6 +89,8 @@
 	executedOn string // target or host that the last statement was sent to, for logs
 	mayHaveRun bool   // a target may have run a statement of the current operation
 
+	runningStatement atomic.Pointer[string] // id of the statement that has no answer yet, or nil
+
 	mu  sync.Mutex // guards txn against its idle timer
 	txn *txn
 }
@@ -111,9 +114,12 @@
 		}
 		start := boottime.Now()
 		s.executedOn = ""
+		s.runningStatement.Store(&statement.ID)
 		answer := s.execute(start, statement)
 		s.logAnswer(statement, answer, boottime.Now().Sub(start))
-		if err := conn.WriteAnswer(answer, s.txnState()); err != nil {
+		err = conn.WriteAnswer(answer, s.txnState())
+		s.runningStatement.Store(nil)
+		if err != nil {
 			s.log.Info("session: answer not delivered", zap.String("id", statement.ID), zap.Error(err))
 			return
 		}
@@ -125,7 +131,7 @@
 
 // closesForDrain reports whether the session should end now because the host is stopping.
 func (s *session) closesForDrain() bool {
-	return s.server.closing.Load() && s.txnState() == Idle
+	return s.server.closing.Load() && (s.txnState() == Idle || s.server.statementsEnded(boottime.Now()))
 }
 
 // end rolls back a transaction that is still open when the session ends.
@@ -272,7 +278,7 @@
 	s.mayHaveRun = false
 	defer s.refund(workspace)
 	op := operation{route: route, workspace: workspace, service: svc, arrived: now,
-		deadline: now.Add(route.StatementTimeout - answerMargin), isWrite: s.isWrite(st)}
+		deadline: s.server.statementDeadline(now, route.StatementTimeout-answerMargin), isWrite: s.isWrite(st)}
 	excluded := ExcludedHosts{Local: svc.cannotRun(now, op.needsPrimary(), route.MaxStaleness)}
 	for range maxForwardAttempts {
 		host, local := s.server.selectHost(route.Service, workspace, excluded)
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -73,10 +73,10 @@
 // runInTxn runs a statement inside the open transaction.
 func (s *session) runInTxn(now time.Time, st Statement) Answer {
 	t := s.txn
-	op, allowed := s.txnOperation(now)
-	if !allowed {
+	op, refusal := s.txnOperation(now)
+	if refusal.Code != Success {
 		s.failTxn()
-		return errorAnswer(Aborted, "the route or the key has changed")
+		return refusal
 	}
 	if answer, done := s.runOnPeer(op, st); done {
 		return answer
@@ -127,12 +127,16 @@
 	return Answer{}, false
 }
 
-// txnOperation returns the operation for a statement of the open transaction. A transaction that has begun on a target
-// continues after its route or key was changed; otherwise allowed is false if the route or the key is no longer valid or
-// the service has changed.
-func (s *session) txnOperation(now time.Time) (op operation, allowed bool) {
+// txnOperation returns the operation for a statement of the open transaction, or a refusal, after which the transaction
+// cannot continue. A transaction that has begun on a target continues after its route or key was changed; otherwise it is
+// refused if the route or the key is no longer valid or the service has changed.
+func (s *session) txnOperation(now time.Time) (op operation, refusal Answer) {
 	t := s.txn
+	if s.server.transactionsEnded(now) {
+		return op, errorAnswer(Aborted, "the host is stopping")
+	}
 	op = operation{service: t.service, arrived: now}
+	allowed := false
 	if s.forwardedFor != nil {
 		op.route, op.workspace, allowed = s.forwardedFor.route, s.forwardedFor.workspace, true
 	} else {
@@ -146,8 +150,11 @@
 	if timeout == 0 {
 		timeout = defaultStatementTimeout
 	}
-	op.deadline = now.Add(timeout - answerMargin)
-	return op, allowed
+	op.deadline = s.server.statementDeadline(now, timeout-answerMargin)
+	if !allowed {
+		return op, errorAnswer(Aborted, "the route or the key has changed")
+	}
+	return op, Answer{}
 }
 
 // beginOnTarget begins the open transaction on a target of this host. first is the statement that needs it.
@@ -190,10 +197,12 @@
 		s.txn = nil
 		return errorAnswer(Aborted, "the transaction had failed and was rolled back")
 	}
-	op, allowed := s.txnOperation(now)
-	if !allowed {
+	op, refusal := s.txnOperation(now)
+	if refusal.Code != Success {
+		s.rollback(t)
+		s.refundTxn()
 		s.txn = nil
-		return errorAnswer(Aborted, "the route or the key has changed")
+		return refusal
 	}
 	if answer, done := s.runOnPeer(op, st); done {
 		s.txn = nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/fleet"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
@@ -87,7 +88,7 @@
 	go server.Run(ctx.Done())
 	go platform.ServeCallers(listeners.callers, server, log)
 	watchSettings(path, settings, log, signals)
-	drain(agent, server, listeners, settings.DrainTimeout(), log)
+	drain(agent, server, listeners, settings, log)
 	cancel()
 	deregister(agent, server, log)
 	return nil
@@ -151,20 +152,29 @@
 }
 
 // drain stops serving callers gracefully: first the load balancer stops sending new ones, then sessions are closed as soon
-// as they have no open transaction. Sessions that remain after the timeout are cut off.
-func drain(agent *fleet.Agent, server *frontend.Server, l listeners, timeout time.Duration, log *zap.Logger) {
-	started := time.Now()
-	log.Info("stop: requested", zap.Duration("limit", timeout))
-	server.Drain()
+// as they have no open transaction. Transactions that remain at StopTimes.TransactionsEnd are aborted. It returns when all
+// statements of callers and of other hosts have been answered; only a connection that takes no answers is cut off.
+func drain(agent *fleet.Agent, server *frontend.Server, l listeners, settings Settings, log *zap.Logger) {
+	started, timeout := boottime.Now(), settings.DrainTimeout()
+	times := settings.StopTimes(started)
+	log.Info("stop: requested", zap.Duration("limit", timeout),
+		zap.Duration("transactions_until", times.TransactionsEnd.Sub(started)),
+		zap.Duration("statements_until", times.StatementsEnd.Sub(started)))
+	server.Drain(times)
 	go agent.Resign()
 	time.Sleep(min(balancerRemovalDelay, timeout/2))
 	sessions := server.CloseSessions()
+	log.Info("stop: closing sessions", zap.Int("sessions", sessions), zap.Int("forwards", agent.RunningForwards()))
 	_ = l.callers.Close() // fails only if it is closed already, and nothing else closes it
-	for sessions > 0 && time.Since(started) < timeout {
+	for sessions+agent.RunningForwards() > 0 && boottime.Now().Sub(started) < timeout {
 		time.Sleep(sessionPollInterval)
 		sessions = server.CloseSessions()
 	}
-	log.Info("stop: drained", zap.Int("sessions_cut", sessions), zap.Duration("took", time.Since(started)))
+	if cut := server.RunningStatements(); len(cut) > 0 {
+		log.Warn("stop: statements cut off", zap.Strings("ids", cut))
+	}
+	log.Info("stop: drained", zap.Int("sessions_cut", sessions), zap.Int("forwards_cut", agent.RunningForwards()),
+		zap.Duration("took", boottime.Now().Sub(started)))
 }
 
 // deregister removes the host's registration. Once it is removed, no other host tells this one to stop using a primary that
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -443,3 +443,61 @@
 		t.Errorf("another host does not serve after the stop: %+v", a)
 	}
 }
+
+// Guards against a planned stop that ends the process while statements of open transactions are running: their callers would
+// get no answer. A transaction that cannot end in time is told so by an answer that promises that nothing was kept.
+func TestPlannedStopAnswersOpenTransactions(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.group.SetStatementTime(40 * time.Millisecond)
+	type span struct{ from, to time.Time }
+	var (
+		mu      sync.Mutex
+		running []span // statements that were answered or lost
+		wg      sync.WaitGroup
+	)
+	for i := range 8 {
+		c := fleet.mustConnect(2, "view", "workshop-key")
+		wg.Go(func() {
+			text, state := "BEGIN READ", ""
+			for n := 0; ; n++ {
+				sent := time.Now()
+				a := c.Query(fmt.Sprintf("t%d-%d", i, n), text)
+				mu.Lock()
+				running = append(running, span{sent, time.Now()})
+				mu.Unlock()
+				executed := slices.ContainsFunc(fleet.group.ExecutedStatements(),
+					func(e lines.ExecutedStatement) bool { return e.ID == fmt.Sprintf("t%d-%d", i, n) })
+				switch {
+				case a.Err != nil:
+					if executed {
+						t.Errorf("the answer of statement t%d-%d was cut off", i, n)
+					}
+					return
+				case a.Code != "" && !slices.Contains(lines.NoEffectCodes, a.Code):
+					t.Errorf("statement t%d-%d was answered with %s", i, n, a.Code)
+				}
+				if text, state = "READ item", a.TxnStatus; state == "E" {
+					text = "ROLLBACK"
+				}
+				if state == "I" {
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	started := time.Now()
+	if err := fleet.hosts[2].shutDown(); err != nil {
+		t.Error(err)
+	}
+	ended := time.Now() // the process exits
+	if took := ended.Sub(started); took < 3*time.Second || took > 6*time.Second {
+		t.Errorf("the stop took %s; open transactions have 3 s to end, and the process is killed after 6 s", took)
+	}
+	wg.Wait()
+	for _, s := range running {
+		if s.from.Before(ended) && s.to.After(ended) {
+			t.Errorf("a statement that was sent %s before the process exits is still running", ended.Sub(s.from))
+		}
+	}
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -10,11 +10,24 @@
 
 	"github.com/gravitational/trace"
 	"gopkg.in/ini.v1"
+
+	"github.com/waxwingspindle/waxwingspindle/frontend"
+)
+
+// Fractions of DrainSeconds at which the phases of a graceful stop end at the latest. The rest of DrainSeconds is left for the
+// calls that end the process.
+const (
+	// minTransactionsFraction is the time that the platform grants open transactions to end.
+	minTransactionsFraction = 0.5
+	// statementsFraction is the latest deadline of statements.
+	statementsFraction = 0.85
+	// drainFraction leaves time to deliver the answers of statements that ran until their deadline.
+	drainFraction = 0.9
 )
 
-// drainFraction is the fraction of DrainSeconds that a graceful stop may use. Open transactions are given at
-// least half of it, and the rest of DrainSeconds is left for the calls that end the process.
-const drainFraction = 0.75
+// lastStatementTime is the time that a statement of an open transaction has at least if it is accepted during a graceful stop.
+// Few statements take longer.
+const lastStatementTime = time.Second
 
 // Settings are the contents of section [host] of a settings file.
 type Settings struct {
@@ -52,9 +65,18 @@
 	return slices.Contains(strings.Split(s.Seeds, ","), s.AdvertisedAddress())
 }
 
-// DrainTimeout returns the maximum duration of a graceful stop.
-func (s Settings) DrainTimeout() time.Duration {
-	return time.Duration(s.DrainSeconds * drainFraction * float64(time.Second))
+// DrainTimeout returns the maximum duration of a graceful stop, without the calls that end the process.
+func (s Settings) DrainTimeout() time.Duration { return s.drainTime(drainFraction) }
+
+// StopTimes returns the times of a graceful stop that is requested at the given boot time.
+func (s Settings) StopTimes(requested time.Time) frontend.StopTimes {
+	statements := s.drainTime(statementsFraction)
+	transactions := max(s.drainTime(minTransactionsFraction), statements-lastStatementTime)
+	return frontend.StopTimes{TransactionsEnd: requested.Add(transactions), StatementsEnd: requested.Add(statements)}
+}
+
+func (s Settings) drainTime(fraction float64) time.Duration {
+	return time.Duration(s.DrainSeconds * fraction * float64(time.Second))
 }
 
 // ReadSettings reads and validates a settings file. Unknown keys are ignored.
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 const validSettings = `[host]
@@ -38,8 +39,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Peers != "10.0.0.1:7560" || s.Metrics != "10.0.0.1:9464" || s.DrainTimeout().Seconds() != 4.5 {
-		t.Errorf("peers %s, metrics %s, drain %s", s.Peers, s.Metrics, s.DrainTimeout())
+	if s.Peers != "10.0.0.1:7560" || s.Metrics != "10.0.0.1:9464" || s.DrainSeconds != 6 {
+		t.Errorf("peers %s, metrics %s, drain_seconds %v", s.Peers, s.Metrics, s.DrainSeconds)
 	}
 	if seeds := s.OtherSeeds(); len(seeds) != 1 || seeds[0] != "10.0.0.2:7560" {
 		t.Errorf("seeds %v", seeds)
@@ -66,3 +67,17 @@
 		}
 	}
 }
+
+// Guards against planned stops that leave open transactions less than half of drain_seconds, or statements no time to be
+// answered before the process is killed.
+func TestStopTimes(t *testing.T) {
+	for _, seconds := range []float64{0.5, 2, 6, 30} {
+		s, requested := Settings{DrainSeconds: seconds}, time.Unix(1000, 0)
+		times, kill := s.StopTimes(requested), time.Duration(seconds*float64(time.Second))
+		transactions, statements := times.TransactionsEnd.Sub(requested), times.StatementsEnd.Sub(requested)
+		if transactions < kill/2 || transactions >= statements || statements >= s.DrainTimeout() || s.DrainTimeout() >= kill {
+			t.Errorf("drain_seconds %v: transactions end after %s, statements after %s, the stop after %s", seconds, transactions,
+				statements, s.DrainTimeout())
+		}
+	}
+}
--- a/rpccodec/rpccodec.go
+++ b/rpccodec/rpccodec.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"io"
 	"net/rpc"
+	"sync/atomic"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -86,11 +87,30 @@
 func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
 
 // serverCodec implements rpc.ServerCodec.
-type serverCodec struct{ codec }
+type serverCodec struct {
+	codec
+	counter *CallCounter
+}
+
+// CallCounter counts the calls of one method that have been read and whose responses have not been sent yet. Connections may
+// share it.
+type CallCounter struct {
+	Method  string
+	running atomic.Int64
+}
+
+// Running returns the number of calls without a response.
+func (c *CallCounter) Running() int { return int(c.running.Load()) }
+
+func (c *CallCounter) add(method string, n int64) {
+	if method == c.Method {
+		c.running.Add(n)
+	}
+}
 
 // Serve serves the calls that arrive on a connection until the connection is closed.
-func Serve(server *rpc.Server, conn io.ReadWriteCloser) {
-	server.ServeCodec(serverCodec{newCodec(conn)})
+func Serve(server *rpc.Server, conn io.ReadWriteCloser, counter *CallCounter) {
+	server.ServeCodec(serverCodec{newCodec(conn), counter})
 }
 
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
@@ -99,12 +119,14 @@
 		return err
 	}
 	r.ServiceMethod, r.Seq = h.Method, h.Sequence
+	c.counter.add(r.ServiceMethod, 1) // net/rpc answers each request whose header it has read
 	return nil
 }
 
 func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer c.counter.add(r.ServiceMethod, -1)
 	return c.writeMessage(responseHeader{r.ServiceMethod, r.Seq, r.Error}, body)
 }
 
--- a/rpccodec/rpccodec_test.go
+++ b/rpccodec/rpccodec_test.go
@@ -35,7 +35,7 @@
 	if err := server.RegisterName("Echo", echo{}); err != nil {
 		t.Fatal(err)
 	}
-	go Serve(server, far)
+	go Serve(server, far, &CallCounter{})
 	client := NewClient(near)
 	defer client.Close()
 	for _, text := range []string{"one", "fail", "two"} {
@@ -54,3 +54,47 @@
 		}
 	}
 }
+
+// gate answers a call when it is opened.
+type gate struct{ opened chan struct{} }
+
+func (g gate) Wait(struct{}, *struct{}) error {
+	<-g.opened
+	return nil
+}
+
+// Guards against a planned stop that ends the process between the end of a call and its response: a call counts until its
+// response has been sent.
+func TestCallCounter(t *testing.T) {
+	near, far := net.Pipe() // unbuffered: a response is sent once the client reads it
+	server, g, counter := rpc.NewServer(), gate{make(chan struct{})}, &CallCounter{Method: "Gate.Wait"}
+	if err := server.RegisterName("Gate", g); err != nil {
+		t.Fatal(err)
+	}
+	go Serve(server, far, counter)
+	c := clientCodec{newCodec(near)}
+	for n, method := range []string{"Gate.Wait", "Gate.Wait", "Gate.Unknown"} {
+		if err := c.WriteRequest(&rpc.Request{ServiceMethod: method, Seq: uint64(n)}, struct{}{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(g.opened)
+	time.Sleep(50 * time.Millisecond)
+	if n := counter.Running(); n != 2 {
+		t.Errorf("%d calls count before their responses are read, want 2", n)
+	}
+	for range 3 {
+		var response rpc.Response
+		if err := c.ReadResponseHeader(&response); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.ReadResponseBody(nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for deadline := time.Now().Add(time.Second); counter.Running() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d calls count after their responses", counter.Running())
+		}
+	}
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -22,10 +22,18 @@
 	meanLimitedInterval = 25 * time.Millisecond
 	// maxStatementInterval is the maximum time between two statements of a transaction.
 	maxStatementInterval = 20 * time.Millisecond
+	// maxLongTxnPause is the maximum time between two statements of a long transaction, far below the idle timeout of
+	// transactions, and maxLongTxnStatements their maximum number. Such a transaction may take as long as a planned stop.
+	maxLongTxnPause      = 700 * time.Millisecond
+	maxLongTxnStatements = 12
 	// itemCount is the number of items shared by all callers.
 	itemCount = 30
 )
 
+// longTxnGroupSize is the size of a group of callers. All but one of them use long transactions if Options.LongTransactions is
+// set.
+const longTxnGroupSize = 3
+
 // Workspaces and fixed keys of the configuration. Rotating keys belong to openWorkspace.
 const (
 	openWorkspace    = "workshop"
@@ -254,13 +262,17 @@
 	if !writes {
 		begin = "BEGIN READ"
 	}
+	maxStatements, maxPause := 4, maxStatementInterval
+	if c.system.options.LongTransactions && c.number%longTxnGroupSize != 0 {
+		maxStatements, maxPause = maxLongTxnStatements, maxLongTxnPause
+	}
 	response := c.query(o, begin, "", false)
-	for range 1 + c.random.IntN(4) {
+	for range 1 + c.random.IntN(maxStatements) {
 		if response.Code != "" || response.TxnStatus != "T" {
 			c.abortTransaction(o, response)
 			return
 		}
-		time.Sleep(time.Duration(c.random.Int64N(int64(maxStatementInterval))))
+		time.Sleep(time.Duration(c.random.Int64N(int64(maxPause))))
 		response = c.sendStatement(o, writes && c.random.IntN(2) == 0)
 	}
 	if response.Code != "" || response.TxnStatus != "T" {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -116,6 +116,27 @@
 	}
 }
 
+// stopSpacing is the time between the stops of two hosts of GeneratePlannedOperations. A stop takes longer, so several hosts
+// stop at once.
+const stopSpacing = 1300 * time.Millisecond
+
+// GeneratePlannedOperations returns a plan for a seed that has no faults: all hosts are stopped and started again in turn, over
+// and over, while keys and limits change. All operations start within length.
+func GeneratePlannedOperations(seed uint64, hosts int, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var plan []Fault
+	next := make([]time.Duration, hosts) // when each host has started again after its last stop
+	for at, h := time.Duration(0), random.IntN(hosts); at < length; h = (h + 1) % hosts {
+		at = max(at+stopSpacing/2+time.Duration(random.Int64N(int64(stopSpacing))), next[h])
+		plan = append(plan, Fault{Start: at, Duration: drainSeconds * time.Second, Kind: HostStopped, Host: h})
+		next[h] = at + drainSeconds*time.Second + settleTime
+		if kind := []FaultKind{KeyChanged, LimitChanged, ""}[random.IntN(3)]; kind != "" {
+			plan = append(plan, Fault{Start: at + time.Duration(random.Int64N(int64(stopSpacing))), Kind: kind})
+		}
+	}
+	return plan
+}
+
 // planSteps returns the starts and ends of the faults of a plan in chronological order.
 func planSteps(plan []Fault) []planStep {
 	var all []planStep
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,7 +39,10 @@
 	Callers       int
 	FaultDuration time.Duration // length of the phase with faults
 	SyncReplicas  int
-	Output        io.Writer // receives a line for each fault; may be nil
+	PlannedOnly   bool // only planned operations are injected, so that no fault excuses a lost statement
+	// LongTransactions makes some callers pause between the statements of transactions that take seconds in all.
+	LongTransactions bool
+	Output           io.Writer // receives a line for each fault; may be nil
 }
 
 // Result is the result of a soak run.
@@ -75,7 +78,11 @@
 	r := Result{}
 	found := make(chan []Violation, 1)
 	sys.background.Go(func() { found <- sys.checkPeriodically() })
-	r.SkippedFaults = sys.runPlan(GeneratePlan(o.Seed, o.Hosts, databaseCount, o.FaultDuration))
+	plan := GeneratePlan(o.Seed, o.Hosts, databaseCount, o.FaultDuration)
+	if o.PlannedOnly {
+		plan = GeneratePlannedOperations(o.Seed, o.Hosts, o.FaultDuration)
+	}
+	r.SkippedFaults = sys.runPlan(plan)
 	time.Sleep(keyChangeDelay)
 	sys.rotateKey()
 	time.Sleep(recoveryTime - keyChangeDelay)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,14 +14,17 @@
 	t.Parallel()
 	program := build(t)
 	for _, c := range []struct {
-		seed   uint64
-		length time.Duration
+		seed    uint64
+		length  time.Duration
+		planned bool // planned operations only, with long transactions
 	}{
-		{1, 12 * time.Second},
+		{1, 12 * time.Second, false},
+		{2, 12 * time.Second, true},
 	} {
-		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d planned=%v", c.seed, c.planned), func(t *testing.T) {
+			t.Parallel()
 			r, err := Run(Options{Program: program, Dir: t.TempDir(), Seed: c.seed, Hosts: 3, Callers: 15, FaultDuration: c.length,
-				SyncReplicas: int(c.seed % 2), Output: t.Output()})
+				SyncReplicas: int(c.seed % 2), PlannedOnly: c.planned, LongTransactions: c.planned, Output: t.Output()})
 			if err != nil {
 				t.Fatal(err)
 			}
