A call to a restarted host connects anew instead of counting as sent

What callers saw: INDOUBT for writes that no target had run, right after the host that serves their workspace had been restarted.

Cause: the connection to the host before its restart had ended, but the next call still used it. net/rpc refuses such a call with the error that it also gives to calls which were sent, so that the statement counted as sent. No rule is broken (INDOUBT promises nothing), but the caller may not repeat the write.

The logs have "forward: no answer sent=true error=connection is shut down", 0 ms after the statement came and seconds after the end of the other process. fleet.TestCallAfterRestartOfPeer failed with "connection is shut down".

Change: rpccodec.Client knows when its connection has ended, and peerClients drops such a client before a call. It works because the end of the connection is read when the other process exits, long before the next call. What stays: a connection that ends between the check and the call counts as one that has sent it, which is on the safe side.

Race tests of fleet, rpccodec and gateway pass.

--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/rpc"
 	"slices"
 	"sync"
 	"syscall"
@@ -14,6 +13,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/rpccodec"
 	"github.com/waxwingspindle/waxwingspindle/share"
 )
 
@@ -210,7 +210,7 @@
 	defer close(answered)
 	send := func(clients *peerClients, closeSilent bool) {
 		var r result
-		var client *rpc.Client
+		var client *rpccodec.Client
 		client, r.err = clients.callKeepConn(h, "Peer.Take", request, &r.reply, lateTokenTimeout)
 		if closeSilent && errors.Is(r.err, errTimeout) {
 			clients.closeClient(h.Address, client)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -54,10 +54,10 @@
 // peerClients keeps one RPC connection to each host.
 type peerClients struct {
 	mu      sync.Mutex
-	clients map[string]*rpc.Client
+	clients map[string]*rpccodec.Client
 }
 
-func newPeerClients() *peerClients { return &peerClients{clients: map[string]*rpc.Client{}} }
+func newPeerClients() *peerClients { return &peerClients{clients: map[string]*rpccodec.Client{}} }
 
 // call calls a method that replies without blocking. The connection is closed on a timeout.
 func (p *peerClients) call(h Host, method string, args, reply any, timeout time.Duration) error {
@@ -79,14 +79,14 @@
 
 // callKeepConn calls a method and waits for its reply, but keeps the connection on a timeout: a method that waits for
 // a target proves nothing about the connection. It also returns the client used, so that the caller can close it.
-func (p *peerClients) callKeepConn(h Host, method string, args, reply any, timeout time.Duration) (*rpc.Client, error) {
+func (p *peerClients) callKeepConn(h Host, method string, args, reply any, timeout time.Duration) (*rpccodec.Client, error) {
 	return p.callUnlessUnreachable(h, method, args, reply, timeout, nil)
 }
 
 // callUnlessUnreachable is callKeepConn, but after suspectAfter without a reply it calls startProbe, if that is not nil,
 // and fails with errUnreachable when the channel that startProbe returned is closed.
 func (p *peerClients) callUnlessUnreachable(h Host, method string, args, reply any, timeout time.Duration,
-	startProbe func() <-chan struct{}) (*rpc.Client, error) {
+	startProbe func() <-chan struct{}) (*rpccodec.Client, error) {
 	client, err := p.client(h.Address)
 	if err != nil {
 		return nil, err
@@ -99,7 +99,7 @@
 	return client, err
 }
 
-func awaitReply(client *rpc.Client, method string, args, reply any, timeout time.Duration,
+func awaitReply(client *rpccodec.Client, method string, args, reply any, timeout time.Duration,
 	startProbe func() <-chan struct{}) error {
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	timer, suspect := time.NewTimer(timeout), time.NewTimer(suspectAfter)
@@ -122,11 +122,8 @@
 	}
 }
 
-func (p *peerClients) client(address string) (*rpc.Client, error) {
-	p.mu.Lock()
-	client := p.clients[address]
-	p.mu.Unlock()
-	if client != nil {
+func (p *peerClients) client(address string) (*rpccodec.Client, error) {
+	if client := p.openClient(address); client != nil {
 		return client, nil
 	}
 	client, err := dial(address)
@@ -135,7 +132,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if other := p.clients[address]; other != nil {
+	if other := p.clients[address]; other != nil && !other.Ended() {
 		_ = client.Close() // another goroutine has connected first
 		return other, nil
 	}
@@ -143,7 +140,21 @@
 	return client, nil
 }
 
-func dial(address string) (*rpc.Client, error) {
+// openClient returns the client for an address, or nil if there is none whose connection is open. A call over one that has
+// ended, for example because the host was restarted, would fail as if it might have run.
+func (p *peerClients) openClient(address string) *rpccodec.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client := p.clients[address]
+	if client != nil && client.Ended() {
+		delete(p.clients, address)
+		_ = client.Close() // fails only if it is closed already
+		return nil
+	}
+	return client
+}
+
+func dial(address string) (*rpccodec.Client, error) {
 	conn, err := socket.Dialer(peerDialTimeout).Dial("tcp", address)
 	if err != nil {
 		return nil, &dialError{err}
@@ -171,7 +182,7 @@
 	return nil
 }
 
-func (p *peerClients) closeClient(address string, client *rpc.Client) {
+func (p *peerClients) closeClient(address string, client *rpccodec.Client) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.clients[address] == client {
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -144,3 +144,44 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Guards against a statement that counts as sent, so that its caller gets an answer in doubt, although the connection had ended
+// before, when the other host was stopped and started again.
+func TestCallAfterRestartOfPeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	server := rpc.NewServer()
+	if err := server.RegisterName("Slow", Slow{}); err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+			go rpccodec.Serve(server, conn, &rpccodec.CallCounter{})
+		}
+	}()
+	p, h := newPeerClients(), Host{ID: "restarted", Address: listener.Addr().String()}
+	for n := range 3 {
+		var reply time.Duration
+		if _, err := p.callKeepConn(h, "Slow.Wait", 0, &reply, time.Second); err != nil {
+			t.Errorf("call %d: %v", n, err)
+		}
+		if n < 2 { // the process of the other host ends
+			select {
+			case conn := <-accepted:
+				_ = conn.Close()
+			case <-time.After(time.Second):
+				t.Fatal("the call used no new connection")
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
--- a/rpccodec/rpccodec.go
+++ b/rpccodec/rpccodec.go
@@ -64,13 +64,28 @@
 func (c codec) Close() error { return c.conn.Close() }
 
 // clientCodec implements rpc.ClientCodec.
-type clientCodec struct{ codec }
+type clientCodec struct {
+	codec
+	ended *atomic.Bool // set when no more responses can be read
+}
+
+// Client is a client of net/rpc that knows when its connection has ended.
+type Client struct {
+	*rpc.Client
+	ended atomic.Bool
+}
 
 // NewClient returns a client that sends its calls over a connection.
-func NewClient(conn io.ReadWriteCloser) *rpc.Client {
-	return rpc.NewClientWithCodec(clientCodec{newCodec(conn)})
+func NewClient(conn io.ReadWriteCloser) *Client {
+	c := &Client{}
+	c.Client = rpc.NewClientWithCodec(clientCodec{newCodec(conn), &c.ended})
+	return c
 }
 
+// Ended reports whether the connection has ended. A call made after that fails, but its error is the same as that of a call that
+// was sent before.
+func (c *Client) Ended() bool { return c.ended.Load() }
+
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
 	return c.writeMessage(requestHeader{r.ServiceMethod, r.Seq}, body)
 }
@@ -78,6 +93,7 @@
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	var h responseHeader
 	if err := c.readHeader(&h); err != nil {
+		c.ended.Store(true)
 		return err
 	}
 	r.ServiceMethod, r.Seq, r.Error = h.Method, h.Sequence, h.Error
--- a/rpccodec/rpccodec_test.go
+++ b/rpccodec/rpccodec_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,7 +73,7 @@
 		t.Fatal(err)
 	}
 	go Serve(server, far, counter)
-	c := clientCodec{newCodec(near)}
+	c := clientCodec{codec: newCodec(near), ended: new(atomic.Bool)}
 	for n, method := range []string{"Gate.Wait", "Gate.Wait", "Gate.Unknown"} {
 		if err := c.WriteRequest(&rpc.Request{ServiceMethod: method, Seq: uint64(n)}, struct{}{}); err != nil {
 			t.Fatal(err)
