--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -501,3 +501,36 @@
 		}
 	}
 }
+
+// Guards against one odd entry of another writer among the registrations of targets that ends processes, takes statements or
+// stops hosts from following the list.
+func TestOddTargetEntries(t *testing.T) {
+	fleet := newTestFleet(t)
+	entry := func(address, extra string) string {
+		return fmt.Sprintf(`{"service":"stock","address":%q,"state":"ready","dbRole":"primary","born":1%s}`, address, extra)
+	}
+	writers := fleet.runWriters(func() {
+		for name, value := range map[string]string{
+			"nested":    entry("127.0.0.1:1", `,"slots":`+strings.Repeat("[", 500_000)),
+			"deep":      entry("127.0.0.1:1", `,"more":`+strings.Repeat("[", 9_000)+strings.Repeat("]", 9_000)+`,"slots":"x"`),
+			"number":    entry("127.0.0.1:1", `,"sequence":1e999`),
+			"port":      entry("127.0.0.1:99999", ""),
+			"huge-port": entry("127.0.0.1:99999999999999999999", ""),
+			"bytes":     "\xff\x00\xfe",
+			"two words": entry("127.0.0.1:1", ""),
+			"":          entry("127.0.0.1:1", ""),
+		} {
+			fleet.store.PutRaw("servers/"+name, []byte(value))
+		}
+		time.Sleep(time.Second)
+		old := fleet.group.Primary()
+		old.Drain() // hosts have to notice this change
+		fleet.waitFor("another target is the primary", maxWriteGap, func() bool { return fleet.group.Primary() != old })
+		time.Sleep(500 * time.Millisecond)
+	})
+	for i, w := range writers {
+		if w.longestGap > time.Second || time.Since(w.lastAck) > time.Second {
+			t.Errorf("writer %d: longest gap %s, last success %s ago", i, w.longestGap, time.Since(w.lastAck))
+		}
+	}
+}
