A store call that takes effect late ends no later registration and opens no replaced primary

Cause: a host that stopped removed its registration without a condition. The call had no reply and was executed seconds later, when the host had started again under the same key. The lease of the new registration lived on, so the host went on using primaries, and the leader, which fences registered hosts only, replaced a primary without it.

Evidence: fleet.TestLateDeregistrationChangesNothing and gateway.TestLateDeregistration (a store that executes calls late, across a restart of the host) fail with the unconditional removal.

Change: a host ends its own lease instead of removing its key, so that a late call can end nothing else. A host that sees its registration gone stops using primaries at once and registers again.

Why it works: each write now depends on a lease or a revision that no later state has.

The soak executes half of the store calls without a reply late.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -367,6 +367,7 @@
 
 // applyControlKeys applies changes of the control keys (see controlPrefix).
 func (c *control) applyControlKeys(change prefixChange) {
+	c.agent.checkRegistration(change)
 	before := maps.Clone(c.view.hosts)
 	if change.complete {
 		c.view.hosts, c.view.leader = map[model.HostID]Host{}, nil
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -55,6 +55,7 @@
 // prefixChange is an update of a watched prefix: either its complete state or the events since the last update.
 type prefixChange struct {
 	complete bool
+	revision uint64 // of a complete state
 	events   []metastore.Event
 }
 
@@ -250,7 +251,7 @@
 	f.compactRemovals()
 	apply := f.apply
 	f.agent.followMu.Unlock()
-	f.agent.post(ctx, func(c *control) { apply(c, prefixChange{complete: true, events: events}) })
+	f.agent.post(ctx, func(c *control) { apply(c, prefixChange{complete: true, revision: state.Revision, events: events}) })
 	return true
 }
 
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -51,13 +51,12 @@
 			continue
 		}
 		attempts.reset()
-		a.registrationMu.Lock()
-		a.lease, a.registeredRevision = r.Lease, r.Revision
-		a.registrationMu.Unlock()
+		a.setRegistration(r)
 		a.follower(controlPrefix, (*control).applyControlKeys).mergeItems(ctx, r.Documents)
 		if err := a.runAndWait(ctx, func(*control) {}); err != nil { // waits for all events posted before
 			return
 		}
+		a.checkRegistration(a.knownRegistration())
 		a.Log.Info("registration: active", zap.Int64("lease", int64(r.Lease)), zap.Duration("ttl", r.TTL),
 			zap.Uint64("revision", r.Revision))
 		a.enforceDocuments()
@@ -85,18 +84,23 @@
 	return a.runAndWait(ctx, func(*control) {}) // waits for all events posted before
 }
 
-// registerHost registers this host, or one that cannot reach the store, and lists the primary documents. It does not list
-// the other control keys, whose number grows with the fleet. The write is conditional on the known revision of the host's
-// key: a call without a reply may take effect seconds later, and must not replace the current registration by one with an
-// older lease.
-func (a *Agent) registerHost(ctx context.Context, h Host) (r Registration, err error) {
+// registerHost registers this host and lists the primary documents. It does not list the other control keys, whose number grows
+// with the fleet. The write is conditional on the known revision of the host's key: a call without a reply may take effect
+// seconds later, and must not replace the current registration by one with an older lease.
+func (a *Agent) registerHost(ctx context.Context, h Host) (Registration, error) {
+	return a.registerAt(ctx, h, a.knownHostRevision(h.ID), true)
+}
+
+// registerAt registers a host whose key has the expected revision. If the key has another revision, it registers the host at that
+// one if retry is set, and fails with metastore.ErrConflict otherwise.
+func (a *Agent) registerAt(ctx context.Context, h Host, expected uint64, retry bool) (r Registration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	if r.Lease, r.TTL, err = a.Store.Grant(ctx, hostLease); err != nil {
 		return r, err
 	}
-	expected := a.knownHostRevision(h.ID)
-	if r.Revision, err = a.Store.Commit(ctx, h.registrationTxn(r.Lease, expected)); errors.Is(err, metastore.ErrConflict) {
+	r.Revision, err = a.Store.Commit(ctx, h.registrationTxn(r.Lease, expected))
+	if retry && errors.Is(err, metastore.ErrConflict) {
 		if expected, err = a.storedHostRevision(ctx, h.ID); err == nil {
 			r.Revision, err = a.Store.Commit(ctx, h.registrationTxn(r.Lease, expected))
 		}
@@ -120,6 +124,20 @@
 	return 0
 }
 
+// knownRegistration returns the last change of this host's registration in its copy of the store.
+func (a *Agent) knownRegistration() (change prefixChange) {
+	key := hostPrefix + string(a.Self.ID)
+	a.followMu.Lock()
+	defer a.followMu.Unlock()
+	f := a.followers[controlPrefix]
+	if item, exists := f.items[key]; exists {
+		change.events = append(change.events, metastore.Event{Item: item})
+	} else if revision, removed := f.removed[key]; removed {
+		change.events = append(change.events, metastore.Event{Item: metastore.Item{Key: key, Revision: revision}, Removed: true})
+	}
+	return change
+}
+
 // storedHostRevision returns the revision of a host's registration in the store, or 0 if there is none.
 func (a *Agent) storedHostRevision(ctx context.Context, id model.HostID) (uint64, error) {
 	key := hostPrefix + string(id)
@@ -151,14 +169,20 @@
 // keepRegistrationLease renews the registration until its lease has ended.
 func (a *Agent) keepRegistrationLease(ctx context.Context, r Registration, sent time.Time) {
 	dep := dependencyLogger{log: a.Log, name: "store lease"}
-	leaseEnd := sent.Add(r.TTL - leaseMargin)
-	a.Server.AllowPrimariesUntil(leaseEnd)
+	if !a.allowPrimaries(r.Lease, sent.Add(r.TTL-leaseMargin)) {
+		go a.revoke(r.Lease)
+		return
+	}
 	a.ready.Store(true)
 	a.renewing.Store(true)
 	defer a.renewing.Store(false)
 	pause := hostRenewInterval
 	for ctx.Err() == nil {
-		a.awaitRenewal(ctx, pause)
+		a.awaitRenewal(ctx, r.Lease, pause)
+		if ctx.Err() == nil && !a.isRegisteredUnder(r.Lease) {
+			go a.revoke(r.Lease)
+			return
+		}
 		now := boottime.Now()
 		err := a.renewLease(ctx, r.Lease)
 		a.recordRenewal(err)
@@ -172,8 +196,7 @@
 		switch {
 		case err == nil:
 			pause = hostRenewInterval
-			leaseEnd = now.Add(r.TTL - leaseMargin)
-			a.Server.AllowPrimariesUntil(leaseEnd)
+			a.allowPrimaries(r.Lease, now.Add(r.TTL-leaseMargin))
 		case errors.Is(err, metastore.ErrLeaseEnded):
 			return
 		}
@@ -182,9 +205,9 @@
 
 // awaitRenewal waits until the lease should be renewed again. While no fresh state is relayed, hosts renew early: the reply
 // tells whether this host reaches the store.
-func (a *Agent) awaitRenewal(ctx context.Context, pause time.Duration) {
+func (a *Agent) awaitRenewal(ctx context.Context, lease metastore.Lease, pause time.Duration) {
 	started := boottime.Now()
-	for ctx.Err() == nil && boottime.Now().Sub(started) < pause {
+	for ctx.Err() == nil && boottime.Now().Sub(started) < pause && a.isRegisteredUnder(lease) {
 		sleep(ctx, min(pause, 2*relayCheckInterval))
 		if boottime.Now().Sub(started) >= hostRenewRetryInterval && elapsedSince(&a.lastRelay) > relayTimeout &&
 			a.storeReachableSince.Load() <= a.lastRelay.Load() {
@@ -236,22 +259,51 @@
 		if h.ID == self.ID {
 			continue
 		}
-		err := a.controlClients.call(h, "Peer.Enter", self, &r, registerTimeout)
-		a.Log.Info("registration: requested through a peer", zap.String("peer", string(h.ID)), zap.Error(err))
-		if err == nil {
-			return r, true
+		request := EnterRequest{self, a.knownHostRevision(self.ID)}
+		for range 2 { // the first reply may name another revision
+			reply := EnterReply{}
+			err := a.controlClients.call(h, "Peer.Enter", request, &reply, registerTimeout)
+			a.Log.Info("registration: requested through a peer", zap.String("peer", string(h.ID)),
+				zap.Uint64("expected_revision", request.ExpectedRevision), zap.Bool("conflict", reply.Conflict), zap.Error(err))
+			if err == nil && !reply.Conflict {
+				return reply.Registration, true
+			}
+			if err != nil {
+				break
+			}
+			request.ExpectedRevision = reply.StoredRevision
 		}
 	}
 	return r, false
 }
 
+// EnterRequest asks a host to register another one. ExpectedRevision is the revision of the host's key as known to the sender, so
+// that a request which is processed late does not replace a registration that was made since.
+type EnterRequest struct {
+	Host             Host
+	ExpectedRevision uint64
+}
+
+// EnterReply is the reply to an EnterRequest: the registration, or the revision of the host's key if it is not the expected one.
+type EnterReply struct {
+	Registration   Registration
+	Conflict       bool
+	StoredRevision uint64
+}
+
 // Enter registers a host that the store rejects. It fails without a call of the store if the store has not answered
 // this host recently.
-func (p *Peer) Enter(h Host, reply *Registration) (err error) {
+func (p *Peer) Enter(r EnterRequest, reply *EnterReply) (err error) {
 	if elapsedSince(&p.agent.lastStoreReply) > relayFreshness {
 		return errStoreSilent
 	}
-	*reply, err = p.agent.registerHost(context.Background(), h)
+	ctx := context.Background()
+	reply.Registration, err = p.agent.registerAt(ctx, r.Host, r.ExpectedRevision, false)
+	if !errors.Is(err, metastore.ErrConflict) {
+		return err
+	}
+	reply.Conflict = true
+	reply.StoredRevision, err = p.agent.storedHostRevision(ctx, r.Host.ID)
 	return err
 }
 
@@ -294,11 +346,75 @@
 	return h, ok && h.Incarnation == v.leader.value.Incarnation
 }
 
-// Deregister resigns the leadership and removes this host's registration, so that other hosts do not wait for its
-// leases.
+// Deregister resigns the leadership and ends this host's registration, so that other hosts do not wait for its leases. It ends the
+// lease instead of removing the key: a call without a reply may take effect seconds later, when the host has started again and
+// registered under another lease.
 func (a *Agent) Deregister(ctx context.Context) {
 	a.Resign()
+	a.registrationMu.Lock()
+	lease := a.lease
+	a.registrationMu.Unlock()
+	if lease == 0 {
+		return
+	}
+	err := a.Store.Revoke(ctx, lease)
+	a.Log.Info("registration: ended", zap.Int64("lease", int64(lease)), zap.Error(err))
+}
+
+// setRegistration records a new registration of this host.
+func (a *Agent) setRegistration(r Registration) {
+	a.registrationMu.Lock()
+	defer a.registrationMu.Unlock()
+	a.lease, a.registeredRevision = r.Lease, r.Revision
+}
+
+// isRegisteredUnder reports whether the current registration of this host has the lease.
+func (a *Agent) isRegisteredUnder(lease metastore.Lease) bool {
+	a.registrationMu.Lock()
+	defer a.registrationMu.Unlock()
+	return a.lease == lease
+}
+
+// allowPrimaries permits the use of primaries until the given time if the current registration of this host has the lease.
+func (a *Agent) allowPrimaries(lease metastore.Lease, until time.Time) bool {
+	a.registrationMu.Lock()
+	defer a.registrationMu.Unlock()
+	if a.lease != lease {
+		return false
+	}
+	a.Server.AllowPrimariesUntil(until)
+	return true
+}
+
+// checkRegistration stops the use of primaries if a change shows that this host's registration has been removed or replaced: the
+// leader does not fence a host that it does not know, even if its lease lives on. The host then registers again.
+func (a *Agent) checkRegistration(change prefixChange) {
 	key := hostPrefix + string(a.Self.ID)
-	_, err := a.Store.Commit(ctx, metastore.Txn{Removes: []string{key}})
-	a.Log.Info("registration: removed", zap.Error(err))
+	a.registrationMu.Lock()
+	defer a.registrationMu.Unlock()
+	if a.lease == 0 {
+		return
+	}
+	gone := change.complete && change.revision > a.registeredRevision
+	var revision uint64
+	for _, e := range change.events {
+		if e.Key != key {
+			continue
+		}
+		revision, gone = e.Revision, false
+		if e.Revision <= a.registeredRevision {
+			continue
+		}
+		if gone = e.Removed || e.Lease != a.lease; !gone {
+			a.registeredRevision = e.Revision // a write of this host whose reply was lost
+		}
+	}
+	if !gone {
+		return
+	}
+	a.Log.Warn("registration: gone, primaries are not used until the host is registered again",
+		zap.Int64("lease", int64(a.lease)), zap.Uint64("registered_revision", a.registeredRevision),
+		zap.Uint64("seen_revision", max(revision, change.revision)))
+	a.Server.AllowPrimariesUntil(time.Time{})
+	a.lease = 0
 }
--- a/fleet/register_test.go
+++ b/fleet/register_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
@@ -32,6 +33,8 @@
 	pause    time.Duration   // before each commit
 	delay    bool            // commits return an error and are kept in delayed
 	delayed  []metastore.Txn // commits not yet applied
+	// Leases whose end was requested while delay was set.
+	delayedRevocations []metastore.Lease
 }
 
 func newMemoryStore() *memoryStore {
@@ -46,7 +49,26 @@
 	return metastore.Lease(s.revision), hostLease, nil
 }
 
-func (s *memoryStore) Revoke(_ context.Context, lease metastore.Lease) error { return errNoAnswer }
+func (s *memoryStore) Revoke(_ context.Context, lease metastore.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.delay {
+		s.delayedRevocations = append(s.delayedRevocations, lease)
+		return errNoAnswer
+	}
+	s.endLease(lease)
+	return nil
+}
+
+func (s *memoryStore) endLease(lease metastore.Lease) {
+	delete(s.leases, lease)
+	for key, item := range s.items {
+		if item.Lease == lease {
+			s.revision++
+			delete(s.items, key)
+		}
+	}
+}
 
 func (s *memoryStore) List(_ context.Context, prefix string) ([]metastore.Item, uint64, error) {
 	s.mu.Lock()
@@ -85,9 +107,27 @@
 		put.Revision = s.revision
 		s.items[put.Key] = put
 	}
+	for _, key := range txn.Removes {
+		delete(s.items, key)
+	}
 	return s.revision, nil
 }
 
+// applyDelayed executes the delayed calls.
+func (s *memoryStore) applyDelayed() (errs []error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, txn := range s.delayed {
+		_, err := s.apply(txn)
+		errs = append(errs, err)
+	}
+	for _, lease := range s.delayedRevocations {
+		s.endLease(lease)
+	}
+	s.delayed, s.delayedRevocations = nil, nil
+	return errs
+}
+
 // Guards against a registration whose reply was lost and which takes effect after a later one. Its older lease would
 // end while the host is connected, and a leader that replaces a primary would not fence the host.
 func TestLateRegistrationChangesNothing(t *testing.T) {
@@ -111,6 +151,101 @@
 	}
 }
 
+// newRegisteringAgent returns an agent that can register with a store and be told of changes.
+func newRegisteringAgent(store metastore.Store, incarnation model.Incarnation) *Agent {
+	a := &Agent{Config: Config{Self: Host{ID: "host", Incarnation: incarnation}, Store: store, Log: zap.NewNop(),
+		Server: frontend.New("z", nil, zap.NewNop(), frontend.NewMetrics(prometheus.NewRegistry()))},
+		followers: map[string]*prefixFollower{}}
+	a.follower(controlPrefix, (*control).applyControlKeys)
+	return a
+}
+
+// Guards against a deregistration that takes effect after the host has started again: it deleted the registration of the new
+// process, which went on using primaries while the leader replaced them without it (review/1).
+func TestLateDeregistrationChangesNothing(t *testing.T) {
+	store := newMemoryStore()
+	stopping := newRegisteringAgent(store, 1)
+	r, err := stopping.registerHost(t.Context(), stopping.Self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopping.setRegistration(r)
+	store.delay = true
+	stopping.Deregister(t.Context())
+	store.delay = false
+	started := newRegisteringAgent(store, 2)
+	if r, err = started.registerHost(t.Context(), started.Self); err != nil {
+		t.Fatal(err)
+	}
+	store.applyDelayed()
+	if item := store.items[hostPrefix+"host"]; item.Lease != r.Lease || item.Revision != r.Revision {
+		t.Errorf("the registration after the restart is %+v, want lease %d at revision %d", item, r.Lease, r.Revision)
+	}
+}
+
+// Guards against a registration through another host that is processed late and replaces the one that the host has made since by
+// one whose lease nobody renews.
+func TestLateEnterChangesNothing(t *testing.T) {
+	store := newMemoryStore()
+	peer, host := newRegisteringAgent(store, 1), newRegisteringAgent(store, 1)
+	peer.lastStoreReply.Store(boottime.Now().UnixNano())
+	late := EnterRequest{host.Self, host.knownHostRevision("host")}
+	r, err := host.registerHost(t.Context(), host.Self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer.followers[controlPrefix].items[hostPrefix+"host"] = store.items[hostPrefix+"host"] // the peer knows it
+	var reply EnterReply
+	if err := (&Peer{peer}).Enter(late, &reply); err != nil || !reply.Conflict || reply.StoredRevision != r.Revision {
+		t.Errorf("the late request was answered with %+v, error %v", reply, err)
+	}
+	if item := store.items[hostPrefix+"host"]; item.Lease != r.Lease {
+		t.Errorf("the host is registered under lease %d, not %d", item.Lease, r.Lease)
+	}
+	reply = EnterReply{}
+	if err := (&Peer{peer}).Enter(EnterRequest{host.Self, r.Revision}, &reply); err != nil || reply.Conflict {
+		t.Errorf("a request with the stored revision was answered with %+v, error %v", reply, err)
+	}
+}
+
+// Guards against a host that uses primaries although its registration is gone, because its lease lives on: the leader fences only
+// registered hosts.
+func TestRegistrationGoneStopsPrimaries(t *testing.T) {
+	key := hostPrefix + "host"
+	registered := metastore.Event{Item: metastore.Item{Key: key, Revision: 10, Lease: 5}}
+	other := metastore.Event{Item: metastore.Item{Key: hostPrefix + "other", Revision: 30, Lease: 6}}
+	for _, test := range []struct {
+		name   string
+		change prefixChange
+		gone   bool
+	}{
+		{"removed", prefixChange{events: []metastore.Event{{Item: metastore.Item{Key: key, Revision: 11}, Removed: true}}}, true},
+		{"replaced", prefixChange{events: []metastore.Event{{Item: metastore.Item{Key: key, Revision: 11, Lease: 7}}}}, true},
+		{"not listed", prefixChange{complete: true, revision: 30, events: []metastore.Event{other}}, true},
+		{"listed", prefixChange{complete: true, revision: 30, events: []metastore.Event{other, registered}}, false},
+		{"an earlier list", prefixChange{complete: true, revision: 9, events: []metastore.Event{other}}, false},
+		{"an earlier removal", prefixChange{events: []metastore.Event{{Item: metastore.Item{Key: key, Revision: 9}, Removed: true}}},
+			false},
+		{"confirmed by this host", prefixChange{events: []metastore.Event{{Item: metastore.Item{Key: key, Revision: 12, Lease: 5}}}},
+			false},
+		{"another host", prefixChange{events: []metastore.Event{other}}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a := newRegisteringAgent(nil, 1)
+			a.setRegistration(Registration{Lease: 5, Revision: 10})
+			until := boottime.Now().Add(time.Hour)
+			a.allowPrimaries(5, until)
+			a.checkRegistration(test.change)
+			if got := !a.isRegisteredUnder(5); got != test.gone {
+				t.Errorf("gone is %t, want %t", got, test.gone)
+			}
+			if renewed := a.allowPrimaries(5, until); renewed == test.gone {
+				t.Errorf("a renewal of the lease permits the use of primaries: %t", renewed)
+			}
+		})
+	}
+}
+
 // Guards against a host that cannot register because its key from before its restart still exists, and against a list that
 // grows with the number of hosts for each host that starts: the store charges each page of some 50 keys.
 func TestRegistrationAfterRestart(t *testing.T) {
@@ -134,8 +269,8 @@
 	store := newMemoryStore()
 	a := &Agent{Config: Config{Self: Host{ID: "host"}, Store: store, Log: zap.NewNop()},
 		followers: map[string]*prefixFollower{}}
-	var r Registration
-	if err := (&Peer{a}).Enter(Host{ID: "other"}, &r); !errors.Is(err, errStoreSilent) {
+	var r EnterReply
+	if err := (&Peer{a}).Enter(EnterRequest{Host: Host{ID: "other"}}, &r); !errors.Is(err, errStoreSilent) {
 		t.Errorf("error %v", err)
 	}
 	if store.revision != 1 {
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -46,6 +46,8 @@
 	statusEpoch      uint64    // epoch that status belongs to
 	unreachableSince time.Time // since when at least half of the hosts have not reached the primary
 	listedEpoch      uint64    // epoch of the last closed document for which the hosts were listed
+	// unresolvedRevision is the revision of the last document whose successor was written without a reply, or 0.
+	unresolvedRevision uint64
 }
 
 func (s *supervisor) run(ctx context.Context) {
@@ -137,7 +139,11 @@
 		Conditions: []metastore.Condition{{Key: key, Revision: expectedRevision}, {Key: leaderKey, Revision: s.fence}},
 		Puts:       []metastore.Item{{Key: key, Value: value}}})
 	if err != nil {
-		s.log.Warn("primary: decision not stored", zap.Uint64("epoch", doc.Epoch), zap.Error(err))
+		if !errors.Is(err, metastore.ErrConflict) && !errors.Is(err, metastore.ErrNotExecuted) {
+			s.unresolvedRevision = expectedRevision
+		}
+		s.log.Warn("primary: decision not stored", zap.Uint64("epoch", doc.Epoch), zap.Bool("open", doc.Open),
+			zap.Uint64("expected_revision", expectedRevision), zap.Error(err))
 		return false
 	}
 	event := metastore.Event{Item: metastore.Item{Key: key, Value: value, Revision: revision}}
@@ -151,6 +157,12 @@
 
 // replacePrimary replaces the primary of a closed document.
 func (s *supervisor) replacePrimary(ctx context.Context, doc versioned[primacy.Document]) {
+	if doc.revision != 0 && doc.revision == s.unresolvedRevision {
+		// The decision that was written last may still be stored, and would open its target to the hosts after the promotion of
+		// another one. It cannot be once the document has another revision.
+		s.close(ctx, doc, doc.value.Cause)
+		return
+	}
 	started := boottime.Now()
 	if !s.awaitFenced(ctx, doc.value) {
 		return
--- /dev/null
+++ b/fleet/supervisor_test.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/metastore"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
+)
+
+// newTestSupervisor returns a supervisor of the service stock whose agent leads, and whose control goroutine runs until the end of
+// the test.
+func newTestSupervisor(t *testing.T, store *memoryStore) *supervisor {
+	t.Helper()
+	a := newRegisteringAgent(store, 1)
+	a.events = make(chan func(*control), eventQueueLength)
+	a.fencedByLeader, a.fencedViaStore = map[model.Service]uint64{}, map[model.Service]uint64{}
+	a.unconfirmed = map[model.Service]uint64{}
+	a.view.Store(newClusterView())
+	c := &control{agent: a, view: newClusterView(), removed: map[model.TargetID]time.Time{},
+		departed: map[model.HostID]departure{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		for {
+			select {
+			case event := <-a.events:
+				event(c)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	fence, err := store.Commit(ctx, metastore.Txn{Puts: []metastore.Item{{Key: leaderKey, Value: mustEncode(Leader{Host: "host"})}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &supervisor{service: "stock", log: zap.NewNop(),
+		leadership: &leadership{agent: a, fence: fence, leaseEnd: boottime.Now().Add(time.Hour)}}
+}
+
+// Guards against a decision that was stored without a reply and takes effect when another target has been promoted: hosts would
+// write to a primary that has been replaced.
+func TestLateDecisionChangesNothing(t *testing.T) {
+	store := newMemoryStore()
+	s, ctx := newTestSupervisor(t, store), context.Background()
+	closed := primacy.Document{Service: "stock", Epoch: 3, Primary: "a", Cause: primacy.CauseUnreachable}
+	key := primaryPrefix + "stock"
+	revision, err := store.Commit(ctx, metastore.Txn{Puts: []metastore.Item{{Key: key, Value: mustEncode(closed)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.delay = true
+	opened := closed
+	opened.Epoch, opened.Open, opened.Primary = 4, true, "b"
+	if s.writeDocument(ctx, revision, opened) {
+		t.Fatal("the decision without a reply counts as stored")
+	}
+	store.delay = false
+	s.replacePrimary(ctx, versioned[primacy.Document]{closed, revision})
+	for _, err := range store.applyDelayed() {
+		if !errors.Is(err, metastore.ErrConflict) {
+			t.Errorf("the late decision ended with %v", err)
+		}
+	}
+	var stored primacy.Document
+	if err := json.Unmarshal(store.items[key].Value, &stored); err != nil {
+		t.Fatal(err)
+	}
+	if stored.Open || stored.Epoch != 4 {
+		t.Errorf("the stored decision is %+v, want a closed one of epoch 4", stored)
+	}
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -534,3 +534,29 @@
 		}
 	}
 }
+
+// Guards against the registration of a host that has started again being deleted by a call of its last process, which the store
+// executes late: the host would use primaries that are replaced without it (review/1).
+func TestLateDeregistration(t *testing.T) {
+	fleet := newTestFleet(t)
+	const lateBy = 4 * time.Second
+	platformStore := httptest.NewServer(fleet.store)
+	t.Cleanup(platformStore.Close)
+	fleet.store.ExecuteLate(func(r *http.Request) time.Duration {
+		if strings.Contains(r.URL.Path, "kv-txn") || strings.Contains(r.URL.Path, "kv-lease-end") {
+			return lateBy
+		}
+		return 0
+	})
+	if err := fleet.hosts[2].shutDown(); err != nil {
+		t.Fatal(err)
+	}
+	fleet.store.ExecuteLate(nil)
+	fleet.hosts[2] = fleet.startHost("host-2", platformStore, fleet.promotionAPI)
+	fleet.waitFor("the host is ready again", 3*time.Second, fleet.hosts[2].isReady)
+	for end := time.Now().Add(lateBy + 500*time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, registered := fleet.store.Get("waxwingspindle/hosts/host-2"); !registered {
+			t.Fatal("the registration after the restart is gone")
+		}
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -14,8 +14,10 @@
 const (
 	// storeDelay is the response delay of a slow store.
 	storeDelay = 300 * time.Millisecond
-	// responseLossRate is the fraction of responses that are dropped.
+	// responseLossRate is the fraction of responses that are dropped. Half of the requests to the store without a response are
+	// executed late, by up to maxLateExecution.
 	responseLossRate = 0.3
+	maxLateExecution = 6 * time.Second
 	// faultReplicationLag is the replication lag during ReplicationLagging.
 	faultReplicationLag = 900 * time.Millisecond
 	// registrationDelay is the time until a restarted database updates its registration.
@@ -154,8 +156,15 @@
 		}
 	case StoreDropsResponses:
 		sys.store.DropResponses(nil)
+		sys.store.ExecuteLate(nil)
 		if on {
-			sys.store.DropResponses(func(*http.Request) bool { return random() })
+			sys.store.DropResponses(func(*http.Request) bool { return rand.Float64() < responseLossRate/2 })
+			sys.store.ExecuteLate(func(*http.Request) time.Duration {
+				if rand.Float64() < responseLossRate/2 {
+					return time.Duration(rand.Int64N(int64(maxLateExecution)))
+				}
+				return 0
+			})
 		}
 	case DatabaseDropsResponses:
 		sys.group.DropResponses(nil)
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -1,8 +1,11 @@
 package lines
 
 import (
+	"bytes"
 	"cmp"
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,10 +24,11 @@
 	leases            map[int64]*lease
 	changed           chan struct{} // closed and replaced at each change
 
-	refuseRequest func(r *http.Request) bool // requests to answer with status 503
-	dropResponse  func(r *http.Request) bool // requests to execute without a response
-	responseDelay time.Duration              // delay before each response
-	callCounts    map[string]int             // by the first path element
+	refuseRequest func(r *http.Request) bool          // requests to answer with status 503
+	dropResponse  func(r *http.Request) bool          // requests to execute without a response
+	lateExecution func(r *http.Request) time.Duration // delay of requests to execute late, without a response
+	responseDelay time.Duration                       // delay before each response
+	callCounts    map[string]int                      // by the first path element
 }
 
 type item struct {
@@ -65,6 +69,14 @@
 	s.dropResponse = match
 }
 
+// ExecuteLate makes the store abort the connection of a request without a response and execute the request after the delay that
+// the function returns. Requests with a delay of zero are executed as usual. A nil function disables the fault.
+func (s *Store) ExecuteLate(delay func(r *http.Request) time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateExecution = delay
+}
+
 // SetResponseDelay sets the delay before each response.
 func (s *Store) SetResponseDelay(delay time.Duration) {
 	s.mu.Lock()
@@ -150,6 +162,10 @@
 	path := strings.TrimPrefix(r.URL.Path, "/-/")
 	s.mu.Lock()
 	s.callCounts[strings.Split(path, "/")[0]]++
+	var late time.Duration
+	if s.lateExecution != nil {
+		late = s.lateExecution(r)
+	}
 	refused, dropped, delay := s.refuseRequest != nil && s.refuseRequest(r),
 		s.dropResponse != nil && s.dropResponse(r), s.responseDelay
 	s.mu.Unlock()
@@ -158,6 +174,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if late > 0 {
+		s.executeAfter(late, r, path)
+		panic(http.ErrAbortHandler)
+	}
 	status, response := s.serve(r, path)
 	if dropped {
 		panic(http.ErrAbortHandler)
@@ -169,6 +189,17 @@
 	}
 }
 
+// executeAfter executes a request after a delay.
+func (s *Store) executeAfter(delay time.Duration, r *http.Request, path string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the client has disconnected before it sent the request
+	}
+	late := r.Clone(context.WithoutCancel(r.Context()))
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(delay, func() { s.serve(late, path) })
+}
+
 func (s *Store) serve(r *http.Request, path string) (int, any) {
 	switch {
 	case path == "kv-range":
