Statements run on a primary only if it has not started again since the decision

Cause: where statements run, the primary of the stored document was compared with the targets by id only. Its start (Born) was checked by the leader alone. The check of positions was left out for the first second after a process learnt of the document, as if the promotion had just been made.

Evidence: gateway.TestStartingHostsDoNotUseEmptyPrimary failed in both forms: the registration shows the restart at once, or a second later.

Change: a primary is usable only while its registered start is the one of the document, for waiting operations, transactions and pooled connections. A host that has not seen the promotion demands the document's position at once and asks the target for its role and term before its first use, because its list of targets may be older than the restart. Positions of a restarted primary are no samples for reads on replicas.

Why it works: a target without its data shows another start, a lower position or the role of a replica, and each of the three is checked before a statement is sent.

A host asks once for each service that it connects to after its start.

--- a/frontend/message.go
+++ b/frontend/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
 )
 
 // StatementKind is the type of a statement or command.
@@ -139,6 +140,9 @@
 	// Run pipelines the commands and returns their replies in order. After an error, commands without a reply may or may
 	// not have run, and the connection must be closed. sent is false if nothing was sent.
 	Run(deadline time.Time, commands []Command) (replies []Reply, sent bool, err error)
+	// Status asks the target for its role, its term and the position that it has received. It returns a *TargetError if the
+	// target answers with an error.
+	Status(deadline time.Time) (primacy.Status, error)
 	// Close closes the connection, which rolls back an open transaction. It may be called while Run waits.
 	Close()
 }
--- /dev/null
+++ b/frontend/primary_test.go
@@ -0,0 +1,116 @@
+package frontend
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
+)
+
+// statusDialer opens connections to a target with a position and a status, and counts the status commands.
+type statusDialer struct {
+	position model.Position
+	status   primacy.Status
+	queries  int
+}
+
+func (d *statusDialer) Dial(context.Context, catalog.Target, model.Workspace) (Conn, model.Position, error) {
+	return &statusConn{dialer: d}, d.position, nil
+}
+
+type statusConn struct {
+	Conn
+	dialer *statusDialer
+}
+
+func (c *statusConn) Status(time.Time) (primacy.Status, error) {
+	c.dialer.queries++
+	return c.dialer.status, nil
+}
+
+func (c *statusConn) Close() {}
+
+func newServiceWithDialer(d Dialer) *service {
+	s := New("z", d, zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
+	s.AllowPrimariesUntil(boottime.Now().Add(time.Hour))
+	return s.service("stock")
+}
+
+// Guards against statements on a target that has started again without its data under the same id, in the time until another
+// target is the primary.
+func TestRestartedPrimaryIsNotUsed(t *testing.T) {
+	s := newServiceWithDialer(failingDialer{})
+	s.applyDocument(primacy.Document{Service: "stock", Epoch: 2, Open: true, Primary: "a", Born: 100})
+	for _, test := range []struct {
+		name    string
+		targets []catalog.Target
+		usable  bool
+	}{
+		{"not known yet", nil, true},
+		{"as decided", []catalog.Target{{ID: "a", StartedAt: 100}}, true},
+		{"restarted", []catalog.Target{{ID: "a", StartedAt: 200}}, false},
+	} {
+		s.setTargets(test.targets, 1)
+		if _, _, usable := s.currentPrimary(); usable != test.usable {
+			t.Errorf("%s: usable is %t, want %t", test.name, usable, test.usable)
+		}
+		c := &targetConn{id: 1, target: catalog.Target{ID: "a", StartedAt: 200}, conn: &statusConn{}}
+		s.conns[1] = c
+		if _, sent, err := s.run(c, &sessionState{}, Command{Statement: Statement{Kind: Commit}}, 2, time.Now()); sent || err == nil {
+			t.Errorf("%s: a command was sent to the restarted target, error %v", test.name, err)
+		}
+	}
+	s.applyDocument(primacy.Document{Service: "stock", Epoch: 4, Open: true, Primary: "a", Born: 200})
+	if _, _, usable := s.currentPrimary(); !usable {
+		t.Error("the restarted target is not used after a decision for it")
+	}
+}
+
+// Guards against a host that starts and takes a target without its data for the primary: it knows no position that the target must
+// have reached, and its list of targets may be older than the restart.
+func TestStartingHostVerifiesPrimary(t *testing.T) {
+	target := catalog.Target{ID: "a", StartedAt: 100}
+	open := primacy.Document{Service: "stock", Epoch: 3, Open: true, Primary: "a", Born: 100, Term: 5,
+		Received: model.Position{Term: 4, Offset: 40}}
+	closed := primacy.Document{Service: "stock", Epoch: 2, Primary: "b"}
+	later := model.Position{Term: 5, Offset: 50}
+	for _, test := range []struct {
+		name      string
+		documents []primacy.Document
+		position  model.Position
+		status    primacy.Status
+		accepted  bool
+		queries   int
+	}{
+		{"the primary", []primacy.Document{open}, later, primacy.Status{Primary: true, Term: 5}, true, 1},
+		{"a replica", []primacy.Document{open}, later, primacy.Status{Term: 5}, false, 2},
+		{"a primary of an earlier term", []primacy.Document{open}, later, primacy.Status{Primary: true, Term: 4}, false, 2},
+		{"without its data", []primacy.Document{open}, model.Position{}, primacy.Status{Primary: true, Term: 5}, false, 0},
+		{"promoted a moment ago", []primacy.Document{closed, open}, model.Position{Term: 4, Offset: 30},
+			primacy.Status{Primary: true, Term: 5}, true, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := &statusDialer{position: test.position, status: test.status}
+			s := newServiceWithDialer(d)
+			s.setTargets([]catalog.Target{target}, 1)
+			for _, doc := range test.documents {
+				s.applyDocument(doc)
+			}
+			for range 2 {
+				if _, _, err := s.dial(t.Context(), target, "w"); (err == nil) != test.accepted {
+					t.Errorf("error %v, accepted is %t", err, test.accepted)
+				}
+			}
+			if d.queries != test.queries {
+				t.Errorf("%d status commands, want %d", d.queries, test.queries)
+			}
+		})
+	}
+}
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -71,6 +71,8 @@
 	lastReplyAt         map[model.TargetID]time.Time // time of the last reply of each target
 	averageReadTime     time.Duration                // moving average
 	docAppliedAt        time.Time                    // when doc was applied
+	promotionSeen       bool                         // this host has applied the closed document that precedes doc
+	verifiedEpoch       uint64                       // epoch whose primary has confirmed its role to this host
 	highestPosition     model.Position               // highest position that the primary of doc has reported
 	primaryReachedAt    time.Time                    // time of the last reply of the primary of doc, initially docAppliedAt
 	primaryFailingSince time.Time                    // time of the first failure since that reply, or zero
@@ -138,23 +140,62 @@
 	}
 }
 
+// dial opens a connection to a target. If the target is the primary it checks that it has not lost its data: it must have
+// reached the position that it is known to have had, and if this host has not seen its promotion, it must confirm its role. A
+// target that has started again without its data is a replica.
+func (s *service) dial(ctx context.Context, t catalog.Target, workspace model.Workspace) (Conn, model.Position, error) {
+	s.mu.Lock()
+	doc, minPosition := s.doc, s.minPrimaryPosition(boottime.Now())
+	verify := t.ID == doc.Primary && doc.Open && !s.promotionSeen && s.verifiedEpoch != doc.Epoch
+	s.mu.Unlock()
+	conn, position, err := s.server.dialer.Dial(ctx, t, workspace)
+	s.server.metrics.observeOpen(s.name, err)
+	if err != nil || t.ID != doc.Primary {
+		return conn, position, err
+	}
+	if position.Max(minPosition) != position {
+		err = trace.Errorf("the primary has lost data: it is at %v, expected at least %v", position, minPosition)
+	} else if verify {
+		err = s.verifyPrimary(ctx, conn, doc)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.doc.Epoch != doc.Epoch {
+		return conn, position, nil // the target is not known to be the primary any more
+	}
+	if err != nil {
+		go conn.Close()
+		return nil, position, err
+	}
+	if verify {
+		s.verifiedEpoch = doc.Epoch
+	}
+	return conn, position, nil
+}
+
+// verifyPrimary returns an error unless the target answers that it is the primary of the document's term or a later one.
+func (s *service) verifyPrimary(ctx context.Context, conn Conn, doc primacy.Document) error {
+	deadline, _ := ctx.Deadline()
+	status, err := conn.Status(deadline)
+	if err != nil {
+		return err
+	}
+	if !status.Primary || status.Term < doc.Term {
+		return trace.Errorf("the target is not the primary: it answers primary=%t in term %d, expected term %d", status.Primary,
+			status.Term, doc.Term)
+	}
+	return nil
+}
+
 // open opens a connection for the pool and reports the result to it.
 func (s *service) open(a pool.Open, t catalog.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	sentAt := boottime.Now()
-	s.mu.Lock()
-	epoch, minPosition := s.doc.Epoch, s.minPrimaryPosition(sentAt)
-	s.mu.Unlock()
-	conn, position, err := s.server.dialer.Dial(ctx, t, a.Workspace)
-	s.server.metrics.observeOpen(s.name, err)
+	conn, position, err := s.dial(ctx, t, a.Workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
-	if err == nil && t.ID == s.doc.Primary && s.doc.Epoch == epoch && position.Max(minPosition) != position {
-		err = trace.Errorf("the primary has lost data: it is at %v, expected at least %v", position, minPosition)
-		go conn.Close()
-	}
 	if err != nil {
 		s.log.Warn("target: connection failed", zap.String("target", string(t.ID)),
 			zap.String("workspace", string(a.Workspace)), zap.Error(err))
@@ -172,14 +213,14 @@
 	}
 	s.conns[a.Conn] = &targetConn{id: a.Conn, target: t, workspace: a.Workspace, conn: conn,
 		variables: map[string]string{}, prepared: map[string]bool{}}
-	s.recordReply(sentAt, now, t.ID, position)
+	s.recordReply(sentAt, now, t, position)
 	s.applyActions(s.pool.OpenFinished(now, a.Conn, true))
 }
 
-// minPrimaryPosition returns the position that the primary has reached at the given time unless it lost data. The caller
-// holds s.mu.
+// minPrimaryPosition returns the position that the primary has reached at the given time unless it lost data. The promotion may
+// be recent only if this host has seen it. The caller holds s.mu.
 func (s *service) minPrimaryPosition(at time.Time) model.Position {
-	if at.Sub(s.docAppliedAt) < promotionSettleTime {
+	if s.promotionSeen && at.Sub(s.docAppliedAt) < promotionSettleTime {
 		return s.highestPosition
 	}
 	return s.highestPosition.Max(s.doc.Received)
@@ -187,8 +228,12 @@
 
 // recordReply records the time now of a target's reply to a command that was sent at sentAt, and the log position in the
 // reply: as a sample of the primary, or to estimate the lag of a replica. The caller holds s.mu.
-func (s *service) recordReply(sentAt, now time.Time, id model.TargetID, position model.Position) {
+func (s *service) recordReply(sentAt, now time.Time, t catalog.Target, position model.Position) {
+	id := t.ID
 	s.lastReplyAt[id] = now
+	if id == s.doc.Primary && t.StartedAt != s.doc.Born {
+		return // the target has started again, so that its position says nothing about the primary's log
+	}
 	if id == s.doc.Primary {
 		s.primaryReachedAt, s.primaryFailingSince = now, time.Time{}
 		if s.doc.Open && s.server.primaryAllowed(sentAt) {
@@ -265,7 +310,8 @@
 	sentAt := boottime.Now()
 	if epoch != 0 {
 		s.mu.Lock()
-		allowed := s.doc.Open && s.doc.Epoch == epoch && s.conns[c.id] == c && s.server.primaryAllowed(sentAt)
+		allowed := s.primaryUsable() && s.doc.Epoch == epoch && c.target.StartedAt == s.doc.Born && s.conns[c.id] == c &&
+			s.server.primaryAllowed(sentAt)
 		s.mu.Unlock()
 		if !allowed {
 			return Reply{}, false, errPrimaryNotAllowed
@@ -288,7 +334,7 @@
 		clear(c.prepared) // the target has dropped them; the next attempt prepares them again
 	}
 	s.mu.Lock()
-	s.recordReply(sentAt, boottime.Now(), c.target.ID, reply.Position)
+	s.recordReply(sentAt, boottime.Now(), c.target, reply.Position)
 	s.mu.Unlock()
 	return reply, true, nil
 }
@@ -363,6 +409,25 @@
 	}
 	s.targets = registered
 	s.applyActions(s.pool.SetTargets(now, list))
+	s.updatePoolPrimary(now)
+}
+
+// primaryUsable reports whether the current decision is open and its target has not started again since. A target that has
+// started again under the same id has no data. The caller holds s.mu.
+func (s *service) primaryUsable() bool {
+	t, registered := s.targets[s.doc.Primary]
+	return s.doc.Open && (!registered || t.StartedAt == s.doc.Born)
+}
+
+// updatePoolPrimary tells the pool which primary it may use. The caller holds s.mu.
+func (s *service) updatePoolPrimary(now time.Time) {
+	usable := s.primaryUsable()
+	if s.doc.Open && !usable {
+		s.log.Warn("primary: not used, the target has started again", zap.String("target", string(s.doc.Primary)),
+			zap.Uint64("epoch", s.doc.Epoch), zap.Int64("born", s.targets[s.doc.Primary].StartedAt),
+			zap.Int64("expected_born", s.doc.Born))
+	}
+	s.applyActions(s.pool.SetPrimary(now, s.doc.Primary, usable))
 }
 
 // closeConnections closes all connections to a target. Statements that run on them fail. The caller holds s.mu.
@@ -400,6 +465,7 @@
 	s.log.Info("primary: decision applied", zap.Uint64("epoch", doc.Epoch), zap.Bool("open", doc.Open),
 		zap.String("target", string(doc.Primary)), zap.Uint64("term", doc.Term), zap.String("cause", string(doc.Cause)))
 	s.doc = doc
+	s.promotionSeen = doc.Open && !old.Open && old.Epoch == doc.Epoch-1 && old.Epoch > 0
 	s.highestPosition = model.Position{}
 	s.docAppliedAt, s.primaryReachedAt, s.primaryFailingSince = now, now, time.Time{}
 	if doc.Open {
@@ -407,7 +473,7 @@
 			s.closeConnections(now, old.Primary)
 		}
 		s.fencedEpoch = doc.Epoch
-		s.applyActions(s.pool.SetPrimary(now, doc.Primary, true))
+		s.updatePoolPrimary(now)
 		return true
 	}
 	s.applyActions(s.pool.SetPrimary(now, doc.Primary, false))
@@ -496,28 +562,27 @@
 	defer cancel()
 	sentAt := boottime.Now()
 	s.mu.Lock()
-	epoch, minPosition := s.doc.Epoch, s.minPrimaryPosition(sentAt)
+	epoch := s.doc.Epoch
 	s.mu.Unlock()
-	conn, position, err := s.server.dialer.Dial(ctx, t, workspace)
-	s.server.metrics.observeOpen(s.name, err)
+	conn, position, err := s.dial(ctx, t, workspace)
 	if err != nil {
-		return // still unreachable; the first failure was logged
+		return // still unreachable, or without its data; the first failure was logged
 	}
 	conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.doc.Epoch != epoch || position.Max(minPosition) != position {
-		return // another decision was applied, or the primary has lost data
+	if s.doc.Epoch != epoch {
+		return // another decision was applied
 	}
 	s.log.Info("target: primary reachable again", zap.String("target", string(t.ID)))
-	s.recordReply(sentAt, boottime.Now(), t.ID, position)
+	s.recordReply(sentAt, boottime.Now(), t, position)
 }
 
-// currentPrimary returns the epoch and the primary of the current decision, and whether the decision is open for use.
-func (s *service) currentPrimary() (epoch uint64, primary model.TargetID, open bool) {
+// currentPrimary returns the epoch and the primary of the current decision, and whether it may be used.
+func (s *service) currentPrimary() (epoch uint64, primary model.TargetID, usable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.doc.Epoch, s.doc.Primary, s.doc.Open
+	return s.doc.Epoch, s.doc.Primary, s.primaryUsable()
 }
 
 // replacementInSight reports whether the primary is being replaced and the next one can be expected soon.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -66,15 +66,7 @@
 		fleet.hosts = append(fleet.hosts, fleet.startHost(fmt.Sprintf("host-%d", i), platformStore, promotionAPI))
 	}
 	t.Cleanup(func() {
-		var wg sync.WaitGroup
-		for _, h := range fleet.hosts {
-			wg.Go(func() {
-				if err := h.shutDown(); err != nil {
-					t.Error(err)
-				}
-			})
-		}
-		wg.Wait()
+		fleet.shutDownAll()
 		group.Close()
 		platformStore.CloseClientConnections()
 		platformStore.Close()
@@ -142,6 +134,19 @@
 	return <-h.done
 }
 
+// shutDownAll stops all hosts gracefully and waits until they have ended.
+func (fleet *testFleet) shutDownAll() {
+	var wg sync.WaitGroup
+	for _, h := range fleet.hosts {
+		wg.Go(func() {
+			if err := h.shutDown(); err != nil {
+				fleet.t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 func (h *hostProcess) isReady() bool {
 	response, err := http.Get("http://" + h.health + "/-/ready")
 	if err != nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -560,3 +560,51 @@
 		}
 	}
 }
+
+// Guards against hosts that start and read from a primary that has started again without its data, before the leader replaces it
+// (review/2). The registration of the target shows its restart at once, or later.
+func TestStartingHostsDoNotUseEmptyPrimary(t *testing.T) {
+	for _, registeredAfter := range []time.Duration{0, time.Second} {
+		t.Run(registeredAfter.String(), func(t *testing.T) {
+			fleet := newTestFleet(t)
+			platformStore := httptest.NewServer(fleet.store)
+			t.Cleanup(platformStore.Close)
+			c := fleet.mustConnect(0, "orders", "workshop-key")
+			for i := range 20 {
+				if a := c.Query(fmt.Sprintf("kept-%d", i), fmt.Sprintf("WRITE item-%d value", i)); a.Code != "" {
+					t.Fatalf("%+v", a)
+				}
+			}
+			c.Close()
+			fleet.shutDownAll()
+			old := fleet.group.Primary()
+			old.RestartEmpty()
+			time.AfterFunc(registeredAfter, old.Register)
+			for i := range fleet.hosts {
+				fleet.hosts[i] = fleet.startHost(fmt.Sprintf("host-%d", i), platformStore, fleet.promotionAPI)
+			}
+			answered := 0
+			for deadline := time.Now().Add(3 * maxWriteGap); time.Now().Before(deadline) && answered < 100; {
+				for host := range fleet.hosts {
+					c, err := fleet.connect(host, "orders", "workshop-key")
+					if err != nil {
+						continue
+					}
+					id := fmt.Sprintf("read-%d-%d", host, time.Now().UnixNano())
+					a := c.Query(id, fmt.Sprintf("READ item-%d", answered%20))
+					c.Close()
+					if a.Code != "" {
+						continue
+					}
+					if answered++; len(a.Rows) != 1 || a.Rows[0] != "value" {
+						t.Fatalf("a read after the restart of all hosts returned %q", a.Rows)
+					}
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+			if answered < 100 {
+				t.Errorf("%d reads were answered after the restart of all hosts", answered)
+			}
+		})
+	}
+}
