A leaving target hands its commits over without being opened

Cause: of the targets that answer, the one that had received most was promoted and opened. That it was leaving decided only between equals. A leaving target is often a few commits ahead, and fencing the hosts behind a partition took longer than its time.

Evidence: gateway.TestLeavingTargetOnlyHandsOver failed; it also showed that the commits which only the leaving target had were lost when it was replaced as planned a moment later.

Change: a leaving target that is ahead is promoted, but stays closed to the hosts until a target that stays has received everything; that one is then promoted and opened. It is opened only if no other target answers. How long it has been leaving does not matter.

Why it works: no host uses a primary whose document is closed, so no statement reaches the leaving target, and its commits reach the next primary by replication. Writes wait for a second promotion and the replication lag, or longer if the target that stays cannot receive from the leaving one.

Race tests of gateway, fleet and primacy pass.

--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -173,6 +173,10 @@
 	if !ok {
 		return
 	}
+	if choice.HandsOver {
+		s.promote(ctx, choice.Target, doc.value.Term)
+		return // the next attempt promotes a target that has received its commits
+	}
 	next := doc.value
 	next.Epoch, next.Open = next.Epoch+1, true
 	next.Primary, next.Born, next.Term = choice.Target.ID, choice.Target.StartedAt, choice.Target.Term
@@ -252,10 +256,19 @@
 // choosePrimary probes the targets of the service and selects the next primary. It reports false if no target can be
 // promoted or this host may no longer replace primaries.
 func (s *supervisor) choosePrimary(ctx context.Context, doc primacy.Document, probeSilent bool) (primacy.Choice, bool) {
-	deadline := boottime.Now().Add(catchUpTimeout)
+	deadline, waiting := boottime.Now().Add(catchUpTimeout), false
 	for ctx.Err() == nil && s.leaseValid() {
 		group := s.collectGroup(ctx, doc, probeSilent)
 		choice := primacy.Choose(group)
+		if choice.AwaitsCatchUp {
+			if !waiting {
+				s.log.Info("primary: waiting for the commits of a draining target", zap.String("target", string(choice.Target.ID)),
+					zap.Uint64("offset", choice.Target.Received.Offset), zap.Uint64("epoch", doc.Epoch))
+			}
+			waiting = true
+			sleep(ctx, replacePollInterval)
+			continue
+		}
 		if !choice.Found {
 			s.log.Info("primary: no target can be promoted", zap.Int("answered", len(group.Candidates)),
 				zap.Int("registered", group.TargetCount))
@@ -264,7 +277,7 @@
 		if !doc.Cause.WaitsForCatchUp() || choice.AlreadyPrimary || group.CaughtUp(choice.Target) ||
 			boottime.Now().After(deadline) {
 			s.log.Info("primary: chosen", zap.String("target", string(choice.Target.ID)),
-				zap.Bool("leads_already", choice.AlreadyPrimary), zap.Uint64("term", choice.Target.Received.Term),
+				zap.Bool("leads_already", choice.AlreadyPrimary), zap.Bool("hands_over", choice.HandsOver), zap.Uint64("term", choice.Target.Received.Term),
 				zap.Uint64("offset", choice.Target.Received.Offset), zap.Int("answered", len(group.Candidates)))
 			return choice, true
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -608,3 +608,37 @@
 		})
 	}
 }
+
+// Guards against statements on a target that is leaving, because it is ahead of the others when the primary is lost (review/4),
+// and against losing the commits that only this target has.
+func TestLeavingTargetOnlyHandsOver(t *testing.T) {
+	fleet := newTestFleet(t)
+	leaving, behind := fleet.group.Member(0), fleet.group.Member(2)
+	behind.SetReplicationBlocked(true)
+	leaving.Drain()
+	fleet.waitFor("the leaving target is replaced", maxWriteGap, func() bool { return fleet.group.Primary() == fleet.group.Member(1) })
+	c := fleet.mustConnect(0, "orders", "workshop-key")
+	fleet.waitFor("a write is acknowledged", maxWriteGap, func() bool {
+		return c.Query(fmt.Sprintf("kept-%d", time.Now().UnixNano()), "WRITE item value").Code == ""
+	})
+	time.Sleep(100 * time.Millisecond) // until the leaving target has received the write
+	var lost time.Time
+	fleet.runWriters(func() {
+		fleet.group.Member(1).SetPartitioned(true)
+		lost = time.Now()
+		time.AfterFunc(2*time.Second, func() { behind.SetReplicationBlocked(false) })
+		fleet.waitFor("the target that stays is the primary", 2*maxWriteGap, func() bool { return fleet.group.Primary() == behind })
+		fleet.waitFor("the acknowledged write is read", maxWriteGap, func() bool {
+			a := c.Query(fmt.Sprintf("read-%d", time.Now().UnixNano()), "READ item")
+			if a.Code == "" && (len(a.Rows) != 1 || a.Rows[0] != "value") {
+				t.Fatalf("the read returned %q", a.Rows)
+			}
+			return a.Code == ""
+		})
+	})
+	for _, e := range fleet.group.ExecutedStatements() {
+		if e.Database == leaving.ID && e.At.After(lost) {
+			t.Errorf("statement %s ran on the leaving target %s after the loss of the primary", e.ID, e.At.Sub(lost))
+		}
+	}
+}
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -188,13 +188,19 @@
 type Choice struct {
 	Target         Candidate
 	AlreadyPrimary bool // the target is the primary already, so no promotion is needed
-	Found          bool // false if no target can be promoted without losing acknowledged commits
+	// HandsOver means that the target drains and has commits that no other target has. It has to be promoted, so that the
+	// others receive them, but must not be opened for use: it may end at any moment.
+	HandsOver bool
+	// AwaitsCatchUp means that the target is about to receive the commits of a draining one that was promoted to hand them over.
+	AwaitsCatchUp bool
+	Found         bool // false if no target can be promoted without losing acknowledged commits, or not yet
 }
 
 // Choose selects the next primary. A target that is already the primary of a later term is chosen as it is. So is the old
 // primary if it was only unreachable and answers again, because it has all commits. Otherwise the replica with the most
 // advanced position is chosen. With synchronous replicas, enough replicas must reply that one of them has every
-// acknowledged commit.
+// acknowledged commit. A draining target is chosen for use only if no other one replies: it hands its commits over to one that
+// stays.
 func Choose(g Group) Choice {
 	candidates := slices.Clone(g.Candidates)
 	slices.SortFunc(candidates, func(a, b Candidate) int {
@@ -202,7 +208,7 @@
 	})
 	for _, c := range candidates {
 		if c.IsPrimary && c.Term > g.OldTerm {
-			return Choice{Target: c, AlreadyPrimary: true, Found: true}
+			return g.afterPromotion(c)
 		}
 	}
 	for _, c := range candidates {
@@ -211,17 +217,53 @@
 			return Choice{Target: c, AlreadyPrimary: true, Found: true}
 		}
 	}
-	replicas := slices.DeleteFunc(candidates, func(c Candidate) bool {
+	replicas := g.replicas()
+	others := g.TargetCount - 1
+	if len(replicas) == 0 || g.SyncReplicas > 0 && len(replicas) < others-g.SyncReplicas+1 {
+		return Choice{}
+	}
+	_, stays := staying(replicas)
+	return Choice{Target: replicas[0], HandsOver: replicas[0].Draining && stays, Found: true}
+}
+
+// replicas returns the candidates other than the old primary, those that received most first.
+func (g Group) replicas() []Candidate {
+	replicas := slices.DeleteFunc(slices.Clone(g.Candidates), func(c Candidate) bool {
 		return c.ID == g.OldPrimary && c.StartedAt == g.OldStartedAt
 	})
-	slices.SortStableFunc(replicas, func(a, b Candidate) int {
+	slices.SortFunc(replicas, func(a, b Candidate) int {
 		return cmp.Or(compareReceived(b, a), compareDraining(a, b), cmp.Compare(a.ID, b.ID))
 	})
-	others := g.TargetCount - 1
-	if len(replicas) == 0 || g.SyncReplicas > 0 && len(replicas) < others-g.SyncReplicas+1 {
-		return Choice{}
+	return replicas
+}
+
+// staying returns the first candidate that does not drain.
+func staying(candidates []Candidate) (Candidate, bool) {
+	i := slices.IndexFunc(candidates, func(c Candidate) bool { return !c.Draining })
+	if i < 0 {
+		return Candidate{}, false
 	}
-	return Choice{Target: replicas[0], Found: true}
+	return candidates[i], true
+}
+
+// afterPromotion returns the choice when a candidate is the primary of a later term than the old one: this candidate, unless it
+// drains and another one stays.
+func (g Group) afterPromotion(promoted Candidate) Choice {
+	successor, stays := staying(g.replicas())
+	if !promoted.Draining || !stays {
+		return Choice{Target: promoted, AlreadyPrimary: true, Found: true}
+	}
+	if !hasReceivedAll(successor, promoted) {
+		return Choice{Target: successor, AwaitsCatchUp: true}
+	}
+	return Choice{Target: successor, Found: true}
+}
+
+// hasReceivedAll reports whether a replica has received everything that a primary without new commits has. The position of the
+// primary may carry its new term already, while that of a replica which follows it still carries the term of the last commit.
+func hasReceivedAll(replica, primary Candidate) bool {
+	return compareReceived(replica, primary) >= 0 ||
+		replica.Term >= primary.Term && replica.Received.Offset >= primary.Received.Offset
 }
 
 // compareReceived orders targets by the position that they have received.
--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -89,6 +89,10 @@
 	c := Candidate{ID: "c", Term: 3, Received: position(3, 85)}
 	promoted := Candidate{ID: "b", IsPrimary: true, Term: 4, Received: position(4, 81)}
 	draining := Candidate{ID: "b", Draining: true, Term: 3, Received: position(3, 85)}
+	handing := Candidate{ID: "b", Draining: true, IsPrimary: true, Term: 4, Received: position(3, 85)}
+	behind := Candidate{ID: "c", Term: 3, Received: position(3, 80)}
+	newTerm := Candidate{ID: "b", Draining: true, IsPrimary: true, Term: 4, Received: position(4, 85)}
+	follower := Candidate{ID: "c", Term: 4, Received: position(3, 85)}
 	restarted := Candidate{ID: "a", StartedAt: 9, Term: 0}
 	tests := []struct {
 		name       string
@@ -107,6 +111,20 @@
 			Choice{Target: promoted, AlreadyPrimary: true, Found: true}, CauseUnreachable},
 		{"not the draining one of two equal replicas", []Candidate{draining, c}, 0,
 			Choice{Target: c, Found: true}, CauseUnreachable},
+		{"a draining replica that is ahead only hands over its commits", []Candidate{draining, behind}, 0,
+			Choice{Target: draining, HandsOver: true, Found: true}, CauseUnreachable},
+		{"a draining replica if no other one replies", []Candidate{draining}, 0,
+			Choice{Target: draining, Found: true}, CauseUnreachable},
+		{"wait for the commits of a draining target that was promoted", []Candidate{handing, behind}, 0,
+			Choice{Target: behind, AwaitsCatchUp: true}, CauseUnreachable},
+		{"not a draining target that was promoted and has handed over its commits", []Candidate{handing, c}, 0,
+			Choice{Target: c, Found: true}, CauseUnreachable},
+		{"the same, and its position carries the new term already", []Candidate{newTerm, follower}, 0,
+			Choice{Target: follower, Found: true}, CauseUnreachable},
+		{"wait if its position carries the new term and the replica does not follow it", []Candidate{newTerm, c}, 0,
+			Choice{Target: c, AwaitsCatchUp: true}, CauseUnreachable},
+		{"a draining target that was promoted, if no other one replies", []Candidate{a, handing}, 0,
+			Choice{Target: handing, AlreadyPrimary: true, Found: true}, CauseUnreachable},
 		{"not a target that restarted without data", []Candidate{restarted, b}, 0,
 			Choice{Target: b, Found: true}, CauseRestarted},
 		{"no target replies", nil, 0, Choice{}, CauseUnreachable},
