A relayed state is fresh only if the store has answered for each prefix

Cause: one time of the last reply of the store stood for all that a host follows. The store refused new calls of the leader, but its open watch of the targets went on, so the leader marked its old configuration as fresh and the other hosts did not ask the store.

Evidence: gateway.TestLeaderIsRefusedConfiguration failed: the key still worked 3 s after its withdrawal.

Change: each followed prefix has the time of its own last reply, and a relayed state is fresh only if none is older than 1.5 s. The other uses of the one time ask whether the store answers at all, and keep it.

Why it works: after 1.5 s without a reply for the configuration the leader no longer relays it as fresh, 0.8 s later the other hosts follow the store, and 0.7 s are left for the call.

Race tests of gateway and fleet pass.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -122,7 +122,7 @@
 	// first one after the last fresh relay, or 0 if an attempt has failed since.
 	lastRenewal, storeReachableSince atomic.Int64
 	// lastRelay is the time at which the last request that got a fresh relayed reply was sent, lastStoreReply the time of
-	// the last reply of the store, both as boottime.Now in nanoseconds.
+	// the last reply of the store for any prefix, both as boottime.Now in nanoseconds.
 	lastRelay, lastStoreReply atomic.Int64
 	lastBrokerReply           atomic.Int64 // time of the last report that a broker has answered; initially the start
 	leaderUnreachable         atomic.Bool  // the last report to the leader failed
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -22,8 +22,10 @@
 	// relayFreshness is the time after the last reply of the store for which a host marks its relayed state as fresh.
 	// It is longer than a watch.
 	relayFreshness = 1100 * time.Millisecond
+	// prefixFreshness is the same for the last reply of the store for each prefix. It allows for one slow reply.
+	prefixFreshness = 1500 * time.Millisecond
 	// relayTimeout is the time without a fresh relayed reply after which a host follows the store itself. Together
-	// with relayFreshness it leaves one of the three seconds in which a configuration has to be in force.
+	// with prefixFreshness it leaves 0.7 of the three seconds in which a configuration has to be in force.
 	relayTimeout = 800 * time.Millisecond
 	// storeReturnGrace is the time that candidates have to relay the state of a store that answers again.
 	storeReturnGrace = 300 * time.Millisecond
@@ -69,6 +71,16 @@
 	removed           map[string]uint64 // keys with the revision at which their removal was observed
 	compactedRevision uint64            // removals before this revision are not recorded
 	revision          uint64            // revision of the last observed change
+	lastStoreReply    time.Time         // time of the last reply of the store to a call for this prefix
+}
+
+// recordStoreReply records that the store has answered a list or a watch of the prefix.
+func (f *prefixFollower) recordStoreReply() {
+	now := boottime.Now()
+	f.agent.lastStoreReply.Store(now.UnixNano())
+	f.agent.followMu.Lock()
+	defer f.agent.followMu.Unlock()
+	f.lastStoreReply = now
 }
 
 // PrefixState holds the changes under a prefix between two revisions.
@@ -94,7 +106,7 @@
 		} else {
 			attempts.reset()
 			list = a.Store.List // a stale list may precede the oldest revision in the store's history
-			a.lastStoreReply.Store(boottime.Now().UnixNano())
+			f.recordStoreReply()
 			f.replaceState(ctx, PrefixState{Revision: revision, Items: items}, true)
 			f.watch(ctx, revision, &dep)
 		}
@@ -160,7 +172,7 @@
 		if dep.observe(err); err != nil {
 			return // list again, with increasing delays while the store does not answer
 		}
-		f.agent.lastStoreReply.Store(boottime.Now().UnixNano())
+		f.recordStoreReply()
 		revision = next
 		f.applyEvents(ctx, events, next)
 		if len(events) > 0 {
@@ -323,9 +335,21 @@
 	return hosts[:min(maxCandidates, len(hosts))]
 }
 
-// isFreshRelay reports whether this host follows the store and received a reply from it recently.
+// isFreshRelay reports whether this host follows the store and has recently received a reply for each prefix. The store may
+// answer the watches of some prefixes, on connections that are open, and refuse new calls for the others.
 func (a *Agent) isFreshRelay() bool {
-	return a.followsStore() && elapsedSince(&a.lastStoreReply) < relayFreshness
+	if !a.followsStore() || elapsedSince(&a.lastStoreReply) >= relayFreshness {
+		return false
+	}
+	a.followMu.Lock()
+	defer a.followMu.Unlock()
+	now := boottime.Now()
+	for _, f := range a.followers {
+		if now.Sub(f.lastStoreReply) >= prefixFreshness {
+			return false
+		}
+	}
+	return true
 }
 
 // jitter shortens a delay by up to half, so that hosts do not call the store at the same time.
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -244,3 +244,30 @@
 		t.Errorf("%d calls for one prefix in a second of changes", n)
 	}
 }
+
+// Guards against a leader that relays an old configuration as fresh because the store still answers its watches of other prefixes
+// (review/5): the other hosts, which reach the store, would not ask it themselves.
+func TestRelayIsFreshForEachPrefix(t *testing.T) {
+	now := boottime.Now()
+	for _, test := range []struct {
+		name  string
+		ages  map[string]time.Duration // of the last reply of the store for each prefix
+		fresh bool
+	}{
+		{"all prefixes are answered", map[string]time.Duration{"config": 0, "targets": 0}, true},
+		{"the store answers slowly", map[string]time.Duration{"config": relayFreshness + 200*time.Millisecond, "targets": 0}, true},
+		{"one prefix has no answer", map[string]time.Duration{"config": prefixFreshness, "targets": 0}, false},
+		{"the store is silent", map[string]time.Duration{"config": relayFreshness, "targets": relayFreshness}, false},
+	} {
+		a := &Agent{followers: map[string]*prefixFollower{}, leading: &leadership{}}
+		youngest := time.Hour
+		for prefix, age := range test.ages {
+			a.follower(prefix, nil).lastStoreReply = now.Add(-age)
+			youngest = min(youngest, age)
+		}
+		a.lastStoreReply.Store(now.Add(-youngest).UnixNano())
+		if fresh := a.isFreshRelay(); fresh != test.fresh {
+			t.Errorf("%s: fresh is %t, want %t", test.name, fresh, test.fresh)
+		}
+	}
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -642,3 +643,41 @@
 		}
 	}
 }
+
+// Guards against hosts that go on with an old configuration because the leader, whose state they take for fresh, is refused the
+// configuration by the store while its watches of other keys go on (review/5).
+func TestLeaderIsRefusedConfiguration(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.shutDownAll()
+	var refused atomic.Int32 // index of the host that is refused the configuration, plus one
+	for i := range fleet.hosts {
+		platformStore := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if int(refused.Load()) == i+1 && strings.HasPrefix(r.URL.Query().Get("prefix"), "op/") {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			fleet.store.ServeHTTP(w, r)
+		}))
+		t.Cleanup(platformStore.Close)
+		fleet.hosts[i] = fleet.startHost(fmt.Sprintf("host-%d", i), platformStore, fleet.promotionAPI)
+	}
+	for _, h := range fleet.hosts {
+		fleet.waitFor("a host is ready", 10*time.Second, h.isReady)
+	}
+	leader := fleet.leader()
+	var sessions []*lines.Client
+	for host := range fleet.hosts {
+		if host != leader {
+			sessions = append(sessions, fleet.mustConnect(host, "view", "workshop-key"))
+		}
+	}
+	refused.Store(int32(leader) + 1)
+	time.Sleep(2 * time.Second) // the leader has nothing new to relay meanwhile
+	fleet.store.PutConfig(lines.NewConfig(5, "another-key"))
+	changed := time.Now()
+	for _, c := range sessions {
+		fleet.waitFor("an open session is refused", configurationTimeout-time.Since(changed), func() bool {
+			return c.Query("q", "READ item").Code == "AUTHFAIL"
+		})
+	}
+}
