A refunded token goes back to where it came from, with the expiry that it had

Cause: the token of an operation that had not run came back as a new grant with a full second to live, which also prolonged all other granted tokens of the host. So tokens went round while the buckets of the hosts and of the broker refilled, and both were used.

Change: a token knows where it came from. One of the host's own share goes back to that share, up to its part of the burst; one from the broker keeps its expiry. Each grant has its own expiry.

Why it works: a token from the broker lives for a second after its grant, however often it is taken and refunded, and the host's share never holds more than its part of the burst.

Race tests of share, frontend, fleet and gateway pass.

--- a/frontend/admission.go
+++ b/frontend/admission.go
@@ -20,16 +20,23 @@
 // brokerPollInterval is the pause between attempts of an operation that waits for a change of the broker.
 const brokerPollInterval = 20 * time.Millisecond
 
+// charge is a rate limit token that an operation has taken, and the workspace whose limit it belongs to.
+type charge struct {
+	workspace model.Workspace
+	token     share.Token
+}
+
 // admit takes a token for an operation of the workspace, either from this host's share of the limit or from the broker. It
 // waits up to maxWait for a token, and up to brokerWait while this host changes to another broker, which takes about half a
 // second and may leave callers inside their rate without tokens. If the operation is refused, wait estimates when a token may
 // be available.
-func (s *Server) admit(workspace model.Workspace, maxWait, brokerWait time.Duration) (admitted bool, wait time.Duration) {
+func (s *Server) admit(workspace model.Workspace, maxWait, brokerWait time.Duration) (token share.Token, admitted bool,
+	wait time.Duration) {
 	arrived := boottime.Now()
 	for retry := false; ; retry = true {
 		decision := s.tryAdmit(workspace, retry)
 		if decision.Admitted {
-			return true, 0
+			return decision.Token, true, 0
 		}
 		wait = decision.Wait
 		failed := false
@@ -37,8 +44,8 @@
 			granted, nextToken, err := s.acquireTokens(workspace, decision.TokensToRequest)
 			if failed = err != nil; failed {
 				s.log.Info("rate: broker not reached", zap.String("workspace", string(workspace)), zap.Error(err))
-			} else if s.addTokensAndTake(workspace, granted, nextToken) {
-				return true, 0
+			} else if token, taken := s.addTokensAndTake(workspace, granted, nextToken); taken {
+				return token, true, 0
 			} else {
 				wait = min(wait, nextToken)
 			}
@@ -49,7 +56,7 @@
 		}
 		wait = max(wait, minAdmissionWait)
 		if boottime.Now().Add(wait).Sub(arrived) > limit {
-			return false, wait
+			return share.Token{}, false, wait
 		}
 		time.Sleep(wait)
 	}
@@ -63,7 +70,7 @@
 }
 
 // addTokensAndTake adds the tokens that the broker granted and takes one of them. It reports whether there was one.
-func (s *Server) addTokensAndTake(workspace model.Workspace, granted float64, wait time.Duration) bool {
+func (s *Server) addTokensAndTake(workspace model.Workspace, granted float64, wait time.Duration) (share.Token, bool) {
 	s.limitMu.Lock()
 	defer s.limitMu.Unlock()
 	now := boottime.Now()
@@ -79,8 +86,8 @@
 }
 
 // refund returns the token of an operation that did not run.
-func (s *Server) refund(workspace model.Workspace) {
+func (s *Server) refund(c charge) {
 	s.limitMu.Lock()
 	defer s.limitMu.Unlock()
-	s.limiter.Refund(boottime.Now(), workspace)
+	s.limiter.Refund(boottime.Now(), c.workspace, c.token)
 }
--- a/frontend/admission_test.go
+++ b/frontend/admission_test.go
@@ -41,7 +41,7 @@
 			}
 			return test.granted, time.Second, nil
 		}, func(bool) bool { return test.changing })
-		admitted, _ := s.admit("w", 20*time.Millisecond, 3*brokerChange)
+		_, admitted, _ := s.admit("w", 20*time.Millisecond, 3*brokerChange)
 		if took := time.Since(started); admitted != test.wantAdmitted || took > test.wantWithin {
 			t.Errorf("%s: admitted %t after %v, want %t within %v", test.name, admitted, took, test.wantAdmitted,
 				test.wantWithin)
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -215,29 +215,29 @@
 
 // admit checks the route, the key and the rate limit at the start of an operation. The code of the answer is Success if the
 // operation is admitted; otherwise the answer is the refusal.
-func (s *session) admit() (catalog.Route, model.Workspace, *service, Answer) {
+func (s *session) admit() (catalog.Route, charge, *service, Answer) {
 	c := s.server.catalog()
 	route, known := c.Routes[s.database]
 	if !known {
-		return route, "", nil, errorAnswer(UnknownDatabase, "no such database")
+		return route, charge{}, nil, errorAnswer(UnknownDatabase, "no such database")
 	}
 	workspace, allowed := c.Authenticate(route, s.key)
 	if !allowed {
-		return route, "", nil, errorAnswer(Unauthenticated, "unknown key")
+		return route, charge{}, nil, errorAnswer(Unauthenticated, "unknown key")
 	}
 	svc := s.server.service(route.Service)
-	admitted, wait := s.server.admit(workspace, min(maxAdmissionWait, route.LatencyTarget/4), route.LatencyTarget/2)
+	token, admitted, wait := s.server.admit(workspace, min(maxAdmissionWait, route.LatencyTarget/4), route.LatencyTarget/2)
 	if !admitted {
-		return route, workspace, nil, errorAnswer(Busy, "the rate of the workspace is used up; retry after "+
+		return route, charge{}, nil, errorAnswer(Busy, "the rate of the workspace is used up; retry after "+
 			wait.Round(time.Millisecond).String())
 	}
-	return route, workspace, svc, Answer{}
+	return route, charge{workspace, token}, svc, Answer{}
 }
 
 // refund returns the rate limit token of an operation if no target may have run it.
-func (s *session) refund(workspace model.Workspace) {
+func (s *session) refund(c charge) {
 	if !s.mayHaveRun {
-		s.server.refund(workspace)
+		s.server.refund(c)
 	}
 }
 
@@ -271,17 +271,17 @@
 	if s.txn != nil {
 		return s.runInTxn(now, st)
 	}
-	route, workspace, svc, refusal := s.admit()
+	route, charged, svc, refusal := s.admit()
 	if refusal.Code != Success {
 		return refusal
 	}
 	s.mayHaveRun = false
-	defer s.refund(workspace)
-	op := operation{route: route, workspace: workspace, service: svc, arrived: now,
+	defer s.refund(charged)
+	op := operation{route: route, workspace: charged.workspace, service: svc, arrived: now,
 		deadline: s.server.statementDeadline(now, route.StatementTimeout-answerMargin), isWrite: s.isWrite(st)}
 	excluded := ExcludedHosts{Local: svc.cannotRun(now, op.needsPrimary(), route.MaxStaleness)}
 	for range maxForwardAttempts {
-		host, local := s.server.selectHost(route.Service, workspace, excluded)
+		host, local := s.server.selectHost(route.Service, op.workspace, excluded)
 		if local {
 			break
 		}
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -20,7 +20,7 @@
 	wrote     bool
 	failed    bool
 	idleTimer *time.Timer
-	chargedTo model.Workspace // workspace whose token was taken; empty after a refund and for transactions of other hosts
+	charged   *charge // nil after a refund and for transactions of other hosts
 
 	peer        model.HostID // host that runs the transaction, empty for this host
 	id          uint64       // TxnID of the requests to the peer
@@ -60,12 +60,12 @@
 	if s.txn != nil {
 		return errorAnswer(Malformed, "a transaction is open")
 	}
-	_, workspace, svc, refusal := s.admit()
+	_, charged, svc, refusal := s.admit()
 	if refusal.Code != Success {
 		return refusal
 	}
 	s.mayHaveRun = false
-	s.txn = &txn{readOnly: st.Kind == BeginRead, service: svc, chargedTo: workspace}
+	s.txn = &txn{readOnly: st.Kind == BeginRead, service: svc, charged: &charged}
 	defer s.startIdleTimer()
 	return Answer{}
 }
@@ -243,9 +243,9 @@
 
 // refundTxn returns the rate limit token of the open transaction if it has not begun on any target.
 func (s *session) refundTxn() {
-	if t := s.txn; t.chargedTo != "" && !s.mayHaveRun {
-		s.server.refund(t.chargedTo)
-		t.chargedTo = ""
+	if t := s.txn; t.charged != nil && !s.mayHaveRun {
+		s.server.refund(*t.charged)
+		t.charged = nil
 	}
 }
 
--- a/share/share.go
+++ b/share/share.go
@@ -15,6 +15,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/catalog"
@@ -224,16 +225,46 @@
 // hostBucket is a host's token bucket for one workspace, with the tokens granted by the broker.
 type hostBucket struct {
 	tokenBucket
-	granted       float64 // unused tokens from the broker
-	grantExpiry   time.Time
+	grants        []grant   // unused tokens from the broker, those that expire first at the front
 	nextRequest   time.Time // earliest time of the next request to the broker
 	demand        float64   // operations per second, exponentially decayed
 	demandUpdated time.Time
 }
 
+// grant is a number of whole tokens from the broker that expire at the same time.
+type grant struct {
+	tokens float64
+	expiry time.Time
+}
+
+// takeGranted takes a token from the broker that has not expired, and returns its expiry.
+func (b *hostBucket) takeGranted(now time.Time) (expiry time.Time, taken bool) {
+	b.grants = slices.DeleteFunc(b.grants, func(g grant) bool { return g.tokens < 1 || !now.Before(g.expiry) })
+	if len(b.grants) == 0 {
+		return time.Time{}, false
+	}
+	b.grants[0].tokens--
+	return b.grants[0].expiry, true
+}
+
+// addGranted adds tokens from the broker that can be used until the expiry.
+func (b *hostBucket) addGranted(tokens float64, expiry time.Time) {
+	i, found := slices.BinarySearchFunc(b.grants, expiry, func(g grant, at time.Time) int { return g.expiry.Compare(at) })
+	if !found {
+		b.grants = slices.Insert(b.grants, i, grant{expiry: expiry})
+	}
+	b.grants[i].tokens += tokens
+}
+
+// Token is a token that an operation has taken. The zero value is from the host's own share.
+type Token struct {
+	grantExpiry time.Time // zero for a token that the broker has not granted
+}
+
 // Decision is the admission decision for one operation.
 type Decision struct {
 	Admitted bool
+	Token    Token // the token of an admitted operation
 	// TokensToRequest is the number of tokens to request from the broker if the operation is not admitted. Zero means none.
 	TokensToRequest float64
 	// Wait is the time after which to retry an operation that is not admitted: until this host has a token without the
@@ -318,8 +349,8 @@
 	if !retry {
 		bucket.recordDemand(now)
 	}
-	if l.Take(now, workspace) {
-		return Decision{Admitted: true}
+	if token, taken := l.Take(now, workspace); taken {
+		return Decision{Admitted: true, Token: token}
 	}
 	decision := Decision{Wait: bucket.timeUntilToken(l.fraction(now, limit)*limit.PerSecond, 0)}
 	switch {
@@ -333,17 +364,16 @@
 }
 
 // Take takes a token if one is available, first from those granted by the broker.
-func (l *Limiter) Take(now time.Time, workspace model.Workspace) bool {
+func (l *Limiter) Take(now time.Time, workspace model.Workspace) (Token, bool) {
 	bucket := l.bucket(now, workspace)
-	switch {
-	case bucket.granted >= 1 && now.Before(bucket.grantExpiry):
-		bucket.granted--
-	case bucket.level >= 1:
-		bucket.level--
-	default:
-		return false
+	if expiry, taken := bucket.takeGranted(now); taken {
+		return Token{expiry}, true
 	}
-	return true
+	if bucket.level < 1 {
+		return Token{}, false
+	}
+	bucket.level--
+	return Token{}, true
 }
 
 // AddGrant adds tokens granted by the broker. If there are none, the next request is delayed by
@@ -354,11 +384,7 @@
 		bucket.nextRequest = now.Add(min(wait, maxRequestBackoff))
 		return
 	}
-	if now.After(bucket.grantExpiry) {
-		bucket.granted = 0
-	}
-	bucket.granted += granted
-	bucket.grantExpiry = now.Add(grantTTL)
+	bucket.addGranted(granted, now.Add(grantTTL))
 }
 
 // BrokerGone records that the broker has stopped granting tokens. From now on the host uses its equal share of the whole
@@ -370,11 +396,20 @@
 	l.lastAnswered = time.Time{}
 }
 
-// Refund returns the token of an operation that has not run.
-func (l *Limiter) Refund(now time.Time, workspace model.Workspace) {
-	if _, known := l.limits[workspace]; known {
-		l.AddGrant(now, workspace, 1, 0)
+// Refund returns the token of an operation that has not run to where it came from: to the host's share, which holds no more than
+// the share of the burst, or to the tokens from the broker, with the expiry that it had. Tokens that are taken and refunded again
+// and again would otherwise add up while the buckets refill.
+func (l *Limiter) Refund(now time.Time, workspace model.Workspace, token Token) {
+	if _, known := l.limits[workspace]; !known {
+		return
+	}
+	bucket := l.bucket(now, workspace)
+	if !token.grantExpiry.IsZero() {
+		bucket.addGranted(1, token.grantExpiry)
+		return
 	}
+	bucket.level++
+	l.bucket(now, workspace) // limits the level
 }
 
 // fraction returns the fraction of a limit that this host uses without the broker.
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -55,18 +55,24 @@
 
 // admit requests admission for one operation of the workspace at a host, with a request to the broker if necessary.
 func (f *fleet) admit(i int, workspace model.Workspace) bool {
+	_, admitted := f.admitToken(i, workspace)
+	return admitted
+}
+
+// admitToken is admit, and returns the token of the operation.
+func (f *fleet) admitToken(i int, workspace model.Workspace) (Token, bool) {
 	l := f.limiters[i]
 	decision := l.Admit(f.now, workspace, false)
-	admitted := decision.Admitted
+	token, admitted := decision.Token, decision.Admitted
 	if !admitted && decision.TokensToRequest > 0 && !f.disconnected[i] && f.broker != nil {
 		granted, wait := f.broker.Take(f.now, workspace, decision.TokensToRequest)
 		l.AddGrant(f.now, workspace, granted, wait)
-		admitted = l.Take(f.now, workspace)
+		token, admitted = l.Take(f.now, workspace)
 	}
 	if admitted {
 		f.admissions = append(f.admissions, f.now)
 	}
-	return admitted
+	return token, admitted
 }
 
 // run applies the load for the given duration in steps of 5 ms. Hosts report every 250 ms.
@@ -509,16 +515,62 @@
 	l := NewLimiter()
 	l.SetLimits(start, Limits{"w": {PerSecond: 1, Burst: 1}}, 1)
 	now := start.Add(5 * time.Second)
-	l.Admit(now, "w", false)
+	token := l.Admit(now, "w", false).Token
 	if l.Admit(now, "w", false).Admitted {
 		t.Fatal("two operations were admitted with a burst of 1")
 	}
-	l.Refund(now, "w")
+	l.Refund(now, "w", token)
 	if !l.Admit(now, "w", false).Admitted || l.Admit(now, "w", false).Admitted {
 		t.Error("a refund does not allow exactly one operation")
 	}
 }
 
+// Guards against tokens that add up beyond the burst while operations are admitted and refused for seconds, because each refund
+// gives a token a new life and the buckets refill meanwhile (review/further, rule QUOTA).
+func TestRefundsDoNotAddUp(t *testing.T) {
+	const (
+		hosts       = 8
+		rate, burst = 132.0, 132.0
+		interval    = time.Second / 990      // between two operations: 7.5 times the rate
+		refusedFor  = 500 * time.Millisecond // from the admission of an operation to its refusal
+		window      = 5 * time.Second
+		tolerance   = 0.1
+		slack       = 20
+	)
+	f := newFleet(hosts, Limits{"w": {PerSecond: rate, Burst: burst}})
+	f.run(10*time.Second, func(int) {})
+	type admission struct {
+		host  int
+		token Token
+		at    time.Time
+	}
+	var waiting []admission
+	ran, refusing := 0, true
+	next := f.now
+	load := func(step int) {
+		for ; !next.After(f.now); next = next.Add(interval) {
+			i := int(next.UnixNano()) % hosts
+			if token, admitted := f.admitToken(i, "w"); admitted && refusing {
+				waiting = append(waiting, admission{i, token, f.now})
+			} else if admitted {
+				ran++
+			}
+		}
+		for len(waiting) > 0 && f.now.Sub(waiting[0].at) >= refusedFor {
+			f.limiters[waiting[0].host].Refund(f.now, "w", waiting[0].token)
+			waiting = waiting[1:]
+		}
+	}
+	f.run(13*time.Second, load)
+	refusing = false
+	ran += len(waiting) // they reach a target now
+	waiting = nil
+	f.run(window, load)
+	if allowed := (rate*window.Seconds()+burst)*(1+tolerance) + slack; float64(ran) > allowed {
+		t.Errorf("%d operations ran in %s after a time of refusals, at most %.0f are allowed", ran, window, allowed)
+	}
+}
+
 // Guards against operations refused although a token becomes available within milliseconds, and against operations that
 // wait for tokens that earlier requests will take.
 func TestWaitCountsEarlierDenials(t *testing.T) {
