A withdrawn key ends the open transactions that it began

Cause: a withdrawn key was treated like a changed route, and a transaction that had begun on a target went on.

Evidence: gateway.TestWithdrawnKeyEndsTransactions failed: a write and a commit with the withdrawn key succeeded.

Change: each statement of a transaction checks the key. If it was withdrawn or belongs to another workspace, the transaction is rolled back and the statement is answered with AUTHFAIL. Public routes and changed routes are as before.

Race tests of frontend pass; the whole gateway package was last run before this change.

--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -20,7 +20,9 @@
 	wrote     bool
 	failed    bool
 	idleTimer *time.Timer
-	charged   *charge // nil after a refund and for transactions of other hosts
+	workspace model.Workspace // of the caller when the transaction began; empty for transactions of other hosts
+	needsKey  bool            // the route was not public when the transaction began
+	charged   *charge         // nil after a refund and for transactions of other hosts
 
 	peer        model.HostID // host that runs the transaction, empty for this host
 	id          uint64       // TxnID of the requests to the peer
@@ -60,12 +62,13 @@
 	if s.txn != nil {
 		return errorAnswer(Malformed, "a transaction is open")
 	}
-	_, charged, svc, refusal := s.admit()
+	route, charged, svc, refusal := s.admit()
 	if refusal.Code != Success {
 		return refusal
 	}
 	s.mayHaveRun = false
-	s.txn = &txn{readOnly: st.Kind == BeginRead, service: svc, charged: &charged}
+	s.txn = &txn{readOnly: st.Kind == BeginRead, service: svc, charged: &charged,
+		workspace: charged.workspace, needsKey: !route.Public}
 	defer s.startIdleTimer()
 	return Answer{}
 }
@@ -128,8 +131,8 @@
 }
 
 // txnOperation returns the operation for a statement of the open transaction, or a refusal, after which the transaction
-// cannot continue. A transaction that has begun on a target continues after its route or key was changed; otherwise it is
-// refused if the route or the key is no longer valid or the service has changed.
+// cannot continue. It ends when its key is withdrawn. A transaction that has begun on a target continues after its route was
+// changed; otherwise it is refused if the route is no longer valid or the service has changed.
 func (s *session) txnOperation(now time.Time) (op operation, refusal Answer) {
 	t := s.txn
 	if s.server.transactionsEnded(now) {
@@ -141,6 +144,9 @@
 		op.route, op.workspace, allowed = s.forwardedFor.route, s.forwardedFor.workspace, true
 	} else {
 		c := s.server.catalog()
+		if workspace, known := c.Keys[s.key]; t.needsKey && (!known || workspace != t.workspace) {
+			return op, errorAnswer(Unauthenticated, "the key was withdrawn during the transaction")
+		}
 		route, known := c.Routes[s.database]
 		op.route = route
 		op.workspace, allowed = c.Authenticate(route, s.key)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -681,3 +681,52 @@
 		})
 	}
 }
+
+// Guards against a withdrawn key that goes on working in a transaction that was open, and against one that ends the transactions
+// of other keys.
+func TestWithdrawnKeyEndsTransactions(t *testing.T) {
+	fleet := newTestFleet(t)
+	version := 10
+	putKey := func(key string) {
+		version++
+		fleet.store.PutConfig(lines.NewConfig(version, key))
+	}
+	for host := range fleet.hosts { // at least one of them forwards the transaction to another
+		for _, last := range []string{"WRITE item late", "COMMIT"} {
+			id := fmt.Sprintf("%s-%d", last[:1], host)
+			withdrawn, kept := fleet.mustConnect(host, "orders", "workshop-key"), fleet.mustConnect(host, "orders", "school-key")
+			for _, text := range []string{"BEGIN", "WRITE item early"} {
+				if a := withdrawn.Query("withdrawn-"+text[:1]+id, text); a.Code != "" {
+					t.Fatalf("%s: %+v", text, a)
+				}
+				if a := kept.Query("kept-"+text[:1]+id, text); a.Code != "" {
+					t.Fatalf("%s: %+v", text, a)
+				}
+			}
+			putKey("another-key")
+			fleet.waitFor("new sessions are refused", configurationTimeout, func() bool {
+				_, err := fleet.connect(host, "orders", "workshop-key")
+				return errors.Is(err, errRefused)
+			})
+			if a := withdrawn.Query("last-"+id, last); a.Code != "AUTHFAIL" {
+				t.Errorf("host %d: %s with the withdrawn key was answered with %+v", host, last, a)
+			}
+			if a := kept.Query("commit-"+id, "COMMIT"); a.Code != "" {
+				t.Errorf("host %d: the commit with another key was answered with %+v", host, a)
+			}
+			putKey("workshop-key")
+			fleet.waitFor("new sessions are accepted", configurationTimeout, func() bool {
+				c, err := fleet.connect(host, "orders", "workshop-key")
+				if err == nil {
+					c.Close()
+				}
+				return err == nil
+			})
+		}
+	}
+	for _, id := range fleet.group.CommittedIDs() {
+		if strings.HasPrefix(id, "withdrawn-") {
+			t.Errorf("the write %s of a withdrawn key was committed", id)
+		}
+	}
+}
