Synchronous replicas are counted without the old primary, registered or restarted

Cause: the number of replicas that have to reply was that of all registered targets less one for the old primary, also if its entry was gone; and a primary that had started again without its data counted among the replies.

Evidence: fleet.TestMissingPrimaryIsNoReplica and the new case of primacy.TestChoose failed.

Change: the targets other than the old primary are counted, among the registered ones and among those that replied.

Result: the tests of primacy and fleet that were run pass.

--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -271,14 +271,15 @@
 		}
 		if !choice.Found {
 			s.log.Info("primary: no target can be promoted", zap.Int("answered", len(group.Candidates)),
-				zap.Int("registered", group.TargetCount))
+				zap.Int("replicas", group.ReplicaCount))
 			return choice, false
 		}
 		if !doc.Cause.WaitsForCatchUp() || choice.AlreadyPrimary || group.CaughtUp(choice.Target) ||
 			boottime.Now().After(deadline) {
 			s.log.Info("primary: chosen", zap.String("target", string(choice.Target.ID)),
-				zap.Bool("leads_already", choice.AlreadyPrimary), zap.Bool("hands_over", choice.HandsOver), zap.Uint64("term", choice.Target.Received.Term),
-				zap.Uint64("offset", choice.Target.Received.Offset), zap.Int("answered", len(group.Candidates)))
+				zap.Bool("leads_already", choice.AlreadyPrimary), zap.Bool("hands_over", choice.HandsOver),
+				zap.Uint64("term", choice.Target.Received.Term), zap.Uint64("offset", choice.Target.Received.Offset),
+				zap.Int("answered", len(group.Candidates)))
 			return choice, true
 		}
 		sleep(ctx, replacePollInterval)
@@ -289,13 +290,14 @@
 // collectGroup probes all targets of the service concurrently.
 func (s *supervisor) collectGroup(ctx context.Context, doc primacy.Document, probeSilent bool) primacy.Group {
 	v := s.agent.view.Load()
-	targets := v.targetsOf(s.service)
 	group := primacy.Group{OldPrimary: doc.Primary, OldStartedAt: doc.Born, OldTerm: doc.Term, Cause: doc.Cause,
-		TargetCount:  len(targets),
 		SyncReplicas: v.catalog.Services[s.service].SyncReplicas}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, t := range targets {
+	for _, t := range v.targetsOf(s.service) {
+		if t.ID != doc.Primary {
+			group.ReplicaCount++
+		}
 		if t.ID == doc.Primary && doc.Cause == primacy.CauseUnreachable && !probeSilent {
 			continue
 		}
--- a/fleet/supervisor_test.go
+++ b/fleet/supervisor_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
@@ -46,6 +47,35 @@
 		leadership: &leadership{agent: a, fence: fence, leaseEnd: boottime.Now().Add(time.Hour)}}
 }
 
+// silentProber returns the status of some targets; the others do not answer.
+type silentProber struct {
+	Prober
+	statuses map[model.TargetID]primacy.Status
+}
+
+func (p silentProber) Status(_ context.Context, t catalog.Target) (primacy.Status, error) {
+	if status, answers := p.statuses[t.ID]; answers {
+		return status, nil
+	}
+	return primacy.Status{}, errNoAnswer
+}
+
+// Guards against the loss of a commit that one synchronous replica has: if the entry of the old primary is gone, a replica that does
+// not answer must not be taken for it.
+func TestMissingPrimaryIsNoReplica(t *testing.T) {
+	s := newTestSupervisor(t, newMemoryStore())
+	s.agent.Prober = silentProber{statuses: map[model.TargetID]primacy.Status{"b": {Term: 3}}}
+	v := newClusterView()
+	v.catalog = &catalog.Catalog{Services: map[model.Service]catalog.Service{"stock": {SyncReplicas: 1}}}
+	v.targets["b"] = catalog.Target{ID: "b", Service: "stock"}
+	v.targets["c"] = catalog.Target{ID: "c", Service: "stock"}
+	s.agent.view.Store(v)
+	doc := primacy.Document{Service: "stock", Epoch: 4, Primary: "a", Term: 3, Cause: primacy.CauseNotRegistered}
+	if choice := primacy.Choose(s.collectGroup(t.Context(), doc, true)); choice.Found {
+		t.Errorf("%s was chosen although a replica with the last commit may not have answered", choice.Target.ID)
+	}
+}
+
 // Guards against a decision that was stored without a reply and takes effect when another target has been promoted: hosts would
 // write to a primary that has been replaced.
 func TestLateDecisionChangesNothing(t *testing.T) {
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -179,7 +179,9 @@
 	OldStartedAt int64 // start time of the old primary during its term
 	OldTerm      uint64
 	Cause        Cause
-	TargetCount  int // number of registered targets
+	// ReplicaCount is the number of registered targets other than the old primary, which does not count after a restart either:
+	// it has no data then.
+	ReplicaCount int
 	SyncReplicas int
 	Candidates   []Candidate // targets that replied
 }
@@ -218,8 +220,13 @@
 		}
 	}
 	replicas := g.replicas()
-	others := g.TargetCount - 1
-	if len(replicas) == 0 || g.SyncReplicas > 0 && len(replicas) < others-g.SyncReplicas+1 {
+	answered := 0
+	for _, c := range replicas {
+		if c.ID != g.OldPrimary {
+			answered++
+		}
+	}
+	if len(replicas) == 0 || g.SyncReplicas > 0 && answered < g.ReplicaCount-g.SyncReplicas+1 {
 		return Choice{}
 	}
 	_, stays := staying(replicas)
--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -131,9 +131,11 @@
 		{"synchronous replicas, and all replicas reply", []Candidate{b, c}, 1,
 			Choice{Target: c, Found: true}, CauseUnreachable},
 		{"synchronous replicas, and only one of two replicas replies", []Candidate{b}, 1, Choice{}, CauseUnreachable},
+		{"synchronous replicas, and a restarted primary replies in place of a replica", []Candidate{restarted, b}, 1, Choice{},
+			CauseRestarted},
 	}
 	for _, test := range tests {
-		group := Group{OldPrimary: "a", OldStartedAt: 7, OldTerm: 3, Cause: test.cause, TargetCount: 3,
+		group := Group{OldPrimary: "a", OldStartedAt: 7, OldTerm: 3, Cause: test.cause, ReplicaCount: 2,
 			SyncReplicas: test.sync, Candidates: test.candidates}
 		if diff := cmp.Diff(test.want, Choose(group)); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", test.name, diff)
