TestWithdrawnKeyEndsTransactions waits until all hosts accept the key again

Cause: after each round the test waited until the host of that round accepted the key again, and the next round began on another host, which may apply the change up to some hundred milliseconds later.

The test waits for all hosts now, each for at most the time that a change may take; its checks are as before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -715,13 +715,15 @@
 				t.Errorf("host %d: the commit with another key was answered with %+v", host, a)
 			}
 			putKey("workshop-key")
-			fleet.waitFor("new sessions are accepted", configurationTimeout, func() bool {
-				c, err := fleet.connect(host, "orders", "workshop-key")
-				if err == nil {
-					c.Close()
-				}
-				return err == nil
-			})
+			for other := range fleet.hosts { // the next transactions run on any of them
+				fleet.waitFor("new sessions are accepted", configurationTimeout, func() bool {
+					c, err := fleet.connect(other, "orders", "workshop-key")
+					if err == nil {
+						c.Close()
+					}
+					return err == nil
+				})
+			}
 		}
 	}
 	for _, id := range fleet.group.CommittedIDs() {
