Tests name the store's calls through the stand-in

Two tests of package gateway compared paths and prefixes of the platform's store, whose words belong to platform/ and the stand-ins. lines.ChangesItems and lines.ReadsConfiguration say what they look for.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -544,7 +544,7 @@
 	platformStore := httptest.NewServer(fleet.store)
 	t.Cleanup(platformStore.Close)
 	fleet.store.ExecuteLate(func(r *http.Request) time.Duration {
-		if strings.Contains(r.URL.Path, "kv-txn") || strings.Contains(r.URL.Path, "kv-lease-end") {
+		if lines.ChangesItems(r) {
 			return lateBy
 		}
 		return 0
@@ -652,7 +652,7 @@
 	var refused atomic.Int32 // index of the host that is refused the configuration, plus one
 	for i := range fleet.hosts {
 		platformStore := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if int(refused.Load()) == i+1 && strings.HasPrefix(r.URL.Query().Get("prefix"), "op/") {
+			if int(refused.Load()) == i+1 && lines.ReadsConfiguration(r) {
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -77,6 +77,15 @@
 	s.lateExecution = delay
 }
 
+// ChangesItems reports whether a request commits a transaction or ends a lease.
+func ChangesItems(r *http.Request) bool {
+	path := strings.TrimPrefix(r.URL.Path, "/-/")
+	return path == "kv-txn" || strings.HasPrefix(path, "kv-lease-end/")
+}
+
+// ReadsConfiguration reports whether a request lists or watches the configuration.
+func ReadsConfiguration(r *http.Request) bool { return r.URL.Query().Get("prefix") == configurationKey }
+
 // SetResponseDelay sets the delay before each response.
 func (s *Store) SetResponseDelay(delay time.Duration) {
 	s.mu.Lock()
