Statements can be assigned to hosts by target

Cause: homes are chosen by capacity and hash only, so a statement crosses between data centres up to twice each way, and no host knows how busy a target is. Change: placement.TargetPlan assigns each target to a gateway host in its data centre, a standby and reserves. The caller's host selects the target and forwards the statement to the host that uses it. Hosts of replicas fetch positions of the primary from the host that uses it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,7 +96,9 @@
 	Server   *frontend.Server
 	Seeds    []string // addresses of the hosts to sync with at startup
 	IsSeed   bool     // this host is listed as a seed by other hosts
-	Log      *zap.Logger
+	// LoadControl is set if the deployment asks for decisions under load.
+	LoadControl bool
+	Log         *zap.Logger
 }
 
 // Agent runs the control plane of one host.
@@ -163,12 +165,15 @@
 
 // planInputs holds the inputs from which the plans of the services were computed.
 type planInputs struct {
-	catalog *catalog.Catalog
-	hosts   []placement.Candidate
+	catalog  *catalog.Catalog
+	hosts    []placement.Candidate
+	byTarget bool
+	targets  []placement.PlacedTarget // nil unless byTarget
 }
 
 func (p planInputs) equal(other planInputs) bool {
-	return other.catalog != nil && slices.Equal(p.hosts, other.hosts) && (p.catalog == other.catalog ||
+	return other.catalog != nil && p.byTarget == other.byTarget && slices.Equal(p.hosts, other.hosts) &&
+		slices.Equal(p.targets, other.targets) && (p.byTarget || p.catalog == other.catalog ||
 		maps.Equal(p.catalog.Limits, other.catalog.Limits) && maps.Equal(p.catalog.Services, other.catalog.Services))
 }
 
@@ -179,7 +184,7 @@
 		homes:          homeSelector{outstanding: map[model.HostID]int{}, avoidUntil: map[model.HostID]time.Time{}},
 		events:         make(chan func(*control), eventQueueLength),
 		reachability:   reachability{timeout: pingTimeout, hosts: map[model.HostID]*hostProbe{}},
-		forwardCounter: rpccodec.CallCounter{Method: runMethod},
+		forwardCounter: rpccodec.CallCounter{Methods: []string{runMethod, runOnMethod}},
 		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
 		unconfirmed: map[model.Service]uint64{}}
@@ -370,7 +375,7 @@
 	c.agent.checkRegistration(change)
 	before := maps.Clone(c.view.hosts)
 	if change.complete {
-		c.view.hosts, c.view.leader = map[model.HostID]Host{}, nil
+		c.view.hosts, c.view.leader, c.view.routing = map[model.HostID]Host{}, nil, RoutingDocument{}
 	}
 	for _, e := range change.events {
 		if err := c.view.applyControlKey(e); err != nil {
@@ -427,8 +432,7 @@
 		return
 	}
 	for service := range v.catalog.Services {
-		plan := v.plans[service]
-		a.Server.SetTargets(service, v.targetsOf(service), plan.ConnectionLimit(a.Self.ID))
+		a.Server.SetTargets(service, v.targetsOf(service), v.connectionLimits(service, a.Self.ID))
 	}
 }
 
@@ -436,18 +440,27 @@
 // a good part of a second and hosts come and go in groups, so the next computation is delayed by a multiple of that
 // time and the ticker triggers it. A change of the services is applied immediately.
 func (c *control) updatePlans() {
-	inputs := planInputs{c.view.catalog, slices.Clone(c.view.expected)}
+	inputs := planInputs{catalog: c.view.catalog, hosts: slices.Clone(c.view.expected), byTarget: c.view.routing.ByTarget}
+	if inputs.byTarget {
+		inputs.targets = c.view.targetPlanInput()
+	}
 	if c.view.plans != nil && inputs.equal(c.planInputs) {
 		c.plansStale = false
 		return
 	}
-	sameServices := c.view.plans != nil && c.planInputs.catalog != nil &&
+	sameServices := !inputs.byTarget && c.view.plans != nil && c.planInputs.catalog != nil &&
 		maps.Equal(c.planInputs.catalog.Services, inputs.catalog.Services)
 	if c.plansStale = sameServices && boottime.Now().Before(c.nextPlanTime); c.plansStale {
 		return
 	}
 	started := boottime.Now()
-	c.view.plans, c.planInputs = c.view.computePlans(), inputs
+	if inputs.byTarget {
+		c.view.plans = map[model.Service]placement.Plan{}
+		c.view.targetPlan = placement.NewTargetPlan(inputs.targets, inputs.hosts)
+	} else {
+		c.view.plans, c.view.targetPlan = c.view.computePlans(), placement.TargetPlan{}
+	}
+	c.planInputs = inputs
 	ended := boottime.Now()
 	c.nextPlanTime = ended.Add(planPauseFactor * ended.Sub(started))
 }
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"net/rpc"
@@ -9,8 +10,10 @@
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/placement"
 )
 
 const (
@@ -27,8 +30,12 @@
 	avoidDraining = 5 * time.Second
 )
 
-// runMethod is the RPC method that runs a statement for another host.
-const runMethod = "Peer.Run"
+// runMethod and runOnMethod are the RPC methods that run a statement for another host, on a target that this one or the other one
+// selects.
+const (
+	runMethod   = "Peer.Run"
+	runOnMethod = "Peer.RunOn"
+)
 
 // remoteLoadPenalty is added to the load of hosts in other data centres when a home is chosen, in outstanding
 // statements.
@@ -45,20 +52,93 @@
 	avoidUntil  map[model.HostID]time.Time // no statements are forwarded to the host before this time
 }
 
-// SelectHost implements frontend.Forwarder. It prefers this host if it is a home, and otherwise the home to which this
-// host has forwarded the fewest statements that are still outstanding. If no home is available, standbys, other hosts of the
-// service and its reserves are used, in this order.
-func (a *Agent) SelectHost(service model.Service, workspace model.Workspace,
-	excluded frontend.ExcludedHosts) (model.HostID, bool) {
+// SelectsTargets implements frontend.Forwarder.
+func (a *Agent) SelectsTargets() bool { return a.view.Load().routing.ByTarget }
+
+// SelectHost implements frontend.Forwarder. If statements are assigned by workspace, it prefers this host if it is a home, and
+// otherwise the home to which this host has forwarded the fewest statements that are still outstanding. If no home is available,
+// standbys, other hosts of the service and its reserves are used, in this order.
+func (a *Agent) SelectHost(r frontend.SelectRequest, excluded frontend.ExcludedHosts) frontend.Selection {
 	v := a.view.Load()
-	plan := v.plans[service]
-	homes, standbys := plan.Homes(workspace)
+	if v.routing.ByTarget {
+		return a.selectTarget(v, r, excluded)
+	}
+	plan := v.plans[r.Service]
+	homes, standbys := plan.Homes(r.Workspace)
 	for _, hosts := range [][]model.HostID{homes, standbys, plan.Hosts, plan.Reserves} {
 		if host := a.leastLoaded(v, hosts, excluded); host != "" {
-			return host, host == a.Self.ID
+			return frontend.Selection{Host: host, Local: host == a.Self.ID}
+		}
+	}
+	return frontend.Selection{Local: true}
+}
+
+// selectTarget selects the target that should run a statement, and the host that uses it: its gateway host, or if that is not
+// available the standby or a reserve. The selection is empty if no host is available.
+func (a *Agent) selectTarget(v *clusterView, r frontend.SelectRequest, excluded frontend.ExcludedHosts) frontend.Selection {
+	targets := []model.TargetID{r.Primary}
+	if !r.NeedsPrimary {
+		targets = a.rankTargets(v, r)
+	}
+	for _, acceptSuspected := range []bool{false, true} {
+		for _, target := range targets {
+			for _, h := range v.targetPlan.Hosts(target) {
+				if a.canRunOn(v, h.Host, target, r, excluded, acceptSuspected) {
+					return frontend.Selection{Host: h.Host, Local: h.Host == a.Self.ID, Target: target}
+				}
+			}
 		}
 	}
-	return "", true
+	return frontend.Selection{}
+}
+
+// canRunOn reports whether a host that may connect to the target is available for a statement. A host that has not answered for a
+// while is available only if acceptSuspected is set.
+func (a *Agent) canRunOn(v *clusterView, host model.HostID, target model.TargetID, r frontend.SelectRequest,
+	excluded frontend.ExcludedHosts, acceptSuspected bool) bool {
+	if excluded.Contains(host, target) {
+		return false
+	}
+	if host == a.Self.ID {
+		return !(excluded.Local && target == r.Primary)
+	}
+	if _, registered := v.hosts[host]; !registered || a.reachability.isUnreachable(host) {
+		return false
+	}
+	return !a.homes.isAvoided(host) && (acceptSuspected || !a.reachability.isSuspected(host))
+}
+
+// rankTargets returns the targets of a service that may run a read, the preferred ones first: targets in this data centre, then
+// replicas elsewhere. Workspaces are spread over the replicas elsewhere, so that each finds its connections open.
+func (a *Agent) rankTargets(v *clusterView, r frontend.SelectRequest) []model.TargetID {
+	type ranked struct {
+		id    model.TargetID
+		order int
+		score uint64
+	}
+	var list []ranked
+	for _, t := range v.targets {
+		if t.Service != r.Service || t.State == catalog.Draining {
+			continue
+		}
+		entry := ranked{id: t.ID, score: placement.Score(string(r.Workspace), model.HostID(t.ID))}
+		switch {
+		case t.DataCentre == a.Self.DataCentre:
+		case t.ID != r.Primary:
+			entry.order = 1
+		default:
+			entry.order = 2
+		}
+		list = append(list, entry)
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	ids := make([]model.TargetID, len(list))
+	for i, entry := range list {
+		ids[i] = entry.id
+	}
+	return ids
 }
 
 // leastLoaded returns this host if it is one of the hosts, and otherwise the available host with the fewest outstanding
@@ -76,7 +156,7 @@
 			}
 			return id
 		}
-		if slices.Contains(excluded.Remote, id) {
+		if excluded.Contains(id, "") {
 			continue
 		}
 		if _, registered := v.hosts[id]; !registered || now.Before(a.homes.avoidUntil[id]) ||
@@ -107,17 +187,24 @@
 	f.Origin, f.Incarnation = a.Self.ID, a.Self.Incarnation
 	a.homes.addOutstanding(host, 1)
 	defer a.homes.addOutstanding(host, -1)
-	// A reply may still arrive after a timeout, so each call needs its own.
-	reply := new(frontend.ForwardReply)
-	_, err := a.statementClients.callUnlessUnreachable(h, runMethod, f, reply, timeout, func() <-chan struct{} {
+	probe := func() <-chan struct{} {
 		lost := a.probeHost(h)
 		if f.SafeToRetry() {
 			return lost
 		}
 		return nil // the reply may still arrive, and is the only evidence of whether the statement ran
-	})
+	}
+	// A reply may still arrive after a timeout, so each call needs its own.
+	reply, err := new(RunOnReply), error(nil)
+	if f.Target == "" {
+		_, err = a.statementClients.callUnlessUnreachable(h, runMethod, f, &reply.Reply, timeout, probe)
+	} else {
+		request := RunOnRequest{f, f.Target}
+		_, err = a.statementClients.callUnlessUnreachable(h, runOnMethod, request, reply, timeout, probe)
+	}
 	if err == nil {
-		return *reply, true, nil
+		reply.Reply.Elsewhere = reply.Elsewhere
+		return reply.Reply, true, nil
 	}
 	return frontend.ForwardReply{}, a.recordForwardFailure(h, err), err
 }
@@ -157,6 +244,13 @@
 	h.outstanding[host] += n
 }
 
+// isAvoided reports whether no statements are forwarded to the host at the moment.
+func (h *homeSelector) isAvoided(host model.HostID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return boottime.Now().Before(h.avoidUntil[host])
+}
+
 func (h *homeSelector) avoidFor(host model.HostID, d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -149,6 +149,7 @@
 	a.Log.Info("leader: this host leads", zap.Uint64("fence", term.fence))
 	a.setLeading(term)
 	go term.superviseServices(superviseCtx)
+	go term.decideRouting(superviseCtx)
 	term.keepLease(leaderCtx, ttl)
 	a.setLeading(nil)
 	a.Prober.Close()
--- /dev/null
+++ b/fleet/positions.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"errors"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/frontend"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// positionMethod is the RPC method that returns a position of a primary.
+const positionMethod = "Peer.Position"
+
+// positionCallTimeout bounds a request for a position.
+const positionCallTimeout = 200 * time.Millisecond
+
+// errNoHostForTarget means that no host that may connect to the target is reachable.
+var errNoHostForTarget = errors.New("no host that uses the target is reachable")
+
+// PositionRequest asks a host that uses the primary of a service for a position of it.
+type PositionRequest struct{ Service model.Service }
+
+// PositionReply is the reply to a PositionRequest. The primary had the position Age before the reply, or later.
+type PositionReply struct {
+	Epoch    uint64 // of the decision under which the host uses the primary
+	Position model.Position
+	Age      time.Duration
+}
+
+// Position returns a position of a service's primary.
+func (p *Peer) Position(r PositionRequest, reply *PositionReply) (err error) {
+	reply.Epoch, reply.Position, reply.Age, err = p.agent.Server.PrimaryPosition(r.Service)
+	return err
+}
+
+// PrimaryPosition implements frontend.Forwarder. The position is dated back by its age from the time at which the request was
+// sent, which is before the request arrived at the other host. So it is never taken for younger than it is.
+func (a *Agent) PrimaryPosition(service model.Service, primary model.TargetID) (uint64, model.Position, time.Time, error) {
+	v := a.view.Load()
+	err := errNoHostForTarget
+	for _, candidate := range v.targetPlan.Hosts(primary) {
+		h, registered := v.hosts[candidate.Host]
+		if !registered || a.reachability.isUnreachable(candidate.Host) {
+			continue
+		}
+		var reply PositionReply
+		sent := boottime.Now()
+		if h.ID == a.Self.ID {
+			err = (&Peer{a}).Position(PositionRequest{service}, &reply)
+		} else {
+			_, err = a.statementClients.callKeepConn(h, positionMethod, PositionRequest{service}, &reply, positionCallTimeout)
+		}
+		if err == nil {
+			return reply.Epoch, reply.Position, sent.Add(-reply.Age), nil
+		}
+	}
+	return 0, model.Position{}, time.Time{}, err
+}
+
+// RunOnRequest asks a host to run a statement on a target.
+type RunOnRequest struct {
+	Request frontend.ForwardRequest
+	Target  model.TargetID
+}
+
+// RunOnReply is the reply to a RunOnRequest.
+type RunOnReply struct {
+	Reply     frontend.ForwardReply
+	Elsewhere frontend.Elsewhere
+}
+
+// RunOn executes a statement for another host on a target. An error means that it has not run.
+func (p *Peer) RunOn(r RunOnRequest, reply *RunOnReply) (err error) {
+	r.Request.Target = r.Target
+	reply.Reply, err = p.agent.Server.RunForwarded(r.Request)
+	reply.Elsewhere = reply.Reply.Elsewhere
+	return err
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/placement"
@@ -71,7 +72,9 @@
 	expected      []placement.Candidate // registered hosts and recently departed ones, sorted
 	leader        *versioned[Leader]
 	documents     map[model.Service]versioned[primacy.Document]
-	plans         map[model.Service]placement.Plan
+	plans         map[model.Service]placement.Plan // empty if statements are assigned by target
+	routing       RoutingDocument
+	targetPlan    placement.TargetPlan // empty unless statements are assigned by target
 }
 
 func (v *clusterView) clone() *clusterView {
@@ -94,6 +97,9 @@
 		v.hosts[h.ID] = h
 		return err
 	}
+	if e.Key == routingKey {
+		return v.applyRouting(e)
+	}
 	if e.Key == leaderKey {
 		if v.leader = nil; e.Removed {
 			return nil
@@ -167,6 +173,19 @@
 	return plans
 }
 
+// connectionLimits returns the connections that a host may hold to a target of a service.
+func (v *clusterView) connectionLimits(service model.Service, host model.HostID) func(model.TargetID) frontend.ConnectionLimits {
+	if !v.routing.ByTarget {
+		plan := v.plans[service]
+		limits := frontend.ConnectionLimits{Max: plan.ConnectionLimit(host)}
+		return func(model.TargetID) frontend.ConnectionLimits { return limits }
+	}
+	return func(target model.TargetID) frontend.ConnectionLimits {
+		limit := v.targetPlan.ConnectionLimit(target, host)
+		return frontend.ConnectionLimits{Max: limit, Retained: int(targetRetainedFraction * float64(limit))}
+	}
+}
+
 // candidate returns the host as a candidate for placement.
 func (h Host) candidate() placement.Candidate {
 	return placement.Candidate{ID: h.ID, DataCentre: h.DataCentre, Capacity: h.Cores}
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,15 +35,45 @@
 
 // ExcludedHosts lists the hosts that cannot run a statement.
 type ExcludedHosts struct {
-	Local  bool           // this host is excluded because it does not reach the primary
-	Remote []model.HostID // hosts that rejected or did not answer the statement
+	Local  bool        // this host is excluded because it does not reach the primary
+	Remote []Selection // hosts that rejected or did not answer the statement
+}
+
+// Contains reports whether a host cannot run the statement on a target, or not at all.
+func (e ExcludedHosts) Contains(host model.HostID, target model.TargetID) bool {
+	return slices.ContainsFunc(e.Remote, func(s Selection) bool {
+		return s.Host == host && (s.Target == "" || s.Target == target)
+	})
+}
+
+// Selection is the host that should run a statement.
+type Selection struct {
+	Host  model.HostID
+	Local bool // the host is this one, or no host is available
+	// Target is the only target that may run the statement. If it is empty, the host chooses the target.
+	Target model.TargetID
+}
+
+// SelectRequest describes a statement for which a host is selected.
+type SelectRequest struct {
+	Service       model.Service
+	Workspace     model.Workspace
+	NeedsPrimary  bool
+	Primary       model.TargetID // of the current decision
+	LatencyTarget time.Duration
 }
 
 // Forwarder forwards statements to the hosts that hold connections for their workspaces.
 type Forwarder interface {
-	// SelectHost returns the host that should run statements of a workspace on a service, other than the excluded ones.
-	// local reports that it is this host, which is also the result if no other host is available.
-	SelectHost(service model.Service, workspace model.Workspace, excluded ExcludedHosts) (host model.HostID, local bool)
+	// SelectHost returns the host that should run a statement, other than the excluded ones.
+	SelectHost(r SelectRequest, excluded ExcludedHosts) Selection
+	// SelectsTargets reports whether SelectHost selects the target as well, so that other hosts may be needed when the
+	// primary changes.
+	SelectsTargets() bool
+	// PrimaryPosition returns a position that the primary of a service had at the time at, by the clock of this host, and
+	// the epoch of the decision that the position belongs to. It asks the host that uses the primary.
+	PrimaryPosition(service model.Service, primary model.TargetID) (epoch uint64, position model.Position, at time.Time,
+		err error)
 	// Forward runs a statement on another host. If it returns an error, sent reports whether the statement may have run.
 	Forward(host model.HostID, f ForwardRequest, timeout time.Duration) (reply ForwardReply, sent bool, err error)
 }
@@ -66,6 +97,9 @@
 	Workspace        model.Workspace
 	IsWrite          bool
 	Remaining        time.Duration // time until the statement's timeout
+	// Target is the only target that may run the statement, or empty. It is not part of the encoded request: the method that
+	// carries it has its own type.
+	Target model.TargetID `msgpack:"-"`
 }
 
 // SafeToRetry reports whether the statement can be abandoned and run on another host although it may have run: it is a
@@ -87,8 +121,23 @@
 	Answer     Answer
 	Mark       HighWaterMark
 	MayHaveRun bool // a target may have run the statement
+	// Elsewhere is set by the method that carries Target.
+	Elsewhere Elsewhere `msgpack:"-"`
 }
 
+// Elsewhere tells the host of a caller why another host should run a statement. Whether the statement may have run is
+// independent of it: a read that got no answer runs again elsewhere.
+type Elsewhere uint8
+
+const (
+	// Here means that the answer is final.
+	Here Elsewhere = iota
+	// OnPrimary means that the statement has to run on the primary, because no replica is known to be recent enough.
+	OnPrimary
+	// OnOtherHost means that the host cannot use the target, or that the target gave no answer.
+	OnOtherHost
+)
+
 // txnKey identifies a transaction of a session of another host.
 type txnKey struct {
 	origin      model.HostID
@@ -100,7 +149,7 @@
 func (s *session) newForwardRequest(op operation, st Statement) ForwardRequest {
 	f := ForwardRequest{Statement: st, SessionVariables: s.state.variables, Mark: s.mark,
 		MarkAge: boottime.Now().Sub(s.mark.CommittedAt), Route: op.route, Workspace: op.workspace, IsWrite: op.isWrite,
-		Remaining: op.deadline.Sub(boottime.Now())}
+		Remaining: op.deadline.Sub(boottime.Now()), Target: op.target}
 	if st.Kind == Execute {
 		f.Prepared = map[string]PreparedStatement{st.Name: s.state.prepared[st.Name]}
 	}
@@ -122,8 +171,10 @@
 	if err == nil {
 		s.setMark(result.Mark)
 		s.mayHaveRun = s.mayHaveRun || result.MayHaveRun
-		return result.Answer, true
+		s.elsewhere = result.Elsewhere
+		return result.Answer, result.Elsewhere == Here
 	}
+	s.elsewhere = OnOtherHost
 	s.mayHaveRun = s.mayHaveRun || sent
 	s.logForwardFailure(host, st, sent, err)
 	if sent && op.isWrite {
@@ -154,6 +205,11 @@
 	result, sent, err := s.server.forwarder.Forward(t.peer, s.newForwardRequest(op, st),
 		op.deadline.Sub(boottime.Now())+answerMargin)
 	s.mayHaveRun = s.mayHaveRun || sent && (err != nil || result.MayHaveRun)
+	s.elsewhere = OnOtherHost
+	if err == nil && result.Elsewhere != Here && !t.begunOnPeer {
+		s.elsewhere, t.peer = result.Elsewhere, ""
+		return Answer{}, false
+	}
 	if err == nil {
 		t.begunOnPeer = true
 		s.setMark(result.Mark)
@@ -202,10 +258,10 @@
 	if f.TxnID == 0 {
 		sess := s.newForwardedSession(f)
 		op := operation{route: f.Route, workspace: f.Workspace, service: s.service(f.Route.Service), arrived: now,
-			deadline: s.statementDeadline(now, f.Remaining), isWrite: f.IsWrite}
+			deadline: s.statementDeadline(now, f.Remaining), isWrite: f.IsWrite, target: f.Target}
 		answer := sess.runLocally(op, f.Statement)
 		sess.logForwarded(f, answer, now)
-		return ForwardReply{answer, sess.mark, sess.mayHaveRun}, nil
+		return sess.forwardReply(answer), nil
 	}
 	key := txnKey{f.Origin, f.Incarnation, f.TxnID}
 	sess, err := s.forwardedTxnSession(key, f)
@@ -221,7 +277,12 @@
 	if sess.txnState() != InTxn {
 		s.removeForwardedTxn(key)
 	}
-	return ForwardReply{answer, sess.mark, sess.mayHaveRun}, nil
+	return sess.forwardReply(answer), nil
+}
+
+// forwardReply returns the reply to the origin of the last statement.
+func (s *session) forwardReply(answer Answer) ForwardReply {
+	return ForwardReply{Answer: answer, Mark: s.mark, MayHaveRun: s.mayHaveRun, Elsewhere: s.elsewhere}
 }
 
 // checkForward returns nil if this host can run a new statement or transaction of another host, or the reason why it
@@ -232,7 +293,8 @@
 		return ErrDraining
 	case !s.primaryAllowed(now) || !s.service(f.Route.Service).canConnect():
 		return ErrCannotServe
-	case s.service(f.Route.Service).cannotRun(now, f.needsPrimary(), f.Route.MaxStaleness):
+	case f.Target == "" && s.service(f.Route.Service).cannotRun(now, f.needsPrimary(), f.Route.MaxStaleness),
+		f.Target != "" && s.service(f.Route.Service).cannotUse(now, f.Target):
 		return ErrPrimaryUnreachable
 	}
 	return nil
@@ -278,7 +340,7 @@
 	if svc == nil {
 		return nil, nil
 	}
-	sess.txn = &txn{readOnly: f.ReadOnly, service: svc}
+	sess.txn = &txn{readOnly: f.ReadOnly, service: svc, target: f.Target}
 	s.forwardedTxns[key] = sess
 	return sess, nil
 }
@@ -290,11 +352,15 @@
 	delete(s.forwardedTxns, key)
 }
 
-// selectHost returns the host that should run statements of a workspace, other than the excluded ones.
-func (s *Server) selectHost(service model.Service, workspace model.Workspace, excluded ExcludedHosts) (host model.HostID,
-	local bool) {
+// selectsTargets reports whether the selection of a host includes the target.
+func (s *Server) selectsTargets() bool { return s.forwarder != nil && s.forwarder.SelectsTargets() }
+
+// selectHost returns the host that should run an operation, other than the excluded ones.
+func (s *Server) selectHost(op operation, needsPrimary bool, excluded ExcludedHosts) Selection {
 	if s.forwarder == nil {
-		return "", true
+		return Selection{Local: true}
 	}
-	return s.forwarder.SelectHost(service, workspace, excluded)
+	_, primary, _ := op.service.currentPrimary()
+	return s.forwarder.SelectHost(SelectRequest{Service: op.route.Service, Workspace: op.workspace,
+		NeedsPrimary: needsPrimary, Primary: primary, LatencyTarget: op.route.LatencyTarget}, excluded)
 }
--- a/frontend/primary_test.go
+++ b/frontend/primary_test.go
@@ -57,7 +57,7 @@
 		{"as decided", []catalog.Target{{ID: "a", StartedAt: 100}}, true},
 		{"restarted", []catalog.Target{{ID: "a", StartedAt: 200}}, false},
 	} {
-		s.setTargets(test.targets, 1)
+		s.setTargets(test.targets, maxConnections(1))
 		if _, _, usable := s.currentPrimary(); usable != test.usable {
 			t.Errorf("%s: usable is %t, want %t", test.name, usable, test.usable)
 		}
@@ -99,7 +99,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			d := &statusDialer{position: test.position, status: test.status}
 			s := newServiceWithDialer(d)
-			s.setTargets([]catalog.Target{target}, 1)
+			s.setTargets([]catalog.Target{target}, maxConnections(1))
 			for _, doc := range test.documents {
 				s.applyDocument(doc)
 			}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -119,9 +119,16 @@
 	s.limiter.SetLimits(boottime.Now(), s.catalog().Limits, hosts)
 }
 
-// SetTargets replaces the targets of a service. limit is the maximum number of connections from this host to each target.
-func (s *Server) SetTargets(name model.Service, targets []catalog.Target, limit int) {
-	s.service(name).setTargets(targets, limit)
+// ConnectionLimits bounds the connections of this host to a target.
+type ConnectionLimits struct {
+	Max      int // connections that may be open
+	Retained int // connections that stay open while they are idle; 0: the default part of Max
+}
+
+// SetTargets replaces the targets of a service. limits returns the connections that this host may hold to a target.
+func (s *Server) SetTargets(name model.Service, targets []catalog.Target,
+	limits func(model.TargetID) ConnectionLimits) {
+	s.service(name).setTargets(targets, limits)
 }
 
 // ApplyPrimaryDocument applies a decision about a primary and reports whether it is new. When it returns, nothing on this
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -78,6 +78,15 @@
 	primaryFailingSince time.Time                    // time of the first failure since that reply, or zero
 	primaryProbedAt     time.Time                    // last attempt to reach an unreachable primary
 	lastWorkspace       model.Workspace              // workspace of the last request
+	primaryState        primaryState
+	primaryChanged      chan struct{} // closed and replaced when primaryState changes
+	positionFetch       positionFetch // of the position of a primary that another host uses
+}
+
+// primaryState is what statements need to know about the decision about the primary.
+type primaryState struct {
+	epoch  uint64
+	usable bool
 }
 
 // targetConn is an open connection and the session state that is set up on it.
@@ -101,7 +110,7 @@
 	return &service{server: server, name: name, log: server.log.With(zap.String("service", string(name))),
 		pool: pool.New(server.dataCentre), conns: map[pool.ConnID]*targetConn{},
 		waiters: map[pool.RequestID]chan<- grant{}, targets: map[model.TargetID]catalog.Target{},
-		samples:     &routing.PositionSamples{},
+		samples: &routing.PositionSamples{}, primaryChanged: make(chan struct{}),
 		lastReplyAt: map[model.TargetID]time.Time{}, averageReadTime: initialReadTime}
 }
 
@@ -237,11 +246,7 @@
 	if id == s.doc.Primary {
 		s.primaryReachedAt, s.primaryFailingSince = now, time.Time{}
 		if s.doc.Open && s.server.primaryAllowed(sentAt) {
-			if s.samplesEpoch != s.doc.Epoch {
-				s.samples, s.samplesEpoch = &routing.PositionSamples{}, s.doc.Epoch
-			}
-			s.samples.Add(sentAt, position)
-			s.highestPosition = s.highestPosition.Max(position)
+			s.addSample(sentAt, position)
 		}
 		return
 	}
@@ -361,7 +366,7 @@
 		commands = append(commands,
 			Command{Statement: Statement{ID: internalStatementID, Kind: kind, Name: name, Args: args}})
 	}
-	if command.Kind == Commit || command.Kind == Rollback {
+	if command.Kind == Commit || command.Kind == Rollback || command.Kind == Status {
 		return []Command{*command}
 	}
 	for name := range c.variables {
@@ -389,8 +394,8 @@
 	return append(commands, *command)
 }
 
-// setTargets replaces the registered targets. limit is the maximum number of connections from this host to each target.
-func (s *service) setTargets(targets []catalog.Target, limit int) {
+// setTargets replaces the registered targets. limits returns the connections that this host may hold to a target.
+func (s *service) setTargets(targets []catalog.Target, limits func(model.TargetID) ConnectionLimits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
@@ -400,7 +405,9 @@
 		registered[t.ID] = t
 		// A draining primary accepts work until another target has been promoted.
 		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
-		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: limit, Draining: draining})
+		l := limits(t.ID)
+		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: l.Max, Retained: l.Retained,
+			Draining: draining})
 	}
 	for id, old := range s.targets {
 		if t, present := registered[id]; present && (t.StartedAt != old.StartedAt || t.Address != old.Address) {
@@ -428,6 +435,11 @@
 			zap.Int64("expected_born", s.doc.Born))
 	}
 	s.applyActions(s.pool.SetPrimary(now, s.doc.Primary, usable))
+	if current := (primaryState{s.doc.Epoch, usable}); current != s.primaryState {
+		s.primaryState = current
+		close(s.primaryChanged)
+		s.primaryChanged = make(chan struct{})
+	}
 }
 
 // closeConnections closes all connections to a target. Statements that run on them fail. The caller holds s.mu.
@@ -476,7 +488,7 @@
 		s.updatePoolPrimary(now)
 		return true
 	}
-	s.applyActions(s.pool.SetPrimary(now, doc.Primary, false))
+	s.updatePoolPrimary(now)
 	if old.Primary == "" {
 		s.fencedEpoch = doc.Epoch
 		return true
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -86,8 +86,9 @@
 
 	state      sessionState
 	mark       HighWaterMark
-	executedOn string // target or host that the last statement was sent to, for logs
-	mayHaveRun bool   // a target may have run a statement of the current operation
+	executedOn string    // target or host that the last statement was sent to, for logs
+	mayHaveRun bool      // a target may have run a statement of the current operation
+	elsewhere  Elsewhere // why the last statement should run on another host; only set if the target was selected
 
 	runningStatement atomic.Pointer[string] // id of the statement that has no answer yet, or nil
 
@@ -248,12 +249,15 @@
 	service      *service
 	arrived      time.Time
 	deadline     time.Time
-	isWrite      bool // needs the primary regardless of the route's consistency
-	forcePrimary bool // a replica answered Lagging, so the primary has to run it
+	isWrite      bool           // needs the primary regardless of the route's consistency
+	forcePrimary bool           // a replica answered Lagging, so the primary has to run it
+	target       model.TargetID // the only target that may run it, or empty
 }
 
 // needsPrimary reports whether the operation must run on the primary.
-func (op operation) needsPrimary() bool { return op.isWrite || op.route.Consistency == catalog.Primary }
+func (op operation) needsPrimary() bool {
+	return op.isWrite || op.forcePrimary || op.route.Consistency == catalog.Primary
+}
 
 // isWrite reports whether the statement is a write or executes a prepared write.
 func (s *session) isWrite(st Statement) bool {
@@ -279,16 +283,19 @@
 	defer s.refund(charged)
 	op := operation{route: route, workspace: charged.workspace, service: svc, arrived: now,
 		deadline: s.server.statementDeadline(now, route.StatementTimeout-answerMargin), isWrite: s.isWrite(st)}
+	if s.server.selectsTargets() {
+		return s.runOnSelectedTarget(op, st)
+	}
 	excluded := ExcludedHosts{Local: svc.cannotRun(now, op.needsPrimary(), route.MaxStaleness)}
 	for range maxForwardAttempts {
-		host, local := s.server.selectHost(route.Service, op.workspace, excluded)
-		if local {
+		selected := s.server.selectHost(op, op.needsPrimary(), excluded)
+		if selected.Local {
 			break
 		}
-		if answer, done := s.forwardStatement(host, op, st); done {
+		if answer, done := s.forwardStatement(selected.Host, op, st); done {
 			return answer
 		}
-		excluded.Remote = append(excluded.Remote, host)
+		excluded.Remote = append(excluded.Remote, selected)
 	}
 	return s.runLocally(op, st)
 }
@@ -296,6 +303,7 @@
 // runLocally runs a statement outside transactions on a target of this host. It retries statements that have not run and
 // reads.
 func (s *session) runLocally(op operation, st Statement) Answer {
+	s.elsewhere = Here
 	lastAnswer := errorAnswer(Busy, "no attempt was possible in time")
 	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline); attempt++ {
 		c, epoch, minPosition, refusal := s.acquireConn(&op)
@@ -318,6 +326,10 @@
 		case err != nil:
 			s.logNoAnswer(st, c, err)
 			lastAnswer = errorAnswer(Busy, "the target could not be reached")
+			if op.target != "" {
+				s.elsewhere = OnOtherHost
+				return lastAnswer
+			}
 		case reply.Code == Success:
 			if op.isWrite {
 				s.mark = HighWaterMark{Epoch: epoch, Position: reply.Position, CommittedAt: boottime.Now()}
@@ -325,6 +337,9 @@
 			return reply.Answer
 		case !s.prepareRetry(&op, reply):
 			return reply.Answer
+		case op.target != "" && reply.Code == Lagging:
+			s.elsewhere = OnPrimary
+			return errorAnswer(Busy, reply.Code.String())
 		default:
 			lastAnswer = reply.Answer
 		}
@@ -381,8 +396,12 @@
 // refusal.
 func (s *session) acquireConn(op *operation) (*targetConn, uint64, model.Position, Answer) {
 	var minPosition model.Position
-	needsPrimary := op.isWrite || op.forcePrimary || op.route.Consistency == catalog.Primary
-	request := pool.Request{Workspace: op.workspace, PrimaryOnly: needsPrimary, Priority: op.route.Priority}
+	needsPrimary := op.needsPrimary()
+	request := pool.Request{Workspace: op.workspace, Target: op.target, PrimaryOnly: needsPrimary,
+		Priority: op.route.Priority}
+	if op.target != "" && !needsPrimary && !op.service.isPrimary(op.target) {
+		op.service.refreshPosition(op.arrived, op.route.MaxStaleness)
+	}
 	if !needsPrimary {
 		m := s.mark
 		if op.route.Consistency != catalog.ReadYourWrites {
@@ -395,9 +414,16 @@
 			request.PrimaryOnly = true
 		}
 	}
+	if op.target != "" && request.PrimaryOnly && !op.service.isPrimary(op.target) {
+		s.elsewhere = OnPrimary
+		return nil, 0, minPosition, errorAnswer(Busy, "the statement has to run on the primary")
+	}
 	request.Deadline = s.queueDeadline(*op)
 	g := op.service.acquire(request)
 	if g.conn == nil {
+		if op.target != "" && g.refusal == pool.RefusedNoTarget {
+			s.elsewhere = OnOtherHost
+		}
 		return nil, 0, minPosition, errorAnswer(Busy, "no connection: "+g.refusal.String())
 	}
 	epoch, id, open := op.service.currentPrimary()
@@ -406,6 +432,9 @@
 	}
 	if request.PrimaryOnly {
 		op.service.release(g.conn, false)
+		if op.target != "" {
+			s.elsewhere = OnOtherHost
+		}
 		return nil, 0, minPosition, errorAnswer(Busy, "the primary is being replaced")
 	}
 	return g.conn, 0, minPosition, Answer{}
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -128,7 +128,7 @@
 	}{
 		{"without targets and permission", func() {}},
 		{"without targets", func() { s.AllowPrimariesUntil(boottime.Now().Add(time.Hour)) }},
-		{"without connections", func() { s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock"}}, 0) }},
+		{"without connections", func() { s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock"}}, maxConnections(0)) }},
 	} {
 		step.do()
 		if _, err := s.RunForwarded(f); !errors.Is(err, ErrCannotServe) {
@@ -137,6 +137,11 @@
 	}
 }
 
+// maxConnections returns the same limit for every target.
+func maxConnections(n int) func(model.TargetID) ConnectionLimits {
+	return func(model.TargetID) ConnectionLimits { return ConnectionLimits{Max: n} }
+}
+
 // failingDialer fails every connection attempt.
 type failingDialer struct{ Dialer }
 
@@ -147,9 +152,15 @@
 // recordingForwarder rejects every statement and records the excluded hosts of each selection.
 type recordingForwarder struct{ exclusions []ExcludedHosts }
 
-func (o *recordingForwarder) SelectHost(_ model.Service, _ model.Workspace, excluded ExcludedHosts) (model.HostID, bool) {
+func (o *recordingForwarder) SelectHost(_ SelectRequest, excluded ExcludedHosts) Selection {
 	o.exclusions = append(o.exclusions, excluded)
-	return "other", !excluded.Local || len(excluded.Remote) > 0
+	return Selection{Host: "other", Local: !excluded.Local || len(excluded.Remote) > 0}
+}
+
+func (*recordingForwarder) SelectsTargets() bool { return false }
+
+func (*recordingForwarder) PrimaryPosition(model.Service, model.TargetID) (uint64, model.Position, time.Time, error) {
+	return 0, model.Position{}, time.Time{}, ErrPrimaryUnreachable
 }
 
 func (o *recordingForwarder) Forward(model.HostID, ForwardRequest, time.Duration) (ForwardReply, bool, error) {
@@ -164,7 +175,7 @@
 	route := catalog.Route{Service: "stock", Consistency: catalog.Primary, StatementTimeout: time.Second, Public: true}
 	s.SetCatalog(&catalog.Catalog{Version: 1, Routes: map[string]catalog.Route{"orders": route}}, 1)
 	s.AllowPrimariesUntil(boottime.Now().Add(time.Hour))
-	s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock"}}, 1)
+	s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock"}}, maxConnections(1))
 	s.ApplyPrimaryDocument(primacy.Document{Service: "stock", Epoch: 1, Open: true, Primary: "a"})
 	svc := s.service("stock")
 	svc.mu.Lock()
@@ -191,7 +202,7 @@
 	sess := &session{server: s, log: s.log, database: "orders",
 		state: sessionState{prepared: map[string]PreparedStatement{}}}
 	sess.runStatement(boottime.Now(), Statement{Kind: Write})
-	want := []ExcludedHosts{{Local: true}, {Local: true, Remote: []model.HostID{"other"}}}
+	want := []ExcludedHosts{{Local: true}, {Local: true, Remote: []Selection{{Host: "other"}}}}
 	if diff := cmp.Diff(want, forwarder.exclusions); diff != "" {
 		t.Errorf("excluded hosts (-want +got):\n%s", diff)
 	}
@@ -202,7 +213,7 @@
 func TestObservesOnlyConnectedServices(t *testing.T) {
 	s := New("z", nil, zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
 	for service, limit := range map[model.Service]int{"home": 2, "elsewhere": 0} {
-		s.SetTargets(service, []catalog.Target{{ID: "a", Service: service}}, limit)
+		s.SetTargets(service, []catalog.Target{{ID: "a", Service: service}}, maxConnections(limit))
 		s.ApplyPrimaryDocument(primacy.Document{Service: service, Epoch: 1, Open: true, Primary: "a"})
 	}
 	got := slices.Sorted(maps.Keys(s.PrimaryObservations()))
@@ -216,7 +227,7 @@
 func TestUnexpectedForwardsAreMalformed(t *testing.T) {
 	s := New("z", nil, zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
 	s.AllowPrimariesUntil(boottime.Now().Add(time.Hour))
-	s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock"}}, 1)
+	s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock"}}, maxConnections(1))
 	route := catalog.Route{Service: "stock", Consistency: catalog.Primary}
 	for kind := Invalid; kind <= Demote+1; kind++ {
 		if kind.runsOnTarget() {
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -24,9 +24,10 @@
 	needsKey  bool            // the route was not public when the transaction began
 	charged   *charge         // nil after a refund and for transactions of other hosts
 
-	peer        model.HostID // host that runs the transaction, empty for this host
-	id          uint64       // TxnID of the requests to the peer
-	begunOnPeer bool         // the transaction has begun, or may have begun, on the peer
+	peer        model.HostID   // host that runs the transaction, empty for this host
+	target      model.TargetID // the only target on which the transaction may begin, or empty
+	id          uint64         // TxnID of the requests to the peer
+	begunOnPeer bool           // the transaction has begun, or may have begun, on the peer
 }
 
 // startIdleTimer starts the timer that rolls the open transaction back after the configured idle time. The caller
@@ -110,12 +111,15 @@
 func (s *session) runOnPeer(op operation, st Statement) (Answer, bool) {
 	t := s.txn
 	op.isWrite = s.isWrite(st)
+	if t.conn == nil && t.peer == "" && s.forwardedFor == nil && s.server.selectsTargets() {
+		return s.beginOnSelectedTarget(op, st)
+	}
 	needsPrimary := !t.readOnly || op.route.Consistency == catalog.Primary
 	excluded := ExcludedHosts{Local: t.service.cannotRun(op.arrived, needsPrimary, op.route.MaxStaleness)}
 	for range maxForwardAttempts {
 		if t.conn == nil && t.peer == "" && s.forwardedFor == nil {
-			if host, local := s.server.selectHost(op.route.Service, op.workspace, excluded); !local {
-				t.peer, t.id = host, s.server.lastTxnID.Add(1)
+			if selected := s.server.selectHost(op, needsPrimary, excluded); !selected.Local {
+				t.peer, t.id = selected.Host, s.server.lastTxnID.Add(1)
 			}
 		}
 		if t.peer == "" {
@@ -125,7 +129,7 @@
 		if answer, done := s.forwardInTxn(op, st); done {
 			return answer, true
 		}
-		excluded.Remote = append(excluded.Remote, host)
+		excluded.Remote = append(excluded.Remote, Selection{Host: host})
 	}
 	return Answer{}, false
 }
@@ -166,7 +170,8 @@
 // beginOnTarget begins the open transaction on a target of this host. first is the statement that needs it.
 func (s *session) beginOnTarget(op operation, first Statement) Answer {
 	t := s.txn
-	op.isWrite = !t.readOnly
+	s.elsewhere = Here
+	op.isWrite, op.target = !t.readOnly, t.target
 	begin := Statement{ID: internalStatementID, Kind: Begin}
 	if t.readOnly {
 		begin.Kind = BeginRead
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,6 +28,7 @@
 const (
 	servicePrefix   = "service/"
 	workspacePrefix = "workspace/"
+	targetPrefix    = "target/"
 	relayKey        = "relay"
 )
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -56,13 +56,25 @@
 	ID         model.TargetID
 	DataCentre model.DataCentre
 	Limit      int  // maximum number of connections from this host
+	Retained   int  // number of connections that stay open while they are idle; 0: retainedFraction of Limit
 	Draining   bool // accepts no new work
 }
 
+// retained returns the number of connections that stay open while they are idle.
+func (t Target) retained() int {
+	if t.Retained > 0 {
+		return t.Retained
+	}
+	return max(1, int(retainedFraction*float64(t.Limit)))
+}
+
 // Request asks for a connection to run one statement or transaction.
 type Request struct {
 	ID        RequestID
 	Workspace model.Workspace
+	// Target is the only target that may run the request, or empty. Such a request is refused as soon as this host cannot use
+	// the target, because another host can run it.
+	Target model.TargetID
 	// PrimaryOnly requests run on the primary. Others run on any target that has replicated all commits up to the time
 	// AsOf, or only on the primary if AsOf is zero.
 	PrimaryOnly bool
@@ -190,10 +202,16 @@
 	return slices.ContainsFunc(slices.Collect(maps.Values(p.targets)), func(t *target) bool { return t.Limit > 0 })
 }
 
+// CanConnectTo reports whether this host may connect to a target.
+func (p *Pool) CanConnectTo(id model.TargetID) bool {
+	t := p.targets[id]
+	return t != nil && t.Limit > 0 && !t.Draining
+}
+
 // Enqueue adds a request. It is granted or refused by an action that this call or a later one returns.
 func (p *Pool) Enqueue(now time.Time, r Request) []Action {
 	r.enqueuedAt = now
-	if !p.CanConnect() {
+	if !p.CanConnect() || !p.usable(now, r) {
 		return []Action{Refuse{r.ID, RefusedNoTarget}}
 	}
 	if len(p.queue) >= p.queueLimit() {
@@ -211,6 +229,14 @@
 	return p.schedule(now)
 }
 
+// usable reports whether this host can use the target that the request names.
+func (p *Pool) usable(now time.Time, r Request) bool {
+	if r.Target == "" {
+		return true
+	}
+	return slices.ContainsFunc(p.candidates(now, r), func(t *target) bool { return t.Limit > 0 })
+}
+
 // Cancel removes a request from the queue.
 func (p *Pool) Cancel(id RequestID) {
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool { return r.ID == id })
@@ -292,7 +318,7 @@
 		return true
 	})
 	actions = append(actions, p.closeLeastRecentlyUsed(func(t *target, c *conn, count int) bool {
-		return count > max(1, int(retainedFraction*float64(t.Limit))) && now.Sub(c.lastUsed) > idleTimeout
+		return count > t.retained() && now.Sub(c.lastUsed) > idleTimeout
 	})...)
 	return append(actions, p.schedule(now)...)
 }
@@ -395,6 +421,11 @@
 	var actions []Action
 	claimed := map[ConnID]bool{} // connections being opened that an earlier request waits for
 	for i := 0; i < len(p.queue); {
+		if r := p.queue[i]; !p.usable(now, r) {
+			actions = append(actions, Refuse{r.ID, RefusedNoTarget})
+			p.queue = slices.Delete(p.queue, i, i+1)
+			continue
+		}
 		granted, more := p.assign(now, p.queue[i], claimed)
 		actions = append(actions, more...)
 		if granted {
@@ -465,8 +496,14 @@
 func (p *Pool) candidates(now time.Time, r Request) []*target {
 	var list []*target
 	primary := p.targets[p.primary]
+	if r.Target != "" && r.Target != p.primary {
+		primary = nil
+	}
 	if !r.PrimaryOnly && !r.AsOf.IsZero() {
 		for id, t := range p.targets {
+			if r.Target != "" && r.Target != id {
+				continue
+			}
 			if id != p.primary && !t.Draining && t.mayHaveData(now, r.AsOf) {
 				list = append(list, t)
 			}
--- a/routing/samples.go
+++ b/routing/samples.go
@@ -72,6 +72,15 @@
 	return time.Time{}, model.Position{}, false
 }
 
+// Latest returns the latest sample.
+func (s *PositionSamples) Latest() (at time.Time, position model.Position, found bool) {
+	if len(s.entries) == 0 {
+		return time.Time{}, model.Position{}, false
+	}
+	last := s.entries[len(s.entries)-1]
+	return last.sentAt, last.position, true
+}
+
 // LatestTime returns the time of the latest sample, or the zero time if there is none.
 func (s *PositionSamples) LatestTime() time.Time {
 	if len(s.entries) == 0 {
--- a/rpccodec/rpccodec.go
+++ b/rpccodec/rpccodec.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"io"
 	"net/rpc"
+	"slices"
 	"sync/atomic"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -108,10 +109,10 @@
 	counter *CallCounter
 }
 
-// CallCounter counts the calls of one method that have been read and whose responses have not been sent yet. Connections may
+// CallCounter counts the calls of some methods that have been read and whose responses have not been sent yet. Connections may
 // share it.
 type CallCounter struct {
-	Method  string
+	Methods []string
 	running atomic.Int64
 }
 
@@ -119,7 +120,7 @@
 func (c *CallCounter) Running() int { return int(c.running.Load()) }
 
 func (c *CallCounter) add(method string, n int64) {
-	if method == c.Method {
+	if slices.Contains(c.Methods, method) {
 		c.running.Add(n)
 	}
 }
--- a/rpccodec/rpccodec_test.go
+++ b/rpccodec/rpccodec_test.go
@@ -68,7 +68,7 @@
 // response has been sent.
 func TestCallCounter(t *testing.T) {
 	near, far := net.Pipe() // unbuffered: a response is sent once the client reads it
-	server, g, counter := rpc.NewServer(), gate{make(chan struct{})}, &CallCounter{Method: "Gate.Wait"}
+	server, g, counter := rpc.NewServer(), gate{make(chan struct{})}, &CallCounter{Methods: []string{"Gate.Wait"}}
 	if err := server.RegisterName("Gate", g); err != nil {
 		t.Fatal(err)
 	}
