A primary confirms its role to hosts that know too little of its log

Cause: where statements are assigned by target, hosts other than the gateway host know an old position of the primary or none, and took one that had restarted without its data for it (a stale read). Change: such a host asks for the role when it opens a connection and has had no reply of this primary in the current epoch or for a second.

--- a/frontend/service.go
+++ b/frontend/service.go
@@ -45,6 +45,9 @@
 	// promotionSettleTime is the time in which a new primary applies the log entries that it had received. Their backlog is
 	// the usual replication lag.
 	promotionSettleTime = time.Second
+	// verifyPrimaryAfter is the time without a reply of the primary after which it has to confirm its role. Meanwhile other hosts
+	// may have committed, so that the position known here does not tell a primary from one that has lost its data.
+	verifyPrimaryAfter = time.Second
 	// unknownLag is the assumed lag of a replica that is behind every known position of its primary.
 	unknownLag = time.Minute
 )
@@ -149,13 +152,23 @@
 	}
 }
 
+// needsVerification reports whether the primary of the current decision has to confirm its role when a connection to it is opened,
+// because the position that this host knows does not tell it from a target that has lost its data. The caller holds s.mu.
+func (s *service) needsVerification(now time.Time) bool {
+	if s.server.selectsTargets() {
+		// Statements for the primary run on one host, so the others may know an old position or none.
+		return s.verifiedEpoch != s.doc.Epoch || now.Sub(s.primaryReachedAt) > verifyPrimaryAfter
+	}
+	return s.verifiedEpoch != s.doc.Epoch && !s.promotionSeen
+}
+
 // dial opens a connection to a target. If the target is the primary it checks that it has not lost its data: it must have
-// reached the position that it is known to have had, and if this host has not seen its promotion, it must confirm its role. A
-// target that has started again without its data is a replica.
+// reached the position that it is known to have had, and it must confirm its role if that position says too little. A target that
+// has started again without its data is a replica.
 func (s *service) dial(ctx context.Context, t catalog.Target, workspace model.Workspace) (Conn, model.Position, error) {
 	s.mu.Lock()
 	doc, minPosition := s.doc, s.minPrimaryPosition(boottime.Now())
-	verify := t.ID == doc.Primary && doc.Open && !s.promotionSeen && s.verifiedEpoch != doc.Epoch
+	verify := t.ID == doc.Primary && doc.Open && s.needsVerification(boottime.Now())
 	s.mu.Unlock()
 	conn, position, err := s.server.dialer.Dial(ctx, t, workspace)
 	s.server.metrics.observeOpen(s.name, err)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -43,6 +43,16 @@
 	done    chan error
 }
 
+// assignByTarget makes test fleets assign statements to hosts by target.
+var assignByTarget bool
+
+// TestMain runs all tests with both ways of assigning statements to hosts.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	assignByTarget = true
+	os.Exit(max(code, m.Run()))
+}
+
 // newTestFleet starts the platform and the hosts, and waits until all hosts are ready and the primary accepts writes.
 func newTestFleet(t *testing.T) *testFleet {
 	t.Helper()
@@ -60,6 +70,9 @@
 	}
 	fleet.group = group
 	fleet.store.PutConfig(lines.NewConfig(1, "workshop-key"))
+	if assignByTarget {
+		fleet.store.Put("waxwingspindle/routing", map[string]any{"ByTarget": true})
+	}
 	platformStore, promotionAPI := httptest.NewServer(fleet.store), httptest.NewServer(group)
 	fleet.promotionAPI = promotionAPI
 	for i := range 3 {
--- a/placement/targets.go
+++ b/placement/targets.go
@@ -12,8 +12,8 @@
 	// gatewayShare and standbyShare are the shares of a target's connections for its gateway host and for the host that replaces
 	// it. The rest is left for reserves and for the next process of a host that lost power: a target counts the connections
 	// of the last one for three more seconds.
-	gatewayShare = 0.6
-	standbyShare = 0.2
+	gatewayShare = 0.72
+	standbyShare = 0.14
 	// maxTargetReserves bounds the hosts that may use a target while they reach neither its gateway host nor the standby.
 	maxTargetReserves = 5
 	// roleSlack is the factor by which the roles of a host may exceed its part of the capacity of its data centre.
