--- a/fleet/state.go
+++ b/fleet/state.go
@@ -182,7 +182,7 @@
 	}
 	return func(target model.TargetID) frontend.ConnectionLimits {
 		limit := v.targetPlan.ConnectionLimit(target, host)
-		return frontend.ConnectionLimits{Max: limit, Retained: int(targetRetainedFraction * float64(limit))}
+		return frontend.ConnectionLimits{Max: limit, Retained: int(targetRetainedFraction * float64(limit)), Adaptive: true}
 	}
 }
 
--- a/frontend/admission.go
+++ b/frontend/admission.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/share"
 )
@@ -14,12 +15,24 @@
 // refused caller can retry within its target.
 const maxAdmissionWait = 50 * time.Millisecond
 
+// admissionWaitFraction is the fraction of the latency target that an operation may wait for a token where statements are assigned
+// by target. Small workspaces get a token every few hundred milliseconds, and most statements take less than the other half.
+const admissionWaitFraction = 0.5
+
 // minAdmissionWait is the shortest pause between two requests of a waiting operation to the broker.
 const minAdmissionWait = 5 * time.Millisecond
 
 // brokerPollInterval is the pause between attempts of an operation that waits for a change of the broker.
 const brokerPollInterval = 20 * time.Millisecond
 
+// admissionWait returns the longest time that an operation waits for a rate limit token if the broker expects one by then.
+func (s *Server) admissionWait(route catalog.Route) time.Duration {
+	if s.selectsTargets() {
+		return time.Duration(admissionWaitFraction * float64(route.LatencyTarget))
+	}
+	return min(maxAdmissionWait, route.LatencyTarget/4)
+}
+
 // charge is a rate limit token that an operation has taken, and the workspace whose limit it belongs to.
 type charge struct {
 	workspace model.Workspace
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -123,6 +123,8 @@
 type ConnectionLimits struct {
 	Max      int // connections that may be open
 	Retained int // connections that stay open while they are idle; 0: the default part of Max
+	// Adaptive lowers Max for a while when the target refuses a connection because it has too many.
+	Adaptive bool
 }
 
 // SetTargets replaces the targets of a service. limits returns the connections that this host may hold to a target.
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -225,6 +225,10 @@
 		if !errors.As(err, &refused) || refused.Code == WrongTarget {
 			s.recordFailure(sentAt, t.ID)
 		}
+		if refused != nil && refused.Code == ConnectionLimit {
+			s.applyActions(s.pool.OpenRefused(now, a.Conn))
+			return
+		}
 		s.applyActions(s.pool.OpenFinished(now, a.Conn, false))
 		return
 	}
@@ -420,7 +424,7 @@
 		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
 		l := limits(t.ID)
 		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: l.Max, Retained: l.Retained,
-			Draining: draining})
+			Draining: draining, AdaptLimit: l.Adaptive})
 	}
 	for id, old := range s.targets {
 		if t, present := registered[id]; present && (t.StartedAt != old.StartedAt || t.Address != old.Address) {
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -227,7 +227,7 @@
 		return route, charge{}, nil, errorAnswer(Unauthenticated, "unknown key")
 	}
 	svc := s.server.service(route.Service)
-	token, admitted, wait := s.server.admit(workspace, min(maxAdmissionWait, route.LatencyTarget/4), route.LatencyTarget/2)
+	token, admitted, wait := s.server.admit(workspace, s.server.admissionWait(route), route.LatencyTarget/2)
 	if !admitted {
 		return route, charge{}, nil, errorAnswer(Busy, "the rate of the workspace is used up; retry after "+
 			wait.Round(time.Millisecond).String())
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -58,14 +58,8 @@
 	Limit      int  // maximum number of connections from this host
 	Retained   int  // number of connections that stay open while they are idle; 0: retainedFraction of Limit
 	Draining   bool // accepts no new work
-}
-
-// retained returns the number of connections that stay open while they are idle.
-func (t Target) retained() int {
-	if t.Retained > 0 {
-		return t.Retained
-	}
-	return max(1, int(retainedFraction*float64(t.Limit)))
+	// AdaptLimit lowers Limit for a while when the target refuses a connection because it has too many.
+	AdaptLimit bool
 }
 
 // Request asks for a connection to run one statement or transaction.
@@ -156,6 +150,7 @@
 	lag           time.Duration // upper bound of the replication lag
 	lagObservedAt time.Time
 	backoffUntil  time.Time // no connections are opened before this time
+	refusedLimit  refusedLimit
 }
 
 // Pool holds the connections and queued requests of one service on one host. It is not safe for concurrent use.
@@ -242,7 +237,7 @@
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool { return r.ID == id })
 }
 
-// OpenFinished reports the result of an Open action.
+// OpenFinished reports the result of an Open action. See OpenRefused for a target that has too many connections.
 func (p *Pool) OpenFinished(now time.Time, id ConnID, ok bool) []Action {
 	c := p.conn(id)
 	if c == nil {
@@ -265,6 +260,7 @@
 	}
 	c.state, c.lastUsed = idle, now
 	t.backoffUntil = time.Time{}
+	t.refusedLimit.opened(p.connCount(t.ID))
 	return p.schedule(now)
 }
 
@@ -280,7 +276,7 @@
 		p.remove(id)
 		return append([]Action{Close{id}}, p.schedule(now)...)
 	}
-	if p.connCount(c.target) > t.Limit {
+	if p.connCount(c.target) > t.limit(now) {
 		p.remove(id)
 		return append([]Action{Close{id}}, p.schedule(now)...)
 	}
@@ -467,7 +463,7 @@
 		return false, nil
 	}
 	var actions []Action
-	if p.connCount(openTarget.ID) >= openTarget.Limit {
+	if p.connCount(openTarget.ID) >= openTarget.limit(now) {
 		victim := p.leastRecentlyUsedIdle(openTarget.ID)
 		if p.hasWaiter(victim, r) && now.Sub(r.enqueuedAt) < maxAffinityWait {
 			return false, nil
@@ -527,7 +523,7 @@
 	var best *target
 	bestCost := 0.0
 	for _, t := range candidates {
-		full := p.connCount(t.ID) >= t.Limit
+		full := p.connCount(t.ID) >= t.limit(now)
 		if now.Before(t.backoffUntil) || full && p.leastRecentlyUsedIdle(t.ID) == nil {
 			continue
 		}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -343,3 +343,40 @@
 		}
 	}
 }
+
+// Guards against statements that wait while a target refuses connections, because it still counts those of hosts that have lost
+// power, although this host has idle connections of other workspaces that it can close.
+func TestRefusedConnectionsAreReplaced(t *testing.T) {
+	f := newFixture(t, Target{ID: "p", Limit: 10, Retained: 8, AdaptLimit: true})
+	f.manualOpen = true
+	for i, workspace := range []model.Workspace{"a", "b", "c"} {
+		f.enqueue(Request{ID: RequestID(i + 1), Workspace: workspace, Target: "p", PrimaryOnly: true})
+	}
+	for i, c := range f.opened {
+		if i < 2 {
+			f.apply(f.pool.OpenFinished(f.now, c.Conn, true))
+		}
+	}
+	f.apply(f.pool.Release(f.now, f.granted[1].Conn))
+	f.apply(f.pool.OpenRefused(f.now, f.opened[2].Conn)) // the target accepts two connections of this host
+	if len(f.closed) != 1 || f.closed[0] != f.opened[0].Conn {
+		t.Fatalf("closed %v, want the idle connection %d", f.closed, f.opened[0].Conn)
+	}
+	last := f.opened[len(f.opened)-1]
+	if last.Workspace != "c" {
+		t.Fatalf("the last connection is opened for %q, want c", last.Workspace)
+	}
+	f.apply(f.pool.OpenFinished(f.now, last.Conn, true))
+	if _, granted := f.granted[3]; !granted {
+		t.Error("the request did not get the connection that replaced another one")
+	}
+	f.enqueue(Request{ID: 4, Workspace: "d", Target: "p", PrimaryOnly: true})
+	if opened := f.opened[len(f.opened)-1]; opened.Workspace == "d" {
+		t.Error("a connection is opened beyond what the target accepted")
+	}
+	f.now = f.now.Add(refusedLimitTTL + time.Millisecond)
+	f.enqueue(Request{ID: 5, Workspace: "e", Target: "p", PrimaryOnly: true})
+	if opened := f.opened[len(f.opened)-1]; opened.Workspace != "e" {
+		t.Error("no connection is opened after the refusal has expired")
+	}
+}
