Publish only what has changed, and registrations together

Each change of a key cloned all maps of the view, sorted all hosts, looked up the targets of every service and passed all documents, targets and limits on to the server. A starting fleet does that for each host's registration on each host.

- Parts of the view that have not changed are shared with the published one.
- The server gets documents of a new epoch, targets of services whose list or limit has changed, and the catalog or the number of hosts if they have changed.
The service itself recomputes which targets are draining when a decision is applied; before, the next publication did.
- Registrations are published 20 ms after the first one; decisions, the leader, configuration and targets at once, and runAndWait publishes what is pending.
- The orders of hosts are computed once per view: the check for candidates runs every 50 ms for each prefix.
- Departed hosts leave the list of expected ones after restartGrace also when nothing else changes.

--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -399,8 +399,8 @@
 // findDeputy queries the hosts of highest capacity and returns the first in that order that answers, or nil. It does not
 // wait for all of them, because those on the other side of a partition do not answer.
 func (a *Agent) findDeputy(ctx context.Context) *brokerHost {
-	hosts := a.view.Load().hostsByCapacityExceptLeader()
-	hosts = hosts[:min(maxDeputies, len(hosts))]
+	v := a.view.Load()
+	hosts := v.largestHostsExcept(v.lastLeader(), maxDeputies)
 	answers := make(chan int, len(hosts)) // index of the host that has answered, or -1
 	for i, h := range hosts {
 		go func() {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -150,6 +150,8 @@
 	departed   map[model.HostID]departure   // hosts whose registration has disappeared
 	acquiring  bool                         // an attempt to become the leader is in progress
 	planInputs planInputs
+	pending    pendingChanges // changes that are not published yet
+	passedOn   passedOn
 
 	plansStale   bool      // the plans do not reflect the current inputs
 	nextPlanTime time.Time // earliest time of the next computation
@@ -193,6 +195,11 @@
 	return a
 }
 
+func newControl(a *Agent) *control {
+	return &control{agent: a, view: newClusterView(), removed: map[model.TargetID]time.Time{},
+		departed: map[model.HostID]departure{}}
+}
+
 func newClusterView() *clusterView {
 	return &clusterView{catalog: &catalog.Catalog{}, targets: map[model.TargetID]catalog.Target{},
 		drainingSince: map[model.TargetID]time.Time{},
@@ -204,8 +211,7 @@
 
 // Run runs the control plane until the context ends.
 func (a *Agent) Run(ctx context.Context) {
-	c := &control{agent: a, view: newClusterView(), removed: map[model.TargetID]time.Time{},
-		departed: map[model.HostID]departure{}}
+	c := newControl(a)
 	a.startTime = boottime.Now().UnixNano()
 	a.lastBrokerReply.Store(a.startTime)
 	a.lastRelay.Store(a.startTime) // a leader usually relays the state before a starting host has to watch the store
@@ -226,11 +232,11 @@
 			event(c)
 		case offer := <-a.successions:
 			go a.takeOverLeadership(ctx, offer)
+		case <-c.pending.due:
+			c.publish()
 		case <-ticker.C:
 			c.removeExpired()
-			if len(c.departed) > 0 {
-				c.trackDepartures(c.view.hosts)
-			}
+			c.expireDepartures()
 			if c.plansStale && !boottime.Now().Before(c.nextPlanTime) {
 				c.publish()
 			}
@@ -247,11 +253,13 @@
 	}
 }
 
-// runAndWait runs a step on the control goroutine and waits for its completion.
+// runAndWait runs a step on the control goroutine and waits until its changes, and all that were posted before, are
+// published.
 func (a *Agent) runAndWait(ctx context.Context, step func(*control)) error {
 	done := make(chan struct{})
 	a.post(ctx, func(c *control) {
 		step(c)
+		c.flush()
 		close(done)
 	})
 	select {
@@ -325,6 +333,7 @@
 		}
 		c.view.setTarget(t, now)
 	}
+	c.pending.targets = true
 	if change.complete {
 		for id := range c.view.targets {
 			if !listed[id] {
@@ -361,82 +370,99 @@
 		}
 	}
 	if changed {
+		c.pending.targets = true
 		c.publish()
 	}
 }
 
-// applyControlKeys applies changes of the control keys (see controlPrefix).
+// applyControlKeys applies changes of the control keys (see controlPrefix). Registrations of other hosts are published after
+// a short delay, the rest at once.
 func (c *control) applyControlKeys(change prefixChange) {
 	c.agent.checkRegistration(change)
-	before := maps.Clone(c.view.hosts)
+	hostsOnly := !change.complete && !slices.ContainsFunc(change.events, func(e metastore.Event) bool {
+		return !strings.HasPrefix(e.Key, hostPrefix)
+	})
+	before := c.view.hosts
 	if change.complete {
-		c.view.hosts, c.view.leader = map[model.HostID]Host{}, nil
+		c.view.hosts, c.view.leader = make(map[model.HostID]Host, len(before)), nil
 	}
+	now := boottime.Now()
 	for _, e := range change.events {
+		if id, isHost := strings.CutPrefix(e.Key, hostPrefix); isHost && !change.complete && e.Removed {
+			c.recordDeparture(model.HostID(id), now)
+		}
 		if err := c.view.applyControlKey(e); err != nil {
 			c.agent.Log.Error("store: value ignored", zap.String("key", e.Key), zap.Error(err))
 		}
 	}
-	c.trackDepartures(before)
-	c.publish()
+	if change.complete {
+		for id, host := range before {
+			if _, registered := c.view.hosts[id]; !registered {
+				c.departed[id] = departure{host, now}
+			}
+		}
+	}
+	c.pending.documents = c.pending.documents || !hostsOnly
+	c.pending.hosts = c.pending.hosts || change.complete || hostsOnly ||
+		slices.ContainsFunc(change.events, func(e metastore.Event) bool { return strings.HasPrefix(e.Key, hostPrefix) })
+	if hostsOnly {
+		c.publishSoon()
+	} else {
+		c.publish()
+	}
 }
 
-// trackDepartures records hosts whose registration has disappeared. They stay in the list of expected hosts for
+// recordDeparture records that the registration of a host has disappeared. The host stays in the list of expected hosts for
 // restartGrace, because most of them return after a restart.
-func (c *control) trackDepartures(before map[model.HostID]Host) {
-	now := boottime.Now()
-	for id, host := range before {
-		if _, registered := c.view.hosts[id]; !registered {
-			c.departed[id] = departure{host, now}
-		}
+func (c *control) recordDeparture(id model.HostID, now time.Time) {
+	if host, registered := c.view.hosts[id]; registered {
+		c.departed[id] = departure{host, now}
 	}
+}
+
+// expireDepartures forgets the departed hosts that have not returned within restartGrace.
+func (c *control) expireDepartures() {
+	now := boottime.Now()
 	for id, d := range c.departed {
-		if _, registered := c.view.hosts[id]; registered || now.Sub(d.at) > restartGrace {
+		if now.Sub(d.at) > restartGrace {
 			delete(c.departed, id)
+			c.pending.hosts = true
+			c.publishSoon()
 		}
 	}
-	c.view.expected = make([]placement.Candidate, 0, len(c.view.hosts)+len(c.departed))
+}
+
+// updateExpected recomputes the list of expected hosts: the registered ones and those that have departed recently.
+func (c *control) updateExpected() {
+	expected := make([]placement.Candidate, 0, len(c.view.hosts)+len(c.departed))
 	for _, host := range c.view.hosts {
-		c.view.expected = append(c.view.expected, host.candidate())
+		expected = append(expected, host.candidate())
 	}
-	for _, d := range c.departed {
-		c.view.expected = append(c.view.expected, d.host.candidate())
+	for id, d := range c.departed {
+		if _, registered := c.view.hosts[id]; registered {
+			delete(c.departed, id)
+			continue
+		}
+		expected = append(expected, d.host.candidate())
 	}
-	slices.SortFunc(c.view.expected, func(a, b placement.Candidate) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(expected, func(a, b placement.Candidate) int { return cmp.Compare(a.ID, b.ID) })
+	c.view.expected = expected
 }
 
 // setDocument applies a document received directly from the leader, unless a later one is known.
 func (c *control) setDocument(doc primacy.Document) {
 	if known := c.view.documents[doc.Service]; doc.Epoch > known.value.Epoch {
 		c.view.documents[doc.Service] = versioned[primacy.Document]{doc, known.revision}
+		c.pending.documents = true
 		c.publish()
 	}
 }
 
-// publish recomputes the plans if needed, publishes a copy of the view and passes it on to the server.
-func (c *control) publish() {
-	c.updatePlans()
-	v := c.view.clone()
-	a := c.agent
-	a.view.Store(v)
-	for _, doc := range v.documents {
-		go a.applyDocument(doc.value)
-	}
-	a.Server.SetCatalog(v.catalog, v.sharingHosts(a.Self))
-	if v.catalog.Version == 0 {
-		return
-	}
-	for service := range v.catalog.Services {
-		plan := v.plans[service]
-		a.Server.SetTargets(service, v.targetsOf(service), plan.ConnectionLimit(a.Self.ID))
-	}
-}
-
 // updatePlans recomputes the assignment of workspaces to hosts if its inputs have changed. On large fleets that takes
 // a good part of a second and hosts come and go in groups, so the next computation is delayed by a multiple of that
 // time and the ticker triggers it. A change of the services is applied immediately.
 func (c *control) updatePlans() {
-	inputs := planInputs{c.view.catalog, slices.Clone(c.view.expected)}
+	inputs := planInputs{c.view.catalog, c.view.expected}
 	if c.view.plans != nil && inputs.equal(c.planInputs) {
 		c.plansStale = false
 		return
@@ -541,30 +567,3 @@
 	}
 	return data
 }
-
-// hostsByCapacity returns the registered hosts in order of decreasing link bandwidth and processor capacity. The
-// leader communicates with all hosts, so the largest hosts are preferred.
-func (v *clusterView) hostsByCapacity() []Host {
-	list := v.sortedHosts()
-	slices.SortStableFunc(list, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(b.Cores, a.Cores))
-	})
-	return list
-}
-
-// hostsByCapacityExceptLeader returns hostsByCapacity without the host named in the leader's key.
-func (v *clusterView) hostsByCapacityExceptLeader() []Host {
-	return slices.DeleteFunc(v.hostsByCapacity(), func(h Host) bool {
-		return v.leader != nil && h.ID == v.leader.value.Host
-	})
-}
-
-// sortedHosts returns the registered hosts sorted by id.
-func (v *clusterView) sortedHosts() []Host {
-	list := make([]Host, 0, len(v.hosts))
-	for _, h := range v.hosts {
-		list = append(list, h)
-	}
-	slices.SortFunc(list, func(a, b Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return list
-}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -331,8 +331,8 @@
 
 // candidateHosts returns the registered hosts of highest capacity, excluding the last leader.
 func (a *Agent) candidateHosts() []Host {
-	hosts := a.view.Load().hostsByCapacityExceptLeader()
-	return hosts[:min(maxCandidates, len(hosts))]
+	v := a.view.Load()
+	return v.largestHostsExcept(v.lastLeader(), maxCandidates)
 }
 
 // isFreshRelay reports whether this host follows the store and has recently received a reply for each prefix. The store may
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -222,8 +222,7 @@
 	term.handingOver = true
 	request := SuccessionRequest{Fence: term.fence, Broker: term.broker.HandOver(boottime.Now())}
 	term.mu.Unlock()
-	hosts := slices.DeleteFunc(a.view.Load().hostsByCapacity(), func(h Host) bool { return h.ID == a.Self.ID })
-	for _, h := range hosts[:min(len(hosts), maxSuccessors)] {
+	for _, h := range a.view.Load().largestHostsExcept(a.Self.ID, maxSuccessors) {
 		err := a.controlClients.call(h, "Peer.Succeed", request, &struct{}{}, successionTimeout)
 		a.Log.Info("leader: hand-over offered", zap.String("to", string(h.ID)), zap.Error(err))
 		if err == nil {
--- a/fleet/register_test.go
+++ b/fleet/register_test.go
@@ -345,7 +345,7 @@
 		for _, h := range test.hosts {
 			c.view.hosts[h.ID] = h
 		}
-		c.trackDepartures(nil)
+		c.updateExpected()
 		if got := c.view.sharingHosts(self); got != test.want {
 			t.Errorf("%s: %d hosts, want %d", test.name, got, test.want)
 		}
--- a/fleet/scale_test.go
+++ b/fleet/scale_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"runtime"
 	"testing"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/vmihailenco/msgpack/v5"
@@ -110,8 +109,7 @@
 	a := New(Config{Self: self, Server: server, Log: zap.NewNop(), Decoders: Decoders{
 		ConfigurationKey: platform.ConfigurationKey, TargetPrefix: platform.TargetPrefix,
 		Configuration: platform.ParseConfiguration, Target: platform.ParseTarget}})
-	return &controlHost{a, &control{agent: a, view: newClusterView(), removed: map[model.TargetID]time.Time{},
-		departed: map[model.HostID]departure{}}}
+	return &controlHost{a, newControl(a)}
 }
 
 // drain runs the events that are queued for the control goroutine.
@@ -154,6 +152,13 @@
 	h.drain()
 }
 
+// change applies one change of a prefix and publishes it.
+func (h *controlHost) change(tb testing.TB, prefix string, event metastore.Event) {
+	h.followers[prefix].applyEvents(tb.Context(), []metastore.Event{event}, event.Revision)
+	h.drain()
+	h.control.flush()
+}
+
 // lead makes the host the leader, without a store.
 func (h *controlHost) lead() {
 	h.setLeading(&leadership{agent: h.Agent, reports: map[model.HostID]hostReport{}, broker: share.NewBroker(boottime.Now())})
@@ -204,7 +209,11 @@
 					h.list(b, s, firstHostRevision-1)
 					for i := 0; i < hosts; i += group {
 						h.register(b, s.registrations[i:min(hosts, i+group)])
+						if i/group%max(1, hosts/group/15) == 0 { // fifteen times the delay in 0.3 s
+							h.control.flush()
+						}
 					}
+					h.control.flush()
 					b.StopTimer()
 					heap.sample()
 					runtime.KeepAlive(h)
@@ -226,8 +235,7 @@
 		apply := func(prefix string, event metastore.Event) {
 			revision++
 			event.Revision = revision
-			h.followers[prefix].applyEvents(b.Context(), []metastore.Event{event}, revision)
-			h.drain()
+			h.change(b, prefix, event)
 		}
 		version := 1
 		for _, change := range []struct {
@@ -315,6 +323,7 @@
 				for round := range 16 {
 					if from, to := n*round/6, min(n, n*(round+1)/6); n/20+1 < to && from < to {
 						leader.register(b, s.registrations[max(n/20+1, from):to])
+						leader.control.flush()
 					}
 					for i := round % 5; i < n; i += 5 {
 						_, received := hosts[i].report(b, leader, i)
@@ -390,3 +399,77 @@
 		t.Errorf("host %+v, error %v", h, err)
 	}
 }
+
+// Guards against changes that are not passed on to the server, or not published in time, because only differences are: a host
+// that departs and returns, a target that leaves, a document, and the limit of connections that follows from the hosts.
+func TestPublishedViewFollowsChanges(t *testing.T) {
+	s := newScaledFleet(30)
+	h := newControlHost(scaledHost(1))
+	h.list(t, s, firstHostRevision+30)
+	if got := len(h.view.Load().hosts); got != 30 {
+		t.Fatalf("%d hosts are published", got)
+	}
+	departed := s.registrations[4]
+	departed.Revision = firstHostRevision + 100
+	h.change(t, controlPrefix, metastore.Event{Item: departed, Removed: true})
+	v := h.view.Load()
+	if len(v.hosts) != 29 || len(v.expected) != 30 || len(v.sortedHosts()) != 29 || len(v.hostsByCapacity()) != 29 {
+		t.Errorf("%d hosts, %d expected after a departure", len(v.hosts), len(v.expected))
+	}
+	h.control.departed[scaledHost(4).ID] = departure{scaledHost(4), boottime.Now().Add(-2 * restartGrace)}
+	h.control.expireDepartures()
+	h.control.flush()
+	if v = h.view.Load(); len(v.expected) != 29 {
+		t.Errorf("%d hosts are expected after the grace time", len(v.expected))
+	}
+	returned := s.registrations[4]
+	returned.Revision = firstHostRevision + 101
+	h.change(t, controlPrefix, metastore.Event{Item: returned})
+	if v = h.view.Load(); len(v.hosts) != 30 || len(v.expected) != 30 {
+		t.Errorf("%d hosts, %d expected after a return", len(v.hosts), len(v.expected))
+	}
+	gone := s.targets[1]
+	gone.Revision = firstHostRevision + 102
+	h.change(t, platform.TargetPrefix, metastore.Event{Item: gone, Removed: true})
+	h.control.removed["target-000-1"] = boottime.Now().Add(-2 * removalGrace)
+	h.control.removeExpired()
+	if got := len(h.control.passedOn.targets["service-00"].list); got != 2 {
+		t.Errorf("the service has %d targets after one has left", got)
+	}
+	doc := primacy.Document{Service: "service-00", Epoch: 9, Open: true, Primary: "target-000-2", Born: 1, Term: 3}
+	h.change(t, controlPrefix, metastore.Event{Item: metastore.Item{Key: primaryPrefix + "service-00", Value: mustEncode(doc),
+		Revision: firstHostRevision + 103}})
+	if got := h.view.Load().documents["service-00"].value.Epoch; got != 9 {
+		t.Errorf("the published document has epoch %d", got)
+	}
+	for service, plan := range h.view.Load().plans {
+		if got, want := h.control.passedOn.targets[service].limit, plan.ConnectionLimit(h.Self.ID); got != want {
+			t.Errorf("%s: the limit of connections is %d, the plan says %d", service, got, want)
+		}
+	}
+}
+
+// Guards against a decision, the leader or a configuration that waits for registrations to be collected.
+func TestOnlyRegistrationsWait(t *testing.T) {
+	s := newScaledFleet(30)
+	h := newControlHost(scaledHost(1))
+	h.list(t, s, firstHostRevision+10)
+	h.register(t, s.registrations[11:20])
+	if got := len(h.view.Load().hosts); got != 11 {
+		t.Errorf("%d hosts are published before the delay", got)
+	}
+	leader := metastore.Item{Key: leaderKey, Value: mustEncode(Leader{Host: scaledHost(0).ID}), Revision: firstHostRevision + 50}
+	h.followers[controlPrefix].applyEvents(t.Context(), []metastore.Event{{Item: leader}}, leader.Revision)
+	h.drain()
+	if v := h.view.Load(); v.leader == nil || len(v.hosts) != 20 {
+		t.Errorf("the leader is not published with %d hosts", len(v.hosts))
+	}
+	h.register(t, s.registrations[20:25])
+	configuration := metastore.Item{Key: platform.ConfigurationKey, Value: s.encodeConfiguration(7),
+		Revision: firstHostRevision + 60}
+	h.followers[platform.ConfigurationKey].applyEvents(t.Context(), []metastore.Event{{Item: configuration}}, configuration.Revision)
+	h.drain()
+	if v := h.view.Load(); v.catalog.Version != 7 {
+		t.Errorf("configuration %d is published", v.catalog.Version)
+	}
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -72,13 +71,11 @@
 	leader        *versioned[Leader]
 	documents     map[model.Service]versioned[primacy.Document]
 	plans         map[model.Service]placement.Plan
+	ordered       *hostOrder // of a published view; nil in that of the control goroutine
 }
 
 func (v *clusterView) clone() *clusterView {
-	c := *v
-	c.targets, c.hosts, c.documents = maps.Clone(v.targets), maps.Clone(v.hosts), maps.Clone(v.documents)
-	c.drainingSince = maps.Clone(v.drainingSince)
-	return &c
+	return v.cloneChanged(v, pendingChanges{hosts: true, targets: true, documents: true})
 }
 
 // applyControlKey applies an event of a control key. A document is never replaced by an older one.
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -64,6 +64,7 @@
 	waiters             map[pool.RequestID]chan<- grant
 	lastRequestID       pool.RequestID
 	targets             map[model.TargetID]catalog.Target
+	connectionLimit     int // to each target from this host
 	doc                 primacy.Document
 	fencedEpoch         uint64                       // no connection of an epoch below this one is in use
 	samples             *routing.PositionSamples     // log positions over time of the primary of samplesEpoch
@@ -395,23 +396,30 @@
 	defer s.mu.Unlock()
 	now := boottime.Now()
 	registered := make(map[model.TargetID]catalog.Target, len(targets))
-	list := make([]pool.Target, 0, len(targets))
 	for _, t := range targets {
 		registered[t.ID] = t
-		// A draining primary accepts work until another target has been promoted.
-		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
-		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: limit, Draining: draining})
 	}
 	for id, old := range s.targets {
 		if t, present := registered[id]; present && (t.StartedAt != old.StartedAt || t.Address != old.Address) {
 			s.closeConnections(now, id)
 		}
 	}
-	s.targets = registered
-	s.applyActions(s.pool.SetTargets(now, list))
+	s.targets, s.connectionLimit = registered, limit
+	s.applyActions(s.pool.SetTargets(now, s.poolTargets()))
 	s.updatePoolPrimary(now)
 }
 
+// poolTargets returns the registered targets for the pool. The caller holds s.mu.
+func (s *service) poolTargets() []pool.Target {
+	list := make([]pool.Target, 0, len(s.targets))
+	for _, t := range s.targets {
+		// A draining primary accepts work until another target has been promoted.
+		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
+		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: s.connectionLimit, Draining: draining})
+	}
+	return list
+}
+
 // primaryUsable reports whether the current decision is open and its target has not started again since. A target that has
 // started again under the same id has no data. The caller holds s.mu.
 func (s *service) primaryUsable() bool {
@@ -473,6 +481,7 @@
 			s.closeConnections(now, old.Primary)
 		}
 		s.fencedEpoch = doc.Epoch
+		s.applyActions(s.pool.SetTargets(now, s.poolTargets())) // a draining primary gets no work once it is replaced
 		s.updatePoolPrimary(now)
 		return true
 	}
