Compact reports, and changes that are encoded once

A report every 250 ms is the largest part of control bytes, and repeats the names of prefixes and services. A leader that had listed the store later than a host sent it the whole state, with the configuration, and compressed it for each host by itself, because every host had listed at another revision.

- Package heartbeat: a full report opens a session at the leader; the following ones hold numbers only.
- Peer.Exchange and Peer.Beat replace Report and Sync.
- Changes are compressed and encoded once for all hosts that have seen the same state.
Where removals are not known, all keys are sent instead of all values.
Small prefixes are not left out any more when another one is large.
- Registrations of hosts are relayed every 100 ms at most; decisions, the leader, configuration and targets at once.
- A host that has seen everything records the leader's revision, so that it is not sent empty changes with each reply.

--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -275,7 +275,7 @@
 		a.dropBrokerIfEnded(b, err)
 		return err
 	}
-	a.applySyncReply(ctx, leader, sent, request.Revisions, reply)
+	a.applySyncResult(ctx, leader, sent, request.Revisions, reply)
 	a.leaderUnreachable.Store(false)
 	a.joinBroker(ctx, b)
 	return nil
@@ -318,12 +318,12 @@
 	if changed {
 		a.Log.Info("rate: broker in use", zap.String("broker", string(b.ID)), zap.Bool("deputy", b.deputy))
 	}
-	a.applySyncReply(ctx, b.Host, sent, request.Revisions, reply)
+	a.applySyncResult(ctx, b.Host, sent, request.Revisions, reply)
 	return nil
 }
 
 // reportMembership reports to a broker, either as a member or as a host that uses its equal share.
-func (a *Agent) reportMembership(b brokerHost, member bool) (SyncReply, error) {
+func (a *Agent) reportMembership(b brokerHost, member bool) (syncResult, error) {
 	return a.sendReport(b, a.newReport(member))
 }
 
@@ -331,16 +331,6 @@
 	return ReportRequest{Host: a.Self.ID, Standalone: !member, Revisions: a.knownRevisions()}
 }
 
-func (a *Agent) sendReport(b brokerHost, request ReportRequest) (reply SyncReply, err error) {
-	if b.deputy {
-		err = callHost(a, b.Host, "Peer.Sync", (*Peer).Sync, request, &reply, reportTimeout)
-		return reply, err
-	}
-	request.Observations = a.Server.PrimaryObservations()
-	err = callHost(a, b.Host, "Peer.Report", (*Peer).Report, request, &reply, reportTimeout)
-	return reply, err
-}
-
 // deputyLoop syncs with other hosts while the leader is unreachable, and uses one of them as a deputy broker.
 func (a *Agent) deputyLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -392,7 +382,7 @@
 		a.Log.Info("peer: sync failed", zap.String("peer", string(h.ID)), zap.Error(err))
 		return false
 	}
-	a.applySyncReply(ctx, h, sent, since, reply)
+	a.applySyncResult(ctx, h, sent, since, reply)
 	return true
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,6 +107,7 @@
 	homes            homeSelector
 	reachability     reachability
 	bulkTransfer     bulkTransfer
+	exchange         exchangeState
 	view             atomic.Pointer[clusterView]
 	events           chan func(*control)
 	ready            atomic.Bool
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -72,6 +72,11 @@
 	compactedRevision uint64            // removals before this revision are not recorded
 	revision          uint64            // revision of the last observed change
 	lastStoreReply    time.Time         // time of the last reply of the store to a call for this prefix
+
+	relayed     uint64    // revision up to which changes are relayed
+	relayedAt   time.Time // when it was set
+	relayUrgent bool      // there are changes that must not wait
+	deltas      deltaCache
 }
 
 // recordStoreReply records that the store has answered a list or a watch of the prefix.
@@ -226,6 +231,7 @@
 
 // recordEvent updates items and removed with one event. The caller holds followMu.
 func (f *prefixFollower) recordEvent(e metastore.Event) {
+	f.noteUrgent(e.Key)
 	if e.Removed {
 		delete(f.items, e.Key)
 		f.removed[e.Key] = e.Revision
@@ -260,6 +266,7 @@
 		}
 	}
 	f.revision = state.Revision
+	f.relayUrgent = true
 	f.compactRemovals()
 	apply := f.apply
 	f.agent.followMu.Unlock()
--- a/fleet/scale_test.go
+++ b/fleet/scale_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/vmihailenco/msgpack/v5"
@@ -15,6 +18,7 @@
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
+	"github.com/waxwingspindle/waxwingspindle/heartbeat"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/platform"
@@ -269,7 +273,8 @@
 // simulatedHost is a host that reports to the leader in a benchmark.
 type simulatedHost struct {
 	Host
-	since map[string]uint64
+	since  map[string]uint64
+	sender heartbeat.Sender
 }
 
 // observations returns the observations of a host that connects to one service.
@@ -280,19 +285,32 @@
 // report sends the report of a simulated host to the leader and returns the bytes of the request and of the replies.
 func (h *simulatedHost) report(tb testing.TB, leader *controlHost, i int) (sent, received int) {
 	request := ReportRequest{Host: h.ID, Observations: observations(i), Revisions: h.since}
-	var reply SyncReply
-	if err := (&Peer{leader.Agent}).Report(request, &reply); err != nil {
-		tb.Fatal(err)
+	beat, possible := h.sender.Request(heartbeatReport(request))
+	var changes RelayedChanges
+	if possible {
+		reply := BeatReply{}
+		if err := (&Peer{leader.Agent}).Beat(beat, &reply); err != nil || !reply.Known {
+			tb.Fatal(reply.Known, err)
+		}
+		sent, received, changes = encodedBytes(tb, beat), encodedBytes(tb, reply), reply.Changes
+	} else {
+		reply := ExchangeReply{}
+		if err := (&Peer{leader.Agent}).Exchange(ExchangeRequest{Report: request}, &reply); err != nil {
+			tb.Fatal(err)
+		}
+		h.sender.Opened(reply.Session, heartbeatReport(request))
+		sent, received, changes = encodedBytes(tb, request), encodedBytes(tb, reply), reply.Changes
 	}
-	sent, received = encodedBytes(tb, request), encodedBytes(tb, reply)
-	if reply.TooLarge {
-		var compressed []byte
-		if err := (&Peer{leader.Agent}).Fetch(h.since, &compressed); err != nil {
+	for _, prefix := range changes.Large {
+		var encoded []byte
+		if err := (&Peer{leader.Agent}).FetchDelta(FetchDeltaRequest{prefix, h.since[prefix]}, &encoded); err != nil {
 			tb.Fatal(err)
 		}
-		received += len(compressed)
+		received += len(encoded)
+	}
+	for _, prefix := range append(slices.Collect(maps.Keys(changes.Deltas)), changes.Large...) {
+		h.since[prefix] = leader.followers[prefix].relayed
 	}
-	h.since = leader.knownRevisions()
 	return sent, received
 }
 
@@ -315,12 +333,15 @@
 				hosts := make([]simulatedHost, n)
 				for i := range hosts {
 					listed := uint64(firstHostRevision + rng.IntN(n/10))
-					hosts[i] = simulatedHost{scaledHost(i), map[string]uint64{platform.ConfigurationKey: listed,
+					hosts[i] = simulatedHost{Host: scaledHost(i), since: map[string]uint64{platform.ConfigurationKey: listed,
 						platform.TargetPrefix: listed, controlPrefix: listed}}
 				}
 				b.StartTimer()
 				// Rounds of 50 ms: in each, a sixth of the hosts register and a fifth report.
 				for round := range 16 {
+					if round%2 == 0 { // the delay of relayed registrations has passed
+						leader.followers[controlPrefix].relayedAt = time.Time{}
+					}
 					if from, to := n*round/6, min(n, n*(round+1)/6); n/20+1 < to && from < to {
 						leader.register(b, s.registrations[max(n/20+1, from):to])
 						leader.control.flush()
@@ -351,7 +372,7 @@
 		leader.lead()
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			b.ReportAllocs()
-			h := simulatedHost{scaledHost(n / 2), leader.knownRevisions()}
+			h := simulatedHost{Host: scaledHost(n / 2), since: leader.knownRevisions()}
 			bytes := 0
 			for b.Loop() {
 				sent, received := h.report(b, leader, n/2)
--- a/rpccodec/rpccodec.go
+++ b/rpccodec/rpccodec.go
@@ -32,6 +32,7 @@
 		decoder: msgpack.NewDecoder(bufio.NewReaderSize(conn, bufferBytes))}
 	c.encoder.UseArrayEncodedStructs(true)
 	c.encoder.UseCompactInts(true)
+	c.encoder.UseCompactFloats(true) // whole numbers as integers; earlier versions decode both
 	return c
 }
 
@@ -143,7 +144,7 @@
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	defer c.counter.add(r.ServiceMethod, -1)
-	return c.writeMessage(responseHeader{r.ServiceMethod, r.Seq, r.Error}, body)
+	return c.writeMessage(responseHeader{"", r.Seq, r.Error}, body) // net/rpc finds the call by its sequence number
 }
 
 // requestHeader precedes the arguments of a call. It is encoded as an array, so the order of its fields is the wire format.
@@ -154,7 +155,7 @@
 
 // responseHeader precedes the reply of a call. It is encoded as an array, so the order of its fields is the wire format.
 type responseHeader struct {
-	Method   string
+	Method   string // not used; earlier versions send it
 	Sequence uint64
 	Error    string
 }
