Hosts do not keep keys that their leader has never seen

A property test of relayed changes found it: a key that is created and removed between two lists of the leader is not recorded as removed, and a host that followed the store itself in between keeps it, as after an outage during which a host departed.

--- a/fleet/delta.go
+++ b/fleet/delta.go
@@ -54,7 +54,13 @@
 type deltaCache struct {
 	mu       sync.Mutex
 	revision uint64
-	encoded  map[uint64][]byte // by the revision since which they are
+	encoded  map[deltaKind][]byte
+}
+
+// deltaKind tells changes up to the same revision apart.
+type deltaKind struct {
+	since   uint64
+	allKeys bool
 }
 
 // relayRevision returns the revision up to which changes are relayed. Registrations wait for registrationRelayDelay. The caller
@@ -94,9 +100,10 @@
 	return last
 }
 
-// delta returns the changes between two revisions. The caller holds followMu.
-func (f *prefixFollower) delta(since, until uint64) prefixDelta {
-	d := prefixDelta{Since: since, Revision: until, AllKeys: since > 0 && since < f.compactedRevision}
+// delta returns the changes up to a revision. The caller holds followMu.
+func (f *prefixFollower) delta(kind deltaKind, until uint64) prefixDelta {
+	since := kind.since
+	d := prefixDelta{Since: since, Revision: until, AllKeys: kind.allKeys}
 	for key, item := range f.items {
 		if item.Revision > since && (item.Revision <= until || !strings.HasPrefix(key, hostPrefix)) {
 			d.Items = append(d.Items, item)
@@ -189,23 +196,23 @@
 		a.followMu.Unlock()
 		return nil, nil
 	}
-	since = f.lastChangeBefore(since)
+	kind := deltaKind{f.lastChangeBefore(since), since > 0 && f.lacksRemovalsSince(since)}
 	a.followMu.Unlock()
 	cache := &f.deltas
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
 	if cache.revision != until || len(cache.encoded) >= maxCachedDeltas {
-		cache.revision, cache.encoded = until, map[uint64][]byte{}
+		cache.revision, cache.encoded = until, map[deltaKind][]byte{}
 	}
-	if encoded := cache.encoded[since]; encoded != nil {
+	if encoded := cache.encoded[kind]; encoded != nil {
 		return encoded, nil
 	}
 	a.followMu.Lock()
-	d := f.delta(since, until)
+	d := f.delta(kind, until)
 	a.followMu.Unlock()
 	encoded, err := encodeDelta(d)
 	if err == nil {
-		cache.encoded[since] = encoded
+		cache.encoded[kind] = encoded
 	}
 	return encoded, err
 }
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -35,6 +35,8 @@
 	candidateSyncDelay = 2 * reportInterval
 	// maxRemoved bounds the recorded removals. Hosts and targets come and go some hundred times a day.
 	maxRemoved = 1000
+	// maxGaps bounds the recorded gaps between lists. A prefix is listed again after outages and changes of the leader.
+	maxGaps = 20
 	// maxCandidates is the number of hosts that follow the store while there is no leader; the others sync with them.
 	maxCandidates = 3
 	// maxBackoff is the maximum delay between attempts at an unresponsive store, for the hosts that query it on
@@ -70,6 +72,7 @@
 	items             map[string]metastore.Item
 	removed           map[string]uint64 // keys with the revision at which their removal was observed
 	compactedRevision uint64            // removals before this revision are not recorded
+	gaps              []revisionGap     // between states that were listed; keys that existed only within are not known
 	revision          uint64            // revision of the last observed change
 	lastStoreReply    time.Time         // time of the last reply of the store to a call for this prefix
 
@@ -88,6 +91,9 @@
 	f.lastStoreReply = now
 }
 
+// revisionGap is the range between two states of a prefix, exclusive.
+type revisionGap struct{ from, to uint64 }
+
 // PrefixState holds the changes under a prefix between two revisions.
 type PrefixState struct {
 	Since    uint64 // 0 if Items is the complete state of the prefix
@@ -251,6 +257,8 @@
 	}
 	if f.revision == 0 {
 		f.compactedRevision = state.Revision
+	} else if f.revision+1 < state.Revision {
+		f.gaps = append(f.gaps, revisionGap{f.revision, state.Revision})
 	}
 	old := f.items
 	f.items = make(map[string]metastore.Item, len(state.Items))
@@ -274,12 +282,20 @@
 	return true
 }
 
+// lacksRemovalsSince reports whether not all removals since a revision are known: they were dropped, or the host has seen a state
+// between two lists of this one, with keys that were removed before the second. The caller holds followMu.
+func (f *prefixFollower) lacksRemovalsSince(revision uint64) bool {
+	return revision < f.compactedRevision || slices.ContainsFunc(f.gaps, func(g revisionGap) bool {
+		return g.from < revision && revision < g.to
+	})
+}
+
 // compactRemovals drops the recorded removals when there are too many. Hosts that have not seen them receive the
 // complete state. The caller holds followMu.
 func (f *prefixFollower) compactRemovals() {
-	if len(f.removed) > maxRemoved {
+	if len(f.removed) > maxRemoved || len(f.gaps) > maxGaps {
 		clear(f.removed)
-		f.compactedRevision = f.revision
+		f.gaps, f.compactedRevision = nil, f.revision
 	}
 }
 
@@ -406,7 +422,7 @@
 // The caller holds followMu.
 func (f *prefixFollower) changesSince(revision uint64) PrefixState {
 	state := PrefixState{Since: revision, Revision: f.revision}
-	if revision < f.compactedRevision {
+	if f.lacksRemovalsSince(revision) {
 		state.Since = 0
 	}
 	for _, item := range f.items {
