Homes of workspaces are computed when they are needed, and kept

Whenever a host came or went, each host divided all workspaces of all services among their hosts, of which it uses few. Now a plan ranks only as many hosts as the service uses, computes the homes at the first statement for the service, keeps them while the hosts of the service stay the same, and holds indexes instead of ranked slices.

--- a/fleet/state.go
+++ b/fleet/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -151,13 +152,15 @@
 func (v *clusterView) computePlans() map[model.Service]placement.Plan {
 	weights := make(map[model.Workspace]float64, len(v.catalog.Limits))
 	rate := 0.0
-	for workspace, limit := range v.catalog.Limits {
+	// In this order on all hosts, because the rounding of the sum depends on it.
+	for _, workspace := range slices.Sorted(maps.Keys(v.catalog.Limits)) {
+		limit := v.catalog.Limits[workspace]
 		weights[workspace] = limit.PerSecond
 		rate += limit.PerSecond
 	}
 	plans := make(map[model.Service]placement.Plan, len(v.catalog.Services))
 	for name, service := range v.catalog.Services {
-		plans[name] = placement.NewPlan(placement.PlanInput{Service: name,
+		plans[name] = v.plans[name].Next(placement.PlanInput{Service: name,
 			Connections: max(1, service.MaxConnections-reservedConnections),
 			Rate:        rate / float64(len(v.catalog.Services)), Weights: weights, Hosts: v.expected})
 	}
--- a/placement/homes_test.go
+++ b/placement/homes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -147,3 +148,72 @@
 		t.Errorf("%.2f of the reads found a recent position at their home, want %.2f", share, wantShare)
 	}
 }
+
+// Guards against a plan that differs from host to host, or from one computed anew, because homes are kept while hosts come and go.
+func TestNextPlanEqualsNewPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var plan Plan
+		in := PlanInput{Service: "booking", Connections: 68, Rate: 130, Hosts: planHosts(40), Weights: map[model.Workspace]float64{}}
+		for i := range 20 {
+			in.Weights[model.Workspace(fmt.Sprintf("w%d", i))] = float64(i % 4)
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
+			case 0:
+				in.Hosts = planHosts(rapid.IntRange(0, 60).Draw(t, "hosts"))
+			case 1:
+				in.Connections = rapid.IntRange(1, 100).Draw(t, "connections")
+			case 2:
+				in.Rate = rapid.Float64Range(0, 1000).Draw(t, "rate")
+			case 3:
+				in.Weights = maps.Clone(in.Weights)
+				in.Weights["w3"] = rapid.Float64Range(0, 100).Draw(t, "weight")
+			}
+			plan = plan.Next(in)
+			fresh := NewPlan(in)
+			if !slices.Equal(plan.Hosts, fresh.Hosts) || !slices.Equal(plan.Reserves, fresh.Reserves) ||
+				plan.ConnectionsPerHost != fresh.ConnectionsPerHost || plan.Remainder != fresh.Remainder {
+				t.Fatalf("the plan is %+v, computed anew %+v", plan, fresh)
+			}
+			for workspace := range in.Weights {
+				homes, standbys := plan.Homes(workspace)
+				freshHomes, freshStandbys := fresh.Homes(workspace)
+				if !slices.Equal(homes, freshHomes) || !slices.Equal(standbys, freshStandbys) {
+					t.Fatalf("%s: homes %v and %v, computed anew %v and %v", workspace, homes, standbys, freshHomes, freshStandbys)
+				}
+			}
+		}
+	})
+}
+
+// Guards against other hosts of a service than those of the complete order, by which hosts of earlier versions choose them.
+func TestTopHostsAreFirstOfRanking(t *testing.T) {
+	hosts := planHosts(200)
+	for i := range hosts {
+		hosts[i].Capacity = []float64{0.192, 0.8, 0}[i%3]
+	}
+	for service := range 20 {
+		key := servicePrefix + fmt.Sprint(service)
+		for _, n := range []int{1, 6, 16, 200} {
+			if got, want := topByCapacity(key, hosts, n), RankByCapacity(key, hosts)[:n]; !slices.Equal(got, want) {
+				t.Errorf("%s: the first %d hosts are %v, want %v", key, n, got, want)
+			}
+		}
+	}
+}
+
+// Guards against homes that are computed for each host that comes or goes and is not one of the service.
+func TestHomesAreKeptWhenOtherHostsChange(t *testing.T) {
+	in := PlanInput{Service: "booking", Connections: 68, Rate: 130, Hosts: planHosts(300),
+		Weights: map[model.Workspace]float64{"a": 1, "b": 2}}
+	plan := NewPlan(in)
+	other := slices.IndexFunc(in.Hosts, func(h Candidate) bool { return plan.ConnectionLimit(h.ID) == 0 })
+	in.Hosts = slices.Delete(slices.Clone(in.Hosts), other, other+1)
+	if next := plan.Next(in); next.assignment != plan.assignment {
+		t.Error("the homes are not kept when a host leaves that is not one of the service")
+	}
+	in.Hosts = slices.DeleteFunc(slices.Clone(in.Hosts), func(h Candidate) bool { return h.ID == plan.Hosts[0] })
+	if next := plan.Next(in); next.assignment == plan.assignment {
+		t.Error("the homes are kept although one has left")
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -71,28 +71,41 @@
 	return ids
 }
 
+// weightedHost is a host with its score in weighted rendezvous hashing.
+type weightedHost struct {
+	scoredHost
+	weighted float64
+}
+
+func newWeightedHost(key string, host Candidate) weightedHost {
+	score := Score(key, host.ID)
+	// The logarithm of a uniform number, divided by the weight, is the usual score of weighted rendezvous hashing.
+	uniform := (float64(score) + 0.5) / math.Exp2(64)
+	return weightedHost{scoredHost{host.ID, score}, math.Log(uniform) / max(host.Capacity, minCapacity)}
+}
+
+// compareWeighted orders hosts by decreasing weighted score. The order is total.
+func compareWeighted(a, b weightedHost) int {
+	return cmp.Or(cmp.Compare(b.weighted, a.weighted), compareScores(a.scoredHost, b.scoredHost))
+}
+
+func hostIDs(list []weightedHost) []model.HostID {
+	ids := make([]model.HostID, len(list))
+	for i, entry := range list {
+		ids[i] = entry.host
+	}
+	return ids
+}
+
 // RankByCapacity returns the ids of all hosts in weighted rendezvous order for the key: a host is ranked first for a share of
 // the keys that is proportional to its capacity.
 func RankByCapacity(key string, hosts []Candidate) []model.HostID {
-	type weightedHost struct {
-		scoredHost
-		weighted float64
-	}
 	list := make([]weightedHost, len(hosts))
 	for i, host := range hosts {
-		score := Score(key, host.ID)
-		// The logarithm of a uniform number, divided by the weight, is the usual score of weighted rendezvous hashing.
-		uniform := (float64(score) + 0.5) / math.Exp2(64)
-		list[i] = weightedHost{scoredHost{host.ID, score}, math.Log(uniform) / max(host.Capacity, minCapacity)}
+		list[i] = newWeightedHost(key, host)
 	}
-	slices.SortFunc(list, func(a, b weightedHost) int {
-		return cmp.Or(cmp.Compare(b.weighted, a.weighted), compareScores(a.scoredHost, b.scoredHost))
-	})
-	ids := make([]model.HostID, len(list))
-	for i, entry := range list {
-		ids[i] = entry.host
-	}
-	return ids
+	slices.SortFunc(list, compareWeighted)
+	return hostIDs(list)
 }
 
 // First returns the first host in rendezvous order for the key. It reports false if the list is empty.
