--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -275,7 +275,7 @@
 		a.dropBrokerIfEnded(b, err)
 		return err
 	}
-	a.applySyncReply(ctx, leader, sent, request.Revisions, reply)
+	a.applySyncResult(ctx, leader, sent, request.Revisions, reply)
 	a.leaderUnreachable.Store(false)
 	a.joinBroker(ctx, b)
 	return nil
@@ -318,12 +318,12 @@
 	if changed {
 		a.Log.Info("rate: broker in use", zap.String("broker", string(b.ID)), zap.Bool("deputy", b.deputy))
 	}
-	a.applySyncReply(ctx, b.Host, sent, request.Revisions, reply)
+	a.applySyncResult(ctx, b.Host, sent, request.Revisions, reply)
 	return nil
 }
 
 // reportMembership reports to a broker, either as a member or as a host that uses its equal share.
-func (a *Agent) reportMembership(b brokerHost, member bool) (SyncReply, error) {
+func (a *Agent) reportMembership(b brokerHost, member bool) (syncResult, error) {
 	return a.sendReport(b, a.newReport(member))
 }
 
@@ -331,16 +331,6 @@
 	return ReportRequest{Host: a.Self.ID, Standalone: !member, Revisions: a.knownRevisions()}
 }
 
-func (a *Agent) sendReport(b brokerHost, request ReportRequest) (reply SyncReply, err error) {
-	if b.deputy {
-		err = callHost(a, b.Host, "Peer.Sync", (*Peer).Sync, request, &reply, reportTimeout)
-		return reply, err
-	}
-	request.Observations = a.Server.PrimaryObservations()
-	err = callHost(a, b.Host, "Peer.Report", (*Peer).Report, request, &reply, reportTimeout)
-	return reply, err
-}
-
 // deputyLoop syncs with other hosts while the leader is unreachable, and uses one of them as a deputy broker.
 func (a *Agent) deputyLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -392,15 +382,15 @@
 		a.Log.Info("peer: sync failed", zap.String("peer", string(h.ID)), zap.Error(err))
 		return false
 	}
-	a.applySyncReply(ctx, h, sent, since, reply)
+	a.applySyncResult(ctx, h, sent, since, reply)
 	return true
 }
 
 // findDeputy queries the hosts of highest capacity and returns the first in that order that answers, or nil. It does not
 // wait for all of them, because those on the other side of a partition do not answer.
 func (a *Agent) findDeputy(ctx context.Context) *brokerHost {
-	hosts := a.view.Load().hostsByCapacityExceptLeader()
-	hosts = hosts[:min(maxDeputies, len(hosts))]
+	v := a.view.Load()
+	hosts := v.largestHostsExcept(v.lastLeader(), maxDeputies)
 	answers := make(chan int, len(hosts)) // index of the host that has answered, or -1
 	for i, h := range hosts {
 		go func() {
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -35,6 +35,8 @@
 	candidateSyncDelay = 2 * reportInterval
 	// maxRemoved bounds the recorded removals. Hosts and targets come and go some hundred times a day.
 	maxRemoved = 1000
+	// maxGaps bounds the recorded gaps between lists. A prefix is listed again after outages and changes of the leader.
+	maxGaps = 20
 	// maxCandidates is the number of hosts that follow the store while there is no leader; the others sync with them.
 	maxCandidates = 3
 	// maxBackoff is the maximum delay between attempts at an unresponsive store, for the hosts that query it on
@@ -70,8 +72,14 @@
 	items             map[string]metastore.Item
 	removed           map[string]uint64 // keys with the revision at which their removal was observed
 	compactedRevision uint64            // removals before this revision are not recorded
+	gaps              []revisionGap     // between states that were listed; keys that existed only within are not known
 	revision          uint64            // revision of the last observed change
 	lastStoreReply    time.Time         // time of the last reply of the store to a call for this prefix
+
+	relayed     uint64    // revision up to which changes are relayed
+	relayedAt   time.Time // when it was set
+	relayUrgent bool      // there are changes that must not wait
+	deltas      deltaCache
 }
 
 // recordStoreReply records that the store has answered a list or a watch of the prefix.
@@ -83,6 +91,9 @@
 	f.lastStoreReply = now
 }
 
+// revisionGap is the range between two states of a prefix, exclusive.
+type revisionGap struct{ from, to uint64 }
+
 // PrefixState holds the changes under a prefix between two revisions.
 type PrefixState struct {
 	Since    uint64 // 0 if Items is the complete state of the prefix
@@ -226,6 +237,7 @@
 
 // recordEvent updates items and removed with one event. The caller holds followMu.
 func (f *prefixFollower) recordEvent(e metastore.Event) {
+	f.noteUrgent(e.Key)
 	if e.Removed {
 		delete(f.items, e.Key)
 		f.removed[e.Key] = e.Revision
@@ -245,6 +257,8 @@
 	}
 	if f.revision == 0 {
 		f.compactedRevision = state.Revision
+	} else if f.revision+1 < state.Revision {
+		f.gaps = append(f.gaps, revisionGap{f.revision, state.Revision})
 	}
 	old := f.items
 	f.items = make(map[string]metastore.Item, len(state.Items))
@@ -260,6 +274,7 @@
 		}
 	}
 	f.revision = state.Revision
+	f.relayUrgent = true
 	f.compactRemovals()
 	apply := f.apply
 	f.agent.followMu.Unlock()
@@ -267,12 +282,20 @@
 	return true
 }
 
+// lacksRemovalsSince reports whether not all removals since a revision are known: they were dropped, or the host has seen a state
+// between two lists of this one, with keys that were removed before the second. The caller holds followMu.
+func (f *prefixFollower) lacksRemovalsSince(revision uint64) bool {
+	return revision < f.compactedRevision || slices.ContainsFunc(f.gaps, func(g revisionGap) bool {
+		return g.from < revision && revision < g.to
+	})
+}
+
 // compactRemovals drops the recorded removals when there are too many. Hosts that have not seen them receive the
 // complete state. The caller holds followMu.
 func (f *prefixFollower) compactRemovals() {
-	if len(f.removed) > maxRemoved {
+	if len(f.removed) > maxRemoved || len(f.gaps) > maxGaps {
 		clear(f.removed)
-		f.compactedRevision = f.revision
+		f.gaps, f.compactedRevision = nil, f.revision
 	}
 }
 
@@ -331,8 +354,8 @@
 
 // candidateHosts returns the registered hosts of highest capacity, excluding the last leader.
 func (a *Agent) candidateHosts() []Host {
-	hosts := a.view.Load().hostsByCapacityExceptLeader()
-	return hosts[:min(maxCandidates, len(hosts))]
+	v := a.view.Load()
+	return v.largestHostsExcept(v.lastLeader(), maxCandidates)
 }
 
 // isFreshRelay reports whether this host follows the store and has recently received a reply for each prefix. The store may
@@ -399,7 +422,7 @@
 // The caller holds followMu.
 func (f *prefixFollower) changesSince(revision uint64) PrefixState {
 	state := PrefixState{Since: revision, Revision: f.revision}
-	if revision < f.compactedRevision {
+	if f.lacksRemovalsSince(revision) {
 		state.Since = 0
 	}
 	for _, item := range f.items {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -75,13 +75,11 @@
 	plans         map[model.Service]placement.Plan // empty if statements are assigned by target
 	routing       RoutingDocument
 	targetPlan    placement.TargetPlan // empty unless statements are assigned by target
+	ordered       *hostOrder // of a published view; nil in that of the control goroutine
 }
 
 func (v *clusterView) clone() *clusterView {
-	c := *v
-	c.targets, c.hosts, c.documents = maps.Clone(v.targets), maps.Clone(v.hosts), maps.Clone(v.documents)
-	c.drainingSince = maps.Clone(v.drainingSince)
-	return &c
+	return v.cloneChanged(v, pendingChanges{hosts: true, targets: true, documents: true})
 }
 
 // applyControlKey applies an event of a control key. A document is never replaced by an older one.
@@ -160,13 +158,15 @@
 func (v *clusterView) computePlans() map[model.Service]placement.Plan {
 	weights := make(map[model.Workspace]float64, len(v.catalog.Limits))
 	rate := 0.0
-	for workspace, limit := range v.catalog.Limits {
+	// In this order on all hosts, because the rounding of the sum depends on it.
+	for _, workspace := range slices.Sorted(maps.Keys(v.catalog.Limits)) {
+		limit := v.catalog.Limits[workspace]
 		weights[workspace] = limit.PerSecond
 		rate += limit.PerSecond
 	}
 	plans := make(map[model.Service]placement.Plan, len(v.catalog.Services))
 	for name, service := range v.catalog.Services {
-		plans[name] = placement.NewPlan(placement.PlanInput{Service: name,
+		plans[name] = v.plans[name].Next(placement.PlanInput{Service: name,
 			Connections: max(1, service.MaxConnections-reservedConnections),
 			Rate:        rate / float64(len(v.catalog.Services)), Weights: weights, Hosts: v.expected})
 	}
@@ -180,8 +180,9 @@
 		limits := frontend.ConnectionLimits{Max: plan.ConnectionLimit(host)}
 		return func(model.TargetID) frontend.ConnectionLimits { return limits }
 	}
+	plan := v.targetPlan // the function must not keep the view in memory
 	return func(target model.TargetID) frontend.ConnectionLimits {
-		limit := v.targetPlan.ConnectionLimit(target, host)
+		limit := plan.ConnectionLimit(target, host)
 		return frontend.ConnectionLimits{Max: limit, Retained: int(targetRetainedFraction * float64(limit)), Adaptive: true}
 	}
 }
