--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -104,8 +104,8 @@
 	entries           map[Ticket]*queueEntry
 	lastTicket        Ticket
 	lastTurn          uint64
-	epoch             time.Time // reference time of the usage weights
-	meanServiceTime   float64   // moving average over all workspaces, in seconds
+	decay             Decay
+	meanServiceTime   float64 // moving average over all workspaces, in seconds
 	queued            int
 	waitingWorkspaces int     // number of workspaces with queued requests
 	queuedWork        float64 // expected service time of all queued requests, in seconds
--- a/fairqueue/fairqueue_test.go
+++ b/fairqueue/fairqueue_test.go
@@ -351,7 +351,7 @@
 }
 
 // Guards against unlimited credit for idle time, with which a returning workspace would starve the others. Its credit is at
-// most maxCredit, so the other workspace gets half of the remaining time.
+// most MaxCredit, so the other workspace gets half of the remaining time.
 func TestCreditIsBounded(t *testing.T) {
 	h := newHarness(t, Config{Slots: 1})
 	h.finish(h.push("b", time.Hour))
@@ -359,7 +359,7 @@
 	measureSlotTime(h, fast, 10*time.Second)
 	fast["b"] = time.Millisecond
 	used := measureSlotTime(h, fast, time.Second)
-	if used["a"].Seconds() < (1-maxCredit)/2 {
+	if used["a"].Seconds() < (1-MaxCredit)/2 {
 		t.Errorf("a got %s of 1 s after b was idle", used["a"])
 	}
 }
--- a/fairqueue/schedule.go
+++ b/fairqueue/schedule.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -13,15 +12,6 @@
 const (
 	// serviceTimeWeight is the weight of a new service time in the exponential moving averages.
 	serviceTimeWeight = 0.1
-	// usageTimeConstant is the time in which the weight of used slot time decays to 1/e. It bounds the debt of a workspace
-	// after slow statements, and its credit after a pause, to one second per slot.
-	usageTimeConstant = time.Second
-	// maxCredit bounds, in seconds of slot time, how much less usage a workspace may have than the next waiting one. Without
-	// it, a workspace that returns after a pause would take every slot for 0.7 × usageTimeConstant.
-	maxCredit = 0.2
-	// maxExponent is the age of an epoch, in multiples of usageTimeConstant, at which a new one begins. It is far below
-	// the exponent at which the weights would overflow.
-	maxExponent = 100
 	// maxInitialCharge bounds, in seconds, the slot time that is charged when a request starts.
 	maxInitialCharge = 1.0
 	// maxTrackedWorkspaces is the number of tracked workspaces at which idle ones are removed, with their service times.
@@ -83,42 +73,22 @@
 	return a.name < b.name
 }
 
-// advanceEpoch begins a new epoch if the current one is old. Decaying the used slot time as time passes would require an
-// update of every workspace. Instead, later slot time has a greater weight, by a factor of e for each usageTimeConstant
-// since the epoch. The order of the workspaces is the same.
+// advanceEpoch begins a new epoch of the usage weights if the current one is old.
 func (q *Queue) advanceEpoch(now time.Time) {
-	if q.epoch.IsZero() {
-		q.epoch = now
-	}
-	exponent := now.Sub(q.epoch).Seconds() / usageTimeConstant.Seconds()
-	if exponent < maxExponent {
+	scale, advanced := q.decay.Advance(now)
+	if !advanced {
 		return
 	}
-	scale := math.Exp(-exponent)
 	for _, w := range q.workspaces {
 		w.usage *= scale
 		for _, entry := range w.running {
 			entry.charged *= scale
 		}
 	}
-	q.epoch = now
 	// Very small usages may have become equal.
 	heap.Init(&q.ready)
 }
 
-// weight returns the weight of slot time used at the given time, in the scale of the epoch.
-func (q *Queue) weight(at time.Time) float64 {
-	return math.Exp(at.Sub(q.epoch).Seconds() / usageTimeConstant.Seconds())
-}
-
-// scaledSlotTime returns the weighted slot time between two times, in the scale of the epoch.
-func (q *Queue) scaledSlotTime(from, to time.Time) float64 {
-	if !to.After(from) {
-		return 0
-	}
-	return usageTimeConstant.Seconds() * (q.weight(to) - q.weight(from))
-}
-
 func readyIndex(w *workspace) *int   { return &w.readyIndex }
 func longestIndex(w *workspace) *int { return &w.longestIndex }
 
@@ -325,17 +295,17 @@
 	q.actions = append(q.actions, Action{Ticket: entry.ticket, Start: true})
 }
 
-// limitCredit removes the credit of a workspace that exceeds maxCredit.
+// limitCredit removes the credit of a workspace that exceeds MaxCredit.
 func (q *Queue) limitCredit(now time.Time, w *workspace) {
 	if next, ok := q.ready.firstExcept(w); ok {
-		w.usage = max(w.usage, next.usage-maxCredit*q.weight(now))
+		w.usage = max(w.usage, next.usage-MaxCredit*q.decay.Weight(now))
 	}
 }
 
 // charge adjusts the charge of a running request to its slot time until the given time.
 func (q *Queue) charge(w *workspace, entry *queueEntry, until time.Time) {
 	if q.config.Policy == PolicySlotTime {
-		usage := q.scaledSlotTime(entry.startedAt, until)
+		usage := q.decay.SlotTime(entry.startedAt, until)
 		w.usage += usage - entry.charged
 		entry.charged = usage
 	}
@@ -347,7 +317,7 @@
 // than expected would not be charged for the excess until they end.
 func (q *Queue) chargeRunning(now time.Time, w *workspace) bool {
 	for _, entry := range w.running {
-		if q.scaledSlotTime(entry.startedAt, now) > entry.charged {
+		if q.decay.SlotTime(entry.startedAt, now) > entry.charged {
 			q.charge(w, entry, now)
 		}
 	}
