Statements wait for their turn on a target under load control

Cause: a host sent every statement to its target as soon as it had a connection, so that the target queued them in order of arrival and answered BUSY beyond.

Change: package turns connects runqueue with the goroutines of the statements; frontend asks it in acquireConn, for statements inside transactions and for commits. The target is chosen (pool.Choose) and the turn is taken before the connection, so that waiting statements hold none and the order of the queue counts instead of that of the pool. pool.Request gets the field Target for it. The turn covers the opening of the connection. Where no connection is free or can be opened, or the primary is being replaced, the turn comes after the connection. Without Server.SetLoadControl nothing changes.

--- a/frontend/metrics.go
+++ b/frontend/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/turns"
 )
 
 // Metrics holds the Prometheus collectors of a Server.
@@ -13,11 +14,12 @@
 	answers *prometheus.CounterVec
 	latency prometheus.Histogram
 	opens   *prometheus.CounterVec
+	queues  *turns.Metrics
 }
 
 // NewMetrics creates the collectors and registers them with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
-	m := &Metrics{
+	m := &Metrics{queues: turns.NewMetrics(r),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "waxwingspindle_session_answers_total",
 			Help: "Answers to callers' statements by code."}, []string{"code"}),
 		latency: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "waxwingspindle_session_statement_seconds",
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -15,6 +15,7 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
 	"github.com/waxwingspindle/waxwingspindle/share"
+	"github.com/waxwingspindle/waxwingspindle/turns"
 )
 
 const (
@@ -38,6 +39,8 @@
 	metrics    *Metrics
 
 	activeCatalog       atomic.Pointer[catalog.Catalog]
+	loadControl         atomic.Bool // statements wait in the queues of targets
+	queues              *turns.Shared
 	stopTimes           atomic.Pointer[StopTimes] // nil unless a planned stop was announced
 	closing             atomic.Bool               // sessions end as soon as they have no open transaction
 	primaryAllowedUntil atomic.Int64              // boot time in nanoseconds until which primaries may be used
@@ -61,7 +64,8 @@
 func New(dataCentre model.DataCentre, dialer Dialer, log *zap.Logger, metrics *Metrics) *Server {
 	s := &Server{dataCentre: dataCentre, dialer: dialer, log: log, metrics: metrics,
 		services: map[model.Service]*service{}, sessions: map[*session]CallerConn{},
-		forwardedTxns: map[txnKey]*session{}, limiter: share.NewLimiter()}
+		forwardedTxns: map[txnKey]*session{}, limiter: share.NewLimiter(),
+		queues: turns.NewShared(boottime.Now(), metrics.queues)}
 	s.activeCatalog.Store(&catalog.Catalog{})
 	return s
 }
@@ -78,6 +82,7 @@
 			for _, svc := range s.allServices() {
 				svc.tick()
 			}
+			s.queues.ReportSuppressed(boottime.Now(), s.log)
 		}
 	}
 }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -14,7 +14,9 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/pool"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/retry"
 	"github.com/waxwingspindle/waxwingspindle/routing"
+	"github.com/waxwingspindle/waxwingspindle/turns"
 )
 
 const (
@@ -78,6 +80,8 @@
 	primaryFailingSince time.Time                    // time of the first failure since that reply, or zero
 	primaryProbedAt     time.Time                    // last attempt to reach an unreachable primary
 	lastWorkspace       model.Workspace              // workspace of the last request
+	queues              map[model.TargetID]*turns.Queue
+	retries             *retry.Budget // nil before the first statement and without load control
 }
 
 // targetConn is an open connection and the session state that is set up on it.
@@ -88,7 +92,8 @@
 	conn       Conn
 	variables  map[string]string
 	prepared   map[string]bool
-	lastSentAt time.Time // time of the last command
+	lastSentAt time.Time   // time of the last command
+	turn       *turns.Turn // of the statement that uses the connection; nil between statements and without load control
 }
 
 // grant is the result of a request for a connection: either conn or refusal is set.
@@ -101,7 +106,7 @@
 	return &service{server: server, name: name, log: server.log.With(zap.String("service", string(name))),
 		pool: pool.New(server.dataCentre), conns: map[pool.ConnID]*targetConn{},
 		waiters: map[pool.RequestID]chan<- grant{}, targets: map[model.TargetID]catalog.Target{},
-		samples:     &routing.PositionSamples{},
+		samples: &routing.PositionSamples{}, queues: map[model.TargetID]*turns.Queue{},
 		lastReplyAt: map[model.TargetID]time.Time{}, averageReadTime: initialReadTime}
 }
 
@@ -117,7 +122,7 @@
 				zap.Any("targets", s.pool.Load()))
 			s.deliverResult(a.RequestID, grant{refusal: a.Reason})
 		case pool.Open:
-			go s.open(a, s.targets[a.Target])
+			s.startOpening(a, s.targets[a.Target])
 		case pool.Close:
 			s.close(a.Conn)
 		}
@@ -283,6 +288,7 @@
 
 // release returns a connection to the pool, or closes it if it is broken.
 func (s *service) release(c *targetConn, broken bool) {
+	c.endTurn()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
@@ -330,6 +336,9 @@
 		}
 	}
 	reply := replies[len(replies)-1]
+	if reply.Code == Busy {
+		c.turn.ObserveBusy()
+	}
 	if reply.Code == UnknownStatement {
 		clear(c.prepared) // the target has dropped them; the next attempt prepares them again
 	}
@@ -408,6 +417,7 @@
 		}
 	}
 	s.targets = registered
+	s.updateQueues(now)
 	s.applyActions(s.pool.SetTargets(now, list))
 	s.updatePoolPrimary(now)
 }
@@ -544,6 +554,7 @@
 
 // tick refuses expired requests and probes an unreachable primary.
 func (s *service) tick() {
+	s.tickQueues(boottime.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -250,6 +250,9 @@
 	deadline     time.Time
 	isWrite      bool // needs the primary regardless of the route's consistency
 	forcePrimary bool // a replica answered Lagging, so the primary has to run it
+	begins       bool // begins a transaction
+	isCommit     bool
+	isRetry      bool // a target answered BUSY to an earlier attempt
 }
 
 // needsPrimary reports whether the operation must run on the primary.
@@ -297,7 +300,8 @@
 // reads.
 func (s *session) runLocally(op operation, st Statement) Answer {
 	lastAnswer := errorAnswer(Busy, "no attempt was possible in time")
-	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline); attempt++ {
+	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline) &&
+		op.service.mayAttempt(attempt, &lastAnswer); attempt++ {
 		c, epoch, minPosition, refusal := s.acquireConn(&op)
 		if refusal.Code != Success {
 			return refusal
@@ -342,7 +346,7 @@
 	case Lagging:
 		op.forcePrimary = true
 	case Busy, ReadOnly:
-		time.Sleep(retryPause)
+		s.pauseBeforeRetry(op, reply.Code)
 	case Failed:
 		return !op.isWrite
 	case UnknownStatement:
@@ -396,7 +400,10 @@
 		}
 	}
 	request.Deadline = s.queueDeadline(*op)
-	g := op.service.acquire(request)
+	g, refusal := s.acquireInTurn(op, request)
+	if refusal.Code != Success {
+		return nil, 0, minPosition, refusal
+	}
 	if g.conn == nil {
 		return nil, 0, minPosition, errorAnswer(Busy, "no connection: "+g.refusal.String())
 	}
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -89,9 +89,13 @@
 			s.failTxn()
 			return refusal
 		}
+	} else if refusal := s.enterInTxn(op, st); refusal.Code != Success {
+		s.failTxn()
+		return refusal
 	}
 	s.executedOn = string(t.conn.target.ID)
 	reply, _, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.networkDeadline(op))
+	t.conn.endTurn()
 	if err != nil {
 		s.logNoAnswer(st, t.conn, err)
 		s.abandonTxn()
@@ -166,12 +170,14 @@
 // beginOnTarget begins the open transaction on a target of this host. first is the statement that needs it.
 func (s *session) beginOnTarget(op operation, first Statement) Answer {
 	t := s.txn
-	op.isWrite = !t.readOnly
+	op.isWrite, op.begins = !t.readOnly, true
 	begin := Statement{ID: internalStatementID, Kind: Begin}
 	if t.readOnly {
 		begin.Kind = BeginRead
 	}
-	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline); attempt++ {
+	lastAnswer := errorAnswer(Busy, "the transaction could not be begun in time")
+	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline) &&
+		op.service.mayAttempt(attempt, &lastAnswer); attempt++ {
 		c, epoch, minPosition, refusal := s.acquireConn(&op)
 		if refusal.Code != Success {
 			return refusal
@@ -189,7 +195,7 @@
 		}
 	}
 	s.log.Info("transaction: not begun within the timeout", zap.String("id", first.ID))
-	return errorAnswer(Busy, "the transaction could not be begun in time")
+	return lastAnswer
 }
 
 // commit commits the open transaction, or rolls it back if it has failed.
@@ -220,6 +226,10 @@
 			s.txn = nil
 			return refusal
 		}
+	} else if refusal := s.enterInTxn(op, st); refusal.Code != Success {
+		s.rollback(t)
+		s.txn = nil
+		return refusal
 	}
 	s.executedOn = string(t.conn.target.ID)
 	reply, sent, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.networkDeadline(op))
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -67,8 +67,9 @@
 	// AsOf, or only on the primary if AsOf is zero.
 	PrimaryOnly bool
 	AsOf        time.Time
-	Priority    int       // 0 is the highest
-	Deadline    time.Time // time at which the request is refused if it has no connection yet
+	Target      model.TargetID // the only target that may run it, or empty
+	Priority    int            // 0 is the highest
+	Deadline    time.Time      // time at which the request is refused if it has no connection yet
 
 	enqueuedAt time.Time
 }
@@ -476,9 +477,36 @@
 	if primary != nil && !p.closed {
 		list = append(list, primary)
 	}
+	if r.Target != "" {
+		list = slices.DeleteFunc(list, func(t *target) bool { return t.ID != r.Target })
+	}
 	return list
 }
 
+// Choose returns the target that should run a request which waits for its turn before it is enqueued, or "" if no target has a
+// connection for it that is idle or can be opened. waiting returns the number of such requests that wait for a target.
+func (p *Pool) Choose(now time.Time, r Request, waiting func(model.TargetID) int) model.TargetID {
+	var best *target
+	bestCost := 0.0
+	for _, t := range p.candidates(now, r) {
+		cost := p.estimateCost(t, r) + float64(waiting(t.ID))
+		if p.findConn(t.ID, func(c *conn) bool { return c.state == idle && c.workspace == r.Workspace }) == nil {
+			full := p.connCount(t.ID) >= t.Limit
+			if now.Before(t.backoffUntil) || full && p.leastRecentlyUsedIdle(t.ID) == nil {
+				continue
+			}
+			cost += handshakeCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.ID
+}
+
 // mayHaveData reports whether a replica probably has all commits up to the given time. The target verifies it when it runs
 // the statement.
 func (t *target) mayHaveData(now time.Time, asOf time.Time) bool {
--- a/runqueue/order.go
+++ b/runqueue/order.go
@@ -1,7 +1,6 @@
 package runqueue
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -14,6 +13,10 @@
 // add puts a request into the queue.
 func (q *Queue) add(now time.Time, e *entry) {
 	q.waiting++
+	if e.Opening {
+		q.waitingOpen = append(q.waitingOpen, e)
+		return
+	}
 	if e.InTxn {
 		q.inTxn = append(q.inTxn, e)
 		q.inTxnWork += e.Expected.Seconds()
@@ -41,6 +44,10 @@
 // remove takes a waiting request out of the queue.
 func (q *Queue) remove(e *entry) {
 	q.waiting--
+	if e.Opening {
+		q.waitingOpen = without(q.waitingOpen, e)
+		return
+	}
 	if e.InTxn {
 		q.inTxn = without(q.inTxn, e)
 		q.inTxnWork = work(q.inTxnWork, e, len(q.inTxn))
@@ -94,14 +101,19 @@
 
 // dispatch starts requests while the limit allows it, and returns the actions of the call in progress.
 func (q *Queue) dispatch(now time.Time) []Action {
-	for len(q.running) < q.limit && q.waiting > 0 {
+	for q.openings < q.maxOpenings && len(q.waitingOpen) > 0 {
+		if e := q.waitingOpen[0]; now.Before(e.Deadline) {
+			q.start(now, e)
+		} else {
+			q.refuse(now, e, Deadline)
+		}
+	}
+	for len(q.running) < q.currentLimit(now) && q.waiting > len(q.waitingOpen) {
 		e := q.next(now)
 		switch {
-		case e == nil:
-			return q.takeActions()
 		case !now.Before(e.Deadline):
 			q.refuse(now, e, Deadline)
-		case e.Discardable && !e.mayAlwaysWait() && now.Add(e.Expected).After(e.LatencyTarget) && q.isLong():
+		case e.Discardable && !e.InTxn && now.Add(e.Expected).After(e.LatencyTarget) && q.isLong():
 			q.refuse(now, e, Late)
 		default:
 			q.start(now, e)
@@ -116,11 +128,11 @@
 	e.startedAt = now
 	q.running[e.ID] = e
 	q.runningWork += e.Expected.Seconds()
+	q.actions = append(q.actions, Start{e.ID})
 	if e.Opening {
 		q.openings++
 	}
-	q.actions = append(q.actions, Start{e.ID})
-	if e.InTxn {
+	if e.account == nil {
 		return
 	}
 	q.settleFloors(e.Priority)
@@ -167,27 +179,20 @@
 	return least
 }
 
-// next returns the request that starts next, or nil if none may start.
+// next returns the request that starts next. At least one other than openings must be waiting.
 func (q *Queue) next(now time.Time) *entry {
 	if len(q.inTxn) > 0 {
 		return q.inTxn[0]
 	}
-	recovering := now.Before(q.calmAt)
 	highest := q.highestWaiting()
-	if !recovering {
+	if !now.Before(q.calmAt) {
 		for i := highest + 1; i <= LowestPriority; i++ {
 			if c := &q.classes[i]; c.count > 0 && c.credit >= 1 {
-				return c.next(now, func(*entry) bool { return true })
+				return c.leastServed(nil).next(now)
 			}
 		}
 	}
-	mayStart := func(e *entry) bool { return !recovering || !e.Opening || q.openings < q.maxOpenings }
-	for i := highest; i <= LowestPriority; i++ {
-		if e := q.classes[i].next(now, mayStart); e != nil {
-			return e
-		}
-	}
-	return nil
+	return q.classes[highest].leastServed(nil).next(now)
 }
 
 // highestWaiting returns the highest priority with a waiting request.
@@ -200,42 +205,14 @@
 	return LowestPriority
 }
 
-// next returns the request of the class that starts next among those that may start. Accounts are tried in the order of
-// their usage.
-func (c *class) next(now time.Time, mayStart func(*entry) bool) *entry {
-	least := c.leastServed(nil)
-	if least == nil {
-		return nil
-	}
-	if e := least.next(now, mayStart); e != nil {
-		return e
-	}
-	ordered := slices.SortedFunc(slices.Values(c.active), func(a, b *account) int {
-		return cmp.Compare(a.usage*b.weight, b.usage*a.weight)
-	})
-	for _, a := range ordered {
-		if e := a.next(now, mayStart); e != nil {
-			return e
-		}
-	}
-	return nil
-}
-
 // next returns the first request that can still meet its latency target, or the first one if none can.
-func (a *account) next(now time.Time, mayStart func(*entry) bool) *entry {
-	var first *entry
+func (a *account) next(now time.Time) *entry {
 	for _, e := range a.waiting {
-		if !mayStart(e) {
-			continue
-		}
 		if !now.Add(e.Expected).After(e.LatencyTarget) {
 			return e
 		}
-		if first == nil {
-			first = e
-		}
 	}
-	return first
+	return a.waiting[0]
 }
 
 // settleFloors counts a start of the given priority: each lower waiting priority earns its floor, and the served one has
@@ -273,6 +250,7 @@
 			}
 		}
 	}
+	collect(q.waitingOpen)
 	collect(q.inTxn)
 	for i := range q.classes {
 		for _, a := range q.classes[i].active {
--- a/runqueue/refuse.go
+++ b/runqueue/refuse.go
@@ -28,11 +28,11 @@
 func (r Request) mayAlwaysWait() bool { return r.InTxn || r.Opening }
 
 // assess returns the refusal of a request that should not be queued, and whether there is one.
-func (q *Queue) assess(now time.Time, r Request, ahead time.Duration) (Refuse, bool) {
+func (q *Queue) assess(now time.Time, r Request) (Refuse, bool) {
 	if r.mayAlwaysWait() {
 		return Refuse{}, false
 	}
-	wait := q.estimate(now, r, ahead)
+	wait := q.estimate(now, r)
 	reason := Reason(0)
 	switch end := now.Add(wait).Add(r.Expected); {
 	case !now.Before(r.Deadline), wait > 0 && end.After(r.Deadline):
@@ -50,7 +50,7 @@
 // refuse refuses a waiting request.
 func (q *Queue) refuse(now time.Time, e *entry, reason Reason) {
 	q.remove(e)
-	wait := q.estimate(now, e.Request, 0)
+	wait := q.estimate(now, e.Request)
 	q.actions = append(q.actions, Refuse{ID: e.ID, Reason: reason, RetryAfter: q.retryAfter(wait), Wait: wait})
 }
 
@@ -70,15 +70,15 @@
 	return sum > shortQueueTime.Seconds()*float64(q.limit)
 }
 
-// estimate returns the expected wait of a request that is enqueued now, behind statements that take the time ahead on the
-// target: the work that goes before it, divided by the part of the target that its priority gets. That part is what the
-// arrivals of higher priorities leave, as in Cobham's formula for queues with priorities (Operations Research 2, 1954), but
-// at least the floor. It is zero while a slot is free, so that a wrong estimate never keeps a target idle.
-func (q *Queue) estimate(now time.Time, r Request, ahead time.Duration) time.Duration {
-	if len(q.running) < q.limit && q.waiting == 0 && ahead <= 0 {
+// estimate returns the expected wait of a request that is enqueued now: the work that goes before it, divided by the part of
+// the target that its priority gets. That part is what the arrivals of higher priorities leave, as in Cobham's formula for
+// queues with priorities (Operations Research 2, 1954), but at least the floor. It is zero while a slot is free, so that a
+// wrong estimate never keeps a target idle.
+func (q *Queue) estimate(now time.Time, r Request) time.Duration {
+	if len(q.running) < q.limit && q.waiting == 0 {
 		return 0
 	}
-	before := q.inTxnWork + max(0, ahead.Seconds())
+	before := q.inTxnWork
 	if len(q.running) >= q.limit {
 		before += q.runningWork / 2 // on average, half of a running statement is left
 	}
@@ -139,7 +139,7 @@
 		var newest *entry
 		for _, a := range q.classes[i].active {
 			for _, e := range a.waiting {
-				if !e.Opening && (newest == nil || e.Arrived.After(newest.Arrived)) {
+				if newest == nil || e.Arrived.After(newest.Arrived) {
 					newest = e
 				}
 			}
--- a/runqueue/runqueue.go
+++ b/runqueue/runqueue.go
@@ -75,8 +75,9 @@
 	// InTxn marks statements of open transactions and commits. They go before all others and are refused only at their
 	// deadline.
 	InTxn bool
-	// Opening marks the opening of a connection. It is refused only at its deadline, because the statements that wait for
-	// the connection are refused by themselves.
+	// Opening marks the opening of a connection for statements that have no slot yet. Openings don't wait for the limit,
+	// because statements that have a slot may wait for the connection; at most SetMaxOpenings of them run at once, and they
+	// count as running, so that fewer statements start. They are refused only at their deadline.
 	Opening bool
 	// Discardable marks requests of routes to which a late answer is worth little.
 	Discardable bool
@@ -159,9 +160,10 @@
 	running     map[RequestID]*entry
 	runningWork float64 // expected time of the running requests in seconds
 	waiting     int
-	openings    int       // running requests that open a connection
+	waitingOpen []*entry  // openings in order of arrival
+	openings    int       // running openings
+	maxOpenings int       // bound of openings
 	calmAt      time.Time // end of the time after the loss of all hosts
-	maxOpenings int       // bound of openings before calmAt
 	actions     []Action  // actions of the call in progress
 }
 
@@ -171,17 +173,28 @@
 	if limit <= 0 {
 		q.limit = DefaultLimit
 	}
+	q.maxOpenings = q.limit
 	for i := range q.classes {
 		q.classes[i].accounts = map[model.Workspace]*account{}
 	}
 	return q
 }
 
+// SetMaxOpenings sets the number of connections that may be opened at once, initially the limit. The slots of the target are
+// the right number: every opening occupies one.
+func (q *Queue) SetMaxOpenings(n int) { q.maxOpenings = max(1, n) }
+
 // SetRecovery states that all hosts were lost, and that callers return together until the given time. Until then the
-// highest priority is served before all others, without the floors of the lower ones, and at most maxOpenings connections
-// are opened at once.
-func (q *Queue) SetRecovery(until time.Time, maxOpenings int) {
-	q.calmAt, q.maxOpenings = until, max(1, maxOpenings)
+// highest priority is served before all others, without the floors of the lower ones, and no more requests run at once than
+// connections may be opened, because every statement needs a new connection.
+func (q *Queue) SetRecovery(until time.Time) { q.calmAt = until }
+
+// currentLimit returns the number of requests that may run at once now.
+func (q *Queue) currentLimit(now time.Time) int {
+	if now.Before(q.calmAt) {
+		return min(q.limit, q.maxOpenings)
+	}
+	return q.limit
 }
 
 // SetLimit changes the number of requests that may run at once. It ignores a limit of 0 or less. Running requests continue.
@@ -223,23 +236,16 @@
 // may be among them.
 func (q *Queue) Enqueue(now time.Time, r Request) []Action {
 	r, _ = Sanitize(now, r)
-	if refusal, refused := q.assess(now, r, 0); refused {
+	if refusal, refused := q.assess(now, r); refused {
 		return []Action{refusal}
 	}
-	if q.waiting >= maxWaiting && !r.InTxn {
+	if q.waiting >= maxWaiting && !r.mayAlwaysWait() {
 		q.evictBelow(now, r.Priority)
 	}
 	q.add(now, &entry{Request: r})
 	return q.dispatch(now)
 }
 
-// Assess returns the refusal that Enqueue would return for the request, and whether there is one. ahead is the expected time
-// of statements that will be enqueued before it.
-func (q *Queue) Assess(now time.Time, r Request, ahead time.Duration) (Refuse, bool) {
-	r, _ = Sanitize(now, r)
-	return q.assess(now, r, ahead)
-}
-
 // Finish frees the slot of a request that has started. It ignores others.
 func (q *Queue) Finish(now time.Time, id RequestID) []Action {
 	e := q.running[id]
@@ -290,7 +296,7 @@
 // Wait returns the expected wait of a request if it were enqueued now.
 func (q *Queue) Wait(now time.Time, r Request) time.Duration {
 	r, _ = Sanitize(now, r)
-	return q.estimate(now, r, 0)
+	return q.estimate(now, r)
 }
 
 func (q *Queue) takeActions() []Action {
