Setting of load control: contracts and load_control of [host]

Change: platform.ParseContracts decodes the list of contracts; the word pressure switches load control on, and load_control = on or off overrides it. The settings template passes {{contracts}} on; the review's stand-in fills it with an empty list.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -32,6 +32,7 @@
 	hosts        []*hostProcess
 	seeds        []string // addresses at which the hosts reach each other
 	log          *zap.Logger
+	settings     string // further lines of the hosts' settings
 }
 
 // hostProcess is a running gateway with its addresses.
@@ -46,7 +47,13 @@
 // newTestFleet starts the platform and the hosts, and waits until all hosts are ready and the primary accepts writes.
 func newTestFleet(t *testing.T) *testFleet {
 	t.Helper()
-	fleet := &testFleet{t: t, store: lines.NewStore(), log: zap.NewNop()}
+	return newTestFleetWith(t, "")
+}
+
+// newTestFleetWith is newTestFleet with further lines of the hosts' settings.
+func newTestFleetWith(t *testing.T, settings string) *testFleet {
+	t.Helper()
+	fleet := &testFleet{t: t, store: lines.NewStore(), log: zap.NewNop(), settings: settings}
 	if os.Getenv("E2E_LOGS") != "" {
 		log, err := zap.NewDevelopment() // hosts may log after the end of the test, when t.Log panics
 		if err != nil {
@@ -109,7 +116,7 @@
 		fleet.t.Fatal(err)
 	}
 	fleet.t.Cleanup(relay.Close)
-	settings += "advertise = " + relay.Address + "\n"
+	settings += "advertise = " + relay.Address + "\n" + fleet.settings
 	fleet.seeds = append(fleet.seeds, relay.Address)
 	path := filepath.Join(fleet.t.TempDir(), name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,11 +57,13 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * gcMemoryFraction))
 	}
 	incarnation := model.Incarnation(time.Now().UnixNano())
-	log.Info("start", zap.Uint64("incarnation", uint64(incarnation)), zap.String("data_centre", settings.DataCentre))
+	log.Info("start", zap.Uint64("incarnation", uint64(incarnation)), zap.String("data_centre", settings.DataCentre),
+		zap.Bool("load_control", settings.LoadControlEnabled()))
 
 	registry := prometheus.NewRegistry()
 	server := frontend.New(model.DataCentre(settings.DataCentre), platform.TargetDialer{}, log,
 		frontend.NewMetrics(registry))
+	server.SetLoadControl(settings.LoadControlEnabled())
 	self := fleet.Host{ID: model.HostID(settings.Host), Incarnation: incarnation, Address: settings.AdvertisedAddress(),
 		DataCentre: model.DataCentre(settings.DataCentre), LinkMbps: settings.LinkMbps, Cores: settings.Cores}
 	agent := fleet.New(fleet.Config{Self: self, Store: metastore.Measure(platform.NewStore(settings.Store), registry),
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -12,6 +12,7 @@
 	"gopkg.in/ini.v1"
 
 	"github.com/waxwingspindle/waxwingspindle/frontend"
+	"github.com/waxwingspindle/waxwingspindle/platform"
 )
 
 // Fractions of DrainSeconds at which the phases of a graceful stop end at the latest. The rest of DrainSeconds is left for the
@@ -48,6 +49,9 @@
 	PromotionAPI string `ini:"duties"` // address of the platform's promotion API
 
 	DrainSeconds float64 `ini:"drain_seconds"` // time between the stop signal and the kill of the process
+
+	Contracts   string `ini:"contracts"`    // list of the deployment's contracts, decoded by package platform
+	LoadControl string `ini:"load_control"` // on or off; if empty, Contracts decides
 }
 
 // AdvertisedAddress returns the address at which other hosts reach this one.
@@ -65,6 +69,14 @@
 	return slices.Contains(strings.Split(s.Seeds, ","), s.AdvertisedAddress())
 }
 
+// LoadControlEnabled reports whether statements wait in the queues of targets.
+func (s Settings) LoadControlEnabled() bool {
+	if s.LoadControl == "" {
+		return platform.ParseContracts(s.Contracts).LoadControl
+	}
+	return s.LoadControl == "on"
+}
+
 // DrainTimeout returns the maximum duration of a graceful stop, without the calls that end the process.
 func (s Settings) DrainTimeout() time.Duration { return s.drainTime(drainFraction) }
 
@@ -113,6 +125,9 @@
 	if s.DrainSeconds < 0 {
 		problems = append(problems, "drain_seconds is negative")
 	}
+	if !slices.Contains([]string{"", "on", "off"}, s.LoadControl) {
+		problems = append(problems, fmt.Sprintf("load_control: %q is neither on nor off", s.LoadControl))
+	}
 	if len(problems) > 0 {
 		return trace.BadParameter("settings: %s", strings.Join(problems, "; "))
 	}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -59,6 +59,7 @@
 		{"metrics = 10.0.0.1:9464", "metrics = 10.0.0.1:99999", "metrics"},
 		{"drain_seconds = 6", "drain_seconds = -1", "drain_seconds"},
 		{"memory_mb = 200", "memory_mb = much", "memory_mb"},
+		{"drain_seconds = 6", "load_control = yes", "load_control"},
 	}
 	for _, test := range tests {
 		_, err := readSettingsText(t, strings.Replace(validSettings, test.from, test.to, 1))
@@ -68,6 +69,19 @@
 	}
 }
 
+// Guards against load control where the deployment has no such contract, or that an operator cannot switch.
+func TestLoadControlSetting(t *testing.T) {
+	for lines, want := range map[string]bool{
+		"": false, "contracts =": false, "contracts = pressure": true, "contracts = other,pressure": true,
+		"load_control = on": true, "load_control = off\ncontracts = pressure": false, "load_control =\ncontracts = pressure": true,
+	} {
+		s, err := readSettingsText(t, validSettings+lines+"\n")
+		if err != nil || s.LoadControlEnabled() != want {
+			t.Errorf("%q: load control %t, want %t, error %v", lines, s.LoadControlEnabled(), want, err)
+		}
+	}
+}
+
 // Guards against planned stops that leave open transactions less than half of drain_seconds, or statements no time to be
 // answered before the process is killed.
 func TestStopTimes(t *testing.T) {
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -171,7 +171,7 @@
 		"{{limits.memoryMb}}", "284", "{{limits.linkMbps}}", "1000.0", "{{limits.cpuShare}}", "0.4",
 		"{{listen.front}}", h.Callers, "{{listen.ready}}", h.Health, "{{listen.control}}", h.Peers, "{{seeds}}", seeds,
 		"{{platform.address}}", store, "{{cloud.address}}", duties,
-		"{{bounds.graceS}}", fmt.Sprint(GraceSeconds)).Replace(string(template))
+		"{{bounds.graceS}}", fmt.Sprint(GraceSeconds), "{{contracts}}", "").Replace(string(template))
 	if strings.Contains(text, "{{") {
 		return fmt.Errorf("the settings template has a field that this stand-in does not know:\n%s", text)
 	}
--- a/standin/lines/client.go
+++ b/standin/lines/client.go
@@ -27,7 +27,8 @@
 	Rows                 []string
 	Signature, TxnStatus string
 	Code                 string
-	Err                  error // reason for an incomplete response
+	Detail               string // text after the code
+	Err                  error  // reason for an incomplete response
 }
 
 // NewClient returns a client that uses conn. The session begins with Start.
@@ -72,7 +73,7 @@
 		case "COMPLETE":
 			response.Signature = rest
 		case "ERROR":
-			response.Code = firstWord(rest)
+			response.Code, response.Detail, _ = strings.Cut(rest, " ")
 		case "READY":
 			response.TxnStatus = firstWord(rest)
 			return response
