Queues of targets: observation points for a learned limit

Change: turns.LearnedLimit (SetSlots, Start, Finish) is told about each command and opening, with its class, time and outcome, so that a limit that learns can replace the one by slots in service.queueOf. A read that another host has forwarded is refused before that host tries a different one.

--- a/frontend/queue.go
+++ b/frontend/queue.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -29,7 +30,7 @@
 	}
 	q := s.queues[id]
 	if t, registered := s.targets[id]; q == nil && registered {
-		q = s.server.queues.NewQueue(t, s.log, boottime.Now())
+		q = s.server.queues.NewQueue(t, nil, s.log, boottime.Now())
 		s.queues[id] = q
 	}
 	return q
@@ -96,14 +97,14 @@
 	if q.BeginCovered() {
 		go func() {
 			defer q.EndCovered()
-			s.open(a, t)
+			s.openObserved(q, a, t)
 		}()
 		return
 	}
 	go func() {
 		now := boottime.Now()
 		turn, refusal := q.Await(runqueue.Request{Workspace: a.Workspace, Arrived: now, Opening: true,
-			LatencyTarget: now.Add(dialTimeout), Deadline: now.Add(dialTimeout)}, turns.Class{Kind: "opening"})
+			LatencyTarget: now.Add(dialTimeout), Deadline: now.Add(dialTimeout)}, turns.OpeningClass)
 		if refusal != nil {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -111,14 +112,57 @@
 			return
 		}
 		defer turn.End()
-		s.open(a, t)
+		s.openObserved(q, a, t)
 	}()
 }
 
-// runRequest returns the request for a turn of the operation.
+// openObserved opens a connection for the pool and records the outcome in the queue of the target.
+func (s *service) openObserved(q *turns.Queue, a pool.Open, t catalog.Target) {
+	sent := boottime.Now()
+	q.Sent(sent)
+	err := s.open(a, t)
+	q.Answered(sent, turns.OpeningClass, openingOutcome(err))
+}
+
+func openingOutcome(err error) turns.Outcome {
+	var refused *TargetError
+	switch {
+	case err == nil:
+		return turns.Done
+	case errors.As(err, &refused) && refused.Code == Busy:
+		return turns.Busy
+	case errors.As(err, &refused):
+		return turns.Failed
+	}
+	return turns.NoAnswer
+}
+
+// outcomeOf returns the outcome of a command and of those that set up the session before it.
+func outcomeOf(replies []Reply, err error) turns.Outcome {
+	if err != nil {
+		return turns.NoAnswer
+	}
+	for _, reply := range replies {
+		switch reply.Code {
+		case Success:
+		case Busy:
+			return turns.Busy
+		default:
+			return turns.Failed
+		}
+	}
+	return turns.Done
+}
+
+// runRequest returns the request for a turn of the operation. A read of another host must start before that host tries a
+// different one.
 func (s *session) runRequest(op *operation) runqueue.Request {
+	deadline := op.deadline
+	if s.forwardedFor != nil && s.txn == nil && !op.isWrite {
+		deadline = minTime(deadline, op.arrived.Add(op.route.LatencyTarget+forwardReadMargin-answerMargin))
+	}
 	return runqueue.Request{Workspace: op.workspace, Weight: s.server.weight(op.workspace), Priority: op.route.Priority,
-		Arrived: op.arrived, LatencyTarget: op.arrived.Add(op.route.LatencyTarget), Deadline: op.deadline,
+		Arrived: op.arrived, LatencyTarget: op.arrived.Add(op.route.LatencyTarget), Deadline: deadline,
 		// The configuration doesn't say what a late answer is worth. Routes of the highest priority get one.
 		Discardable: op.route.Priority > 0}
 }
@@ -235,14 +279,14 @@
 
 // class returns the class of the operation's statements.
 func (op operation) class() turns.Class {
-	kind := "read"
+	kind := turns.Read
 	switch {
 	case op.isCommit:
-		kind = "commit"
+		kind = turns.Commit
 	case op.begins:
-		kind = "begin"
+		kind = turns.Begin
 	case op.isWrite:
-		kind = "write"
+		kind = turns.Write
 	}
 	return turns.Class{Database: op.route.Database, Kind: kind}
 }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -192,8 +192,8 @@
 	return nil
 }
 
-// open opens a connection for the pool and reports the result to it.
-func (s *service) open(a pool.Open, t catalog.Target) {
+// open opens a connection for the pool and reports the result to it. It returns the error of the attempt.
+func (s *service) open(a pool.Open, t catalog.Target) error {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	sentAt := boottime.Now()
@@ -209,17 +209,18 @@
 			s.recordFailure(sentAt, t.ID)
 		}
 		s.applyActions(s.pool.OpenFinished(now, a.Conn, false))
-		return
+		return err
 	}
 	if current := s.targets[t.ID]; current.StartedAt != t.StartedAt || current.Address != t.Address {
 		go conn.Close()
 		s.applyActions(s.pool.OpenFinished(now, a.Conn, false))
-		return
+		return nil
 	}
 	s.conns[a.Conn] = &targetConn{id: a.Conn, target: t, workspace: a.Workspace, conn: conn,
 		variables: map[string]string{}, prepared: map[string]bool{}}
 	s.recordReply(sentAt, now, t, position)
 	s.applyActions(s.pool.OpenFinished(now, a.Conn, true))
+	return nil
 }
 
 // minPrimaryPosition returns the position that the primary has reached at the given time unless it lost data. The promotion may
@@ -325,7 +326,9 @@
 	}
 	commands := c.commandsFor(sess, &command)
 	c.lastSentAt = sentAt
+	c.turn.Sent(sentAt)
 	replies, sent, err := c.conn.Run(deadline, commands)
+	c.turn.Answered(sentAt, outcomeOf(replies, err))
 	if err != nil {
 		return Reply{}, sent, err
 	}
@@ -336,9 +339,6 @@
 		}
 	}
 	reply := replies[len(replies)-1]
-	if reply.Code == Busy {
-		c.turn.ObserveBusy()
-	}
 	if reply.Code == UnknownStatement {
 		clear(c.prepared) // the target has dropped them; the next attempt prepares them again
 	}
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -32,6 +32,31 @@
 // Limit is the number of statements that may run at once on a target.
 type Limit interface{ Limit() int }
 
+// LearnedLimit is a Limit that follows from the times of commands on the target. Its methods are called one at a time.
+type LearnedLimit interface {
+	Limit
+	// SetSlots adopts the number of slots of the target's registration, which may be 0 or negative.
+	SetSlots(slots int)
+	// Start records that a command is sent to the target.
+	Start(now time.Time)
+	// Finish records the result of a command that was started, and the time from sending it to its answer.
+	Finish(now time.Time, class Class, took time.Duration, outcome Outcome)
+}
+
+// Outcome is the result of a command on a target.
+type Outcome uint8
+
+const (
+	// Done means that the target ran the command.
+	Done Outcome = iota
+	// Busy means that the target refused the command because it is full.
+	Busy
+	// Failed means that the target answered with an error.
+	Failed
+	// NoAnswer means that the target did not answer in time.
+	NoAnswer
+)
+
 // slotLimit is the limit of a target by its registration: one statement for each slot, and one that waits at the target, so
 // that a slot is used again without the time of a message.
 type slotLimit int
@@ -41,10 +66,25 @@
 
 // Class identifies statements that take a similar time on a target.
 type Class struct {
-	Database string // as in the route
-	Kind     string // of the statement
+	Database string // as in the route; empty for openings
+	Kind     Kind
 }
 
+// Kind is the kind of a statement, as far as its time on the target is concerned.
+type Kind string
+
+// Kinds of statements.
+const (
+	Read    Kind = "read"
+	Write   Kind = "write"
+	Begin   Kind = "begin"
+	Commit  Kind = "commit"
+	Opening Kind = "opening" // of a connection
+)
+
+// OpeningClass is the class of the opening of connections.
+var OpeningClass = Class{Kind: Opening}
+
 // Shared is the state that the queues of all targets share.
 type Shared struct {
 	startedAt time.Time
@@ -85,9 +125,9 @@
 	startedAt time.Time
 }
 
-// NewQueue returns the queue of a registered target.
-func (s *Shared) NewQueue(t catalog.Target, log *zap.Logger, now time.Time) *Queue {
-	q := &Queue{shared: s, log: log, target: t.ID, waiters: map[runqueue.RequestID]chan<- runqueue.Action{},
+// NewQueue returns the queue of a registered target. If limit is nil, the limit follows from the slots of the target.
+func (s *Shared) NewQueue(t catalog.Target, limit Limit, log *zap.Logger, now time.Time) *Queue {
+	q := &Queue{shared: s, log: log, target: t.ID, limit: limit, waiters: map[runqueue.RequestID]chan<- runqueue.Action{},
 		expected: map[Class]time.Duration{}, queue: runqueue.New(runqueue.DefaultLimit, rand.Float64)}
 	q.setSlots(now, t.Slots)
 	if until := s.startedAt.Add(recoveryTime); now.Before(until) {
@@ -117,7 +157,11 @@
 			zap.Int("slots", slots), zap.Int("assumed", runqueue.DefaultLimit))
 		slots = runqueue.DefaultLimit
 	}
-	q.limit = slotLimit(slots)
+	if learned, ok := q.limit.(LearnedLimit); ok {
+		learned.SetSlots(slots)
+	} else {
+		q.limit = slotLimit(slots)
+	}
 	q.queue.SetMaxOpenings(slots)
 	q.apply(q.queue.SetLimit(now, q.limit.Limit()))
 }
@@ -185,7 +229,7 @@
 	waiting, running, limit := q.queue.Waiting(), q.queue.Running(), q.queue.Limit()
 	q.mu.Unlock()
 	q.log.Info("queue: refused", zap.Stringer("reason", a.Reason), zap.String("target", string(q.target)),
-		zap.String("database", class.Database), zap.String("kind", class.Kind), zap.String("workspace", string(r.Workspace)),
+		zap.String("database", class.Database), zap.String("kind", string(class.Kind)), zap.String("workspace", string(r.Workspace)),
 		zap.Int("priority", r.Priority), zap.Bool("in_txn", r.InTxn), zap.Duration("wait", a.Wait),
 		zap.Duration("expected", r.Expected), zap.Duration("to_latency_target", r.LatencyTarget.Sub(now)),
 		zap.Duration("to_deadline", r.Deadline.Sub(now)), zap.Duration("retry_after", a.RetryAfter),
@@ -210,14 +254,41 @@
 	q.apply(q.queue.SetLimit(now, q.limit.Limit()))
 }
 
-// ObserveBusy records that the target answered the statement with BUSY.
-func (t *Turn) ObserveBusy() {
-	if t == nil {
-		return
+// Sent records that a command of the statement is sent to the target.
+func (t *Turn) Sent(now time.Time) {
+	if t != nil {
+		t.queue.Sent(now)
+	}
+}
+
+// Answered records the outcome of a command that was sent at the given time.
+func (t *Turn) Answered(sent time.Time, outcome Outcome) {
+	if t != nil {
+		t.queue.Answered(sent, t.class, outcome)
+	}
+}
+
+// Sent records that a command is sent to the target.
+func (q *Queue) Sent(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if learned, ok := q.limit.(LearnedLimit); ok {
+		learned.Start(now)
+	}
+}
+
+// Answered records the outcome of a command that was sent at the given time.
+func (q *Queue) Answered(sent time.Time, class Class, outcome Outcome) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := boottime.Now()
+	if outcome == Busy {
+		q.busyAt = now
+	}
+	if learned, ok := q.limit.(LearnedLimit); ok {
+		learned.Finish(now, class, now.Sub(sent), outcome)
+		q.apply(q.queue.SetLimit(now, learned.Limit()))
 	}
-	t.queue.mu.Lock()
-	defer t.queue.mu.Unlock()
-	t.queue.busyAt = boottime.Now()
 }
 
 // PauseAfterBusy returns the time until retries may be sent to the target again.
--- /dev/null
+++ b/turns/queue_test.go
@@ -0,0 +1,117 @@
+package turns
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/runqueue"
+)
+
+// newQueue returns a queue outside the recovery time, and its log lines.
+func newQueue(slots int, limit Limit) (*Queue, *observer.ObservedLogs) {
+	core, logs := observer.New(zap.InfoLevel)
+	shared := NewShared(boottime.Now().Add(-time.Hour), NewMetrics(prometheus.NewRegistry()))
+	return shared.NewQueue(catalog.Target{ID: "a", Slots: slots}, limit, zap.New(core), boottime.Now()), logs
+}
+
+func newRequest(remaining time.Duration) runqueue.Request {
+	now := boottime.Now()
+	return runqueue.Request{Workspace: "w", Arrived: now, LatencyTarget: now.Add(remaining), Deadline: now.Add(remaining)}
+}
+
+// Guards against a target without valid slots that gets no statements, or any number of them.
+func TestLimitFollowsSlots(t *testing.T) {
+	for slots, want := range map[int]int{3: 4, 0: 5, -2: 5} {
+		q, logs := newQueue(slots, nil)
+		if got := q.Figures(boottime.Now(), 0).Limit; got != want {
+			t.Errorf("%d slots: limit %d, want %d", slots, got, want)
+		}
+		if logged := logs.Len() == 1; logged != (slots <= 0) {
+			t.Errorf("%d slots: %d log lines", slots, logs.Len())
+		}
+	}
+}
+
+// Guards against one log line for each refused statement under load.
+func TestRefusalLinesAreBounded(t *testing.T) {
+	q, logs := newQueue(1, nil)
+	var running []*Turn
+	for range 2 {
+		turn, _ := q.Await(newRequest(time.Second), Class{"orders", Write})
+		running = append(running, turn)
+	}
+	for range 100 {
+		if _, refusal := q.Await(newRequest(0), Class{"orders", Write}); refusal == nil {
+			t.Fatal("a request without time left was not refused")
+		}
+	}
+	if got := logs.FilterMessage("queue: refused").Len(); got == 0 || got > 2*maxLines {
+		t.Errorf("%d lines for 100 refusals", got)
+	}
+	q.shared.ReportSuppressed(boottime.Now().Add(2*time.Second), q.log)
+	if logs.FilterMessage("queue: lines not logged").Len() != 1 {
+		t.Error("the number of suppressed lines was not logged")
+	}
+	for _, turn := range running {
+		turn.End()
+	}
+}
+
+// fakeLimit is a LearnedLimit that records what it is told.
+type fakeLimit struct {
+	limit, slots, started int
+	outcomes              []Outcome
+}
+
+func (f *fakeLimit) Limit() int         { return f.limit }
+func (f *fakeLimit) SetSlots(slots int) { f.slots = slots }
+func (f *fakeLimit) Start(time.Time)    { f.started++ }
+func (f *fakeLimit) Finish(_ time.Time, _ Class, _ time.Duration, o Outcome) {
+	f.outcomes = append(f.outcomes, o)
+}
+
+// Guards against a learned limit that gets no samples, or whose changes have no effect on the statements that wait.
+func TestLearnedLimit(t *testing.T) {
+	limit := &fakeLimit{limit: 1}
+	q, _ := newQueue(4, limit)
+	first, _ := q.Await(newRequest(time.Second), Class{"orders", Write})
+	var wg sync.WaitGroup
+	started := make(chan *Turn, 1)
+	wg.Go(func() {
+		turn, refusal := q.Await(newRequest(10*time.Second), Class{"orders", Write})
+		if refusal != nil {
+			t.Errorf("refused: %v", refusal)
+		}
+		started <- turn
+	})
+	for q.Length() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	q.mu.Lock()
+	limit.limit = 2
+	q.mu.Unlock()
+	sent := boottime.Now()
+	first.Sent(sent)
+	first.Answered(sent, Busy)
+	second := <-started // the changed limit lets it start while the first one has not ended
+	wg.Wait()
+	first.End()
+	second.End()
+	if limit.slots != 4 || limit.started != 1 || len(limit.outcomes) != 1 || limit.outcomes[0] != Busy {
+		t.Errorf("the limit was told %+v", limit)
+	}
+	if q.PauseAfterBusy(sent) < BusyPause {
+		t.Error("the BUSY answer was not recorded")
+	}
+	var none *Turn // of statements without load control
+	none.Sent(sent)
+	none.Answered(sent, Done)
+	none.End()
+}
