--- a/runqueue/sim_test.go
+++ b/runqueue/sim_test.go
@@ -337,16 +337,19 @@
 		}
 		loads = append(loads, l)
 	}
-	others := func(create func(uint64) discipline) float64 {
+	others := func(name string, create func(uint64) discipline) float64 {
 		r := playAll(create, 10*time.Second, [2]time.Duration{time.Second, 10 * time.Second}, loads)
 		sum := outcome{}
 		for _, o := range r.byLoad[1:] {
 			sum.arrived, sum.inTime = sum.arrived+o.arrived, sum.inTime+o.inTime
 		}
-		t.Logf("the others: in time %.3f; the workspace: in time %.3f", sum.share(), r.byLoad[0].share())
+		t.Logf("%-17s the others: in time %.3f; the workspace: in time %.3f", name+":", sum.share(), r.byLoad[0].share())
 		return sum.share()
 	}
-	got, base := others(newQueue), others(newArrivalOrder)
+	for name, create := range baselines {
+		others(name, create)
+	}
+	got, base := others("queue", newQueue), others("order of arrival", newArrivalOrder)
 	if got < 0.95 || base >= 0.95 {
 		t.Errorf("%.3f of the statements of the other workspaces are in time, %.3f in order of arrival", got, base)
 	}
