--- a/frontend/service.go
+++ b/frontend/service.go
@@ -14,7 +14,9 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/pool"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/retry"
 	"github.com/waxwingspindle/waxwingspindle/routing"
+	"github.com/waxwingspindle/waxwingspindle/turns"
 )
 
 const (
@@ -85,6 +87,8 @@
 	primaryState        primaryState
 	primaryChanged      chan struct{} // closed and replaced when primaryState changes
 	positionFetch       positionFetch // of the position of a primary that another host uses
+	queues              map[model.TargetID]*turns.Queue
+	retries             *retry.Budget // nil before the first statement and without load control
 }
 
 // primaryState is what statements need to know about the decision about the primary.
@@ -101,7 +105,8 @@
 	conn       Conn
 	variables  map[string]string
 	prepared   map[string]bool
-	lastSentAt time.Time // time of the last command
+	lastSentAt time.Time   // time of the last command
+	turn       *turns.Turn // of the statement that uses the connection; nil between statements and without load control
 }
 
 // grant is the result of a request for a connection: either conn or refusal is set.
@@ -114,7 +119,7 @@
 	return &service{server: server, name: name, log: server.log.With(zap.String("service", string(name))),
 		pool: pool.New(server.dataCentre), conns: map[pool.ConnID]*targetConn{},
 		waiters: map[pool.RequestID]chan<- grant{}, targets: map[model.TargetID]catalog.Target{},
-		samples: &routing.PositionSamples{}, primaryChanged: make(chan struct{}),
+		samples: &routing.PositionSamples{}, primaryChanged: make(chan struct{}), queues: map[model.TargetID]*turns.Queue{},
 		lastReplyAt: map[model.TargetID]time.Time{}, averageReadTime: initialReadTime}
 }
 
@@ -130,7 +135,7 @@
 				zap.Any("targets", s.pool.Load()))
 			s.deliverResult(a.RequestID, grant{refusal: a.Reason})
 		case pool.Open:
-			go s.open(a, s.targets[a.Target])
+			s.startOpening(a, s.targets[a.Target])
 		case pool.Close:
 			s.close(a.Conn)
 		}
@@ -210,8 +215,8 @@
 	return nil
 }
 
-// open opens a connection for the pool and reports the result to it.
-func (s *service) open(a pool.Open, t catalog.Target) {
+// open opens a connection for the pool and reports the result to it. It returns the error of the attempt.
+func (s *service) open(a pool.Open, t catalog.Target) error {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	sentAt := boottime.Now()
@@ -228,20 +233,21 @@
 		}
 		if refused != nil && refused.Code == ConnectionLimit {
 			s.applyActions(s.pool.OpenRefused(now, a.Conn))
-			return
+			return err
 		}
 		s.applyActions(s.pool.OpenFinished(now, a.Conn, false))
-		return
+		return err
 	}
 	if current := s.targets[t.ID]; current.StartedAt != t.StartedAt || current.Address != t.Address {
 		go conn.Close()
 		s.applyActions(s.pool.OpenFinished(now, a.Conn, false))
-		return
+		return nil
 	}
 	s.conns[a.Conn] = &targetConn{id: a.Conn, target: t, workspace: a.Workspace, conn: conn,
 		variables: map[string]string{}, prepared: map[string]bool{}}
 	s.recordReply(sentAt, now, t, position)
 	s.applyActions(s.pool.OpenFinished(now, a.Conn, true))
+	return nil
 }
 
 // minPrimaryPosition returns the position that the primary has reached at the given time unless it lost data. The promotion may
@@ -306,6 +312,7 @@
 
 // release returns a connection to the pool, or closes it if it is broken.
 func (s *service) release(c *targetConn, broken bool) {
+	c.endTurn()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
@@ -342,7 +349,9 @@
 	}
 	commands := c.commandsFor(sess, &command)
 	c.lastSentAt = sentAt
+	c.turn.Sent(sentAt)
 	replies, sent, err := c.conn.Run(deadline, commands)
+	c.turn.Answered(sentAt, outcomeOf(replies, err))
 	if err != nil {
 		return Reply{}, sent, err
 	}
@@ -427,6 +436,7 @@
 		}
 	}
 	s.targets, s.connectionLimits = registered, limits
+	s.updateQueues(now)
 	s.applyActions(s.pool.SetTargets(now, s.poolTargets()))
 	s.updatePoolPrimary(now)
 }
@@ -582,6 +592,7 @@
 
 // tick refuses expired requests and probes an unreachable primary.
 func (s *service) tick() {
+	s.tickQueues(boottime.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -252,6 +252,9 @@
 	isWrite      bool           // needs the primary regardless of the route's consistency
 	forcePrimary bool           // a replica answered Lagging, so the primary has to run it
 	target       model.TargetID // the only target that may run it, or empty
+	begins       bool           // begins a transaction
+	isCommit     bool
+	isRetry      bool // a target answered BUSY to an earlier attempt
 }
 
 // needsPrimary reports whether the operation must run on the primary.
@@ -305,7 +308,8 @@
 func (s *session) runLocally(op operation, st Statement) Answer {
 	s.elsewhere = Here
 	lastAnswer := errorAnswer(Busy, "no attempt was possible in time")
-	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline); attempt++ {
+	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline) &&
+		op.service.mayAttempt(attempt, &lastAnswer); attempt++ {
 		c, epoch, minPosition, refusal := s.acquireConn(&op)
 		if refusal.Code != Success {
 			return refusal
@@ -357,7 +361,7 @@
 	case Lagging:
 		op.forcePrimary = true
 	case Busy, ReadOnly:
-		time.Sleep(retryPause)
+		s.pauseBeforeRetry(op, reply.Code)
 	case Failed:
 		return !op.isWrite
 	case UnknownStatement:
@@ -419,12 +423,15 @@
 		return nil, 0, minPosition, errorAnswer(Busy, "the statement has to run on the primary")
 	}
 	request.Deadline = s.queueDeadline(*op)
-	g := op.service.acquire(request)
+	g, refusal := s.acquireInTurn(op, request)
 	if g.conn == nil {
 		if op.target != "" && g.refusal == pool.RefusedNoTarget {
 			s.elsewhere = OnOtherHost
 		}
-		return nil, 0, minPosition, errorAnswer(Busy, "no connection: "+g.refusal.String())
+		if refusal.Code == Success {
+			refusal = errorAnswer(Busy, "no connection: "+g.refusal.String())
+		}
+		return nil, 0, minPosition, refusal
 	}
 	epoch, id, open := op.service.currentPrimary()
 	if g.conn.target.ID == id && open {
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -90,9 +90,13 @@
 			s.failTxn()
 			return refusal
 		}
+	} else if refusal := s.enterInTxn(op, st); refusal.Code != Success {
+		s.failTxn()
+		return refusal
 	}
 	s.executedOn = string(t.conn.target.ID)
 	reply, _, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.networkDeadline(op))
+	t.conn.endTurn()
 	if err != nil {
 		s.logNoAnswer(st, t.conn, err)
 		s.abandonTxn()
@@ -171,12 +175,14 @@
 func (s *session) beginOnTarget(op operation, first Statement) Answer {
 	t := s.txn
 	s.elsewhere = Here
-	op.isWrite, op.target = !t.readOnly, t.target
+	op.isWrite, op.begins, op.target = !t.readOnly, true, t.target
 	begin := Statement{ID: internalStatementID, Kind: Begin}
 	if t.readOnly {
 		begin.Kind = BeginRead
 	}
-	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline); attempt++ {
+	lastAnswer := errorAnswer(Busy, "the transaction could not be begun in time")
+	for attempt := 0; attempt < maxAttempts && boottime.Now().Before(op.deadline) &&
+		op.service.mayAttempt(attempt, &lastAnswer); attempt++ {
 		c, epoch, minPosition, refusal := s.acquireConn(&op)
 		if refusal.Code != Success {
 			return refusal
@@ -194,7 +200,7 @@
 		}
 	}
 	s.log.Info("transaction: not begun within the timeout", zap.String("id", first.ID))
-	return errorAnswer(Busy, "the transaction could not be begun in time")
+	return lastAnswer
 }
 
 // commit commits the open transaction, or rolls it back if it has failed.
@@ -225,6 +231,10 @@
 			s.txn = nil
 			return refusal
 		}
+	} else if refusal := s.enterInTxn(op, st); refusal.Code != Success {
+		s.rollback(t)
+		s.txn = nil
+		return refusal
 	}
 	s.executedOn = string(t.conn.target.ID)
 	reply, sent, err := t.service.run(t.conn, &s.state, Command{Statement: st}, t.epoch, s.networkDeadline(op))
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -512,6 +512,30 @@
 	return list
 }
 
+// Choose returns the target that should run a request which waits for its turn before it is enqueued, or "" if no target has a
+// connection for it that is idle or can be opened. waiting returns the number of such requests that wait for a target.
+func (p *Pool) Choose(now time.Time, r Request, waiting func(model.TargetID) int) model.TargetID {
+	var best *target
+	bestCost := 0.0
+	for _, t := range p.candidates(now, r) {
+		cost := p.estimateCost(t, r) + float64(waiting(t.ID))
+		if p.findConn(t.ID, func(c *conn) bool { return c.state == idle && c.workspace == r.Workspace }) == nil {
+			full := p.connCount(t.ID) >= t.limit(now)
+			if now.Before(t.backoffUntil) || full && p.leastRecentlyUsedIdle(t.ID) == nil {
+				continue
+			}
+			cost += handshakeCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.ID
+}
+
 // mayHaveData reports whether a replica probably has all commits up to the given time. The target verifies it when it runs
 // the statement.
 func (t *target) mayHaveData(now time.Time, asOf time.Time) bool {
