--- a/frontend/queue_test.go
+++ b/frontend/queue_test.go
@@ -336,7 +336,7 @@
 	answer := make(chan Answer, 1)
 	go func() { answer <- runWrite(queueSession(s, "w", 0), "w", 5*time.Second) }()
 	waitUntil(t, "the statement waits", func() bool { return metricSum(t, registry, "waxwingspindle_queue_waiting") == 1 })
-	s.SetTargets("stock", nil, 20)
+	s.SetTargets("stock", nil, maxConnections(20))
 	select {
 	case a := <-answer:
 		if a.Code != Busy {
