--- a/frontend/queue.go
+++ b/frontend/queue.go
@@ -264,9 +264,13 @@
 	return refusalAnswer(Busy, *refusal)
 }
 
-// enterInTxn waits for a turn of a statement of the open transaction, which has begun on a target of this host. The
-// transaction must be rolled back if the code of the answer isn't Success.
+// enterInTxn waits for a turn of a statement of the open transaction, which has begun on a target of this host. The first
+// statement has the turn in which the transaction has begun. The transaction must be rolled back if the code of the answer isn't
+// Success.
 func (s *session) enterInTxn(op operation, st Statement) Answer {
+	if s.txn.conn.turn != nil {
+		return Answer{}
+	}
 	op.isWrite, op.isCommit = s.isWrite(st), st.Kind == Commit
 	return s.enterOnConn(&op, s.txn.conn, true)
 }
--- /dev/null
+++ b/frontend/select_test.go
@@ -0,0 +1,57 @@
+package frontend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/model"
+)
+
+// localForwarder selects a target of this host for every statement.
+type localForwarder struct{ target model.TargetID }
+
+func (f localForwarder) SelectHost(SelectRequest, ExcludedHosts) Selection {
+	return Selection{Local: true, Target: f.target}
+}
+
+func (localForwarder) SelectsTargets() bool { return true }
+
+func (localForwarder) PrimaryPosition(model.Service, model.TargetID) (uint64, model.Position, time.Time, error) {
+	return 0, model.Position{}, time.Time{}, ErrPrimaryUnreachable
+}
+
+func (localForwarder) Forward(model.HostID, ForwardRequest, time.Duration) (ForwardReply, bool, error) {
+	return ForwardReply{}, false, ErrCannotServe
+}
+
+// newSelectingSession returns a session of a caller whose statements run on target a of the queue fixture, selected by host.
+func newSelectingSession(s *Server) *session {
+	route := catalog.Route{Database: "orders", Service: "stock", Consistency: catalog.Primary, StatementTimeout: time.Second,
+		LatencyTarget: time.Second, Public: true}
+	s.SetCatalog(&catalog.Catalog{Version: 1, Routes: map[string]catalog.Route{"orders": route}}, 1)
+	s.SetForwarder(localForwarder{"a"})
+	return &session{server: s, log: s.log, database: "orders",
+		state: sessionState{variables: map[string]string{}, prepared: map[string]PreparedStatement{}}}
+}
+
+// Guards against turns that transactions of the gateway host's own callers keep: each one would take a slot of the target out of
+// use for good.
+func TestTransactionsOfGatewayHostReturnTheirTurns(t *testing.T) {
+	s, _ := newQueueFixture(t, &busyTarget{statementTime: time.Millisecond})
+	sess := newSelectingSession(s)
+	for i := range 10 {
+		for _, kind := range []StatementKind{Begin, Write, Read, Commit} {
+			st := Statement{ID: fmt.Sprintf("%d-%d", i, kind), Kind: kind, Args: "x"}
+			if a := sess.execute(boottime.Now(), st); a.Code != Success {
+				t.Fatalf("statement %s: %v %s", st.ID, a.Code, a.Detail)
+			}
+		}
+	}
+	figures, known := s.TargetFigures("stock", "a", 0)
+	if !known || figures.Running != 0 {
+		t.Errorf("%d statements count as running after all have ended", figures.Running)
+	}
+}
