Reads are balanced over the targets of a service by what their gateway hosts report

Cause: with statements assigned by target, a read always went to the target in its own data centre, also when that one was full or did not answer. Change: each answer of a gateway host carries the load of the target; the caller's host ranks the targets with balance.Tracker. A target to which no connection can be opened refuses reads at once, so that they run elsewhere. Load control is on wherever statements are assigned by target, unless the settings say off.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,9 +96,10 @@
 	Server   *frontend.Server
 	Seeds    []string // addresses of the hosts to sync with at startup
 	IsSeed   bool     // this host is listed as a seed by other hosts
-	// LoadControl is set if the deployment asks for decisions under load.
-	LoadControl bool
-	Log         *zap.Logger
+	// LoadControl is set if the deployment asks for decisions under load. They are also used where statements are assigned by
+	// target, unless NoLoadControl is set.
+	LoadControl, NoLoadControl bool
+	Log                        *zap.Logger
 }
 
 // Agent runs the control plane of one host.
@@ -107,6 +108,7 @@
 	controlClients   *peerClients // for control calls
 	statementClients *peerClients // for statements; not closed when a control call times out
 	homes            homeSelector
+	balancer         *targetBalancer
 	reachability     reachability
 	bulkTransfer     bulkTransfer
 	exchange         exchangeState
@@ -186,6 +188,7 @@
 		bulkTransfer:   bulkTransfer{clients: newPeerClients()},
 		homes:          homeSelector{outstanding: map[model.HostID]int{}, avoidUntil: map[model.HostID]time.Time{}},
 		events:         make(chan func(*control), eventQueueLength),
+		balancer:       newTargetBalancer(),
 		reachability:   reachability{timeout: pingTimeout, hosts: map[model.HostID]*hostProbe{}},
 		forwardCounter: rpccodec.CallCounter{Methods: []string{runMethod, runOnMethod}},
 		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -1,19 +1,15 @@
 package fleet
 
 import (
-	"cmp"
 	"errors"
 	"net"
 	"net/rpc"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
-	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/model"
-	"github.com/waxwingspindle/waxwingspindle/placement"
 )
 
 const (
@@ -108,39 +104,6 @@
 	return !a.homes.isAvoided(host) && (acceptSuspected || !a.reachability.isSuspected(host))
 }
 
-// rankTargets returns the targets of a service that may run a read, the preferred ones first: targets in this data centre, then
-// replicas elsewhere. Workspaces are spread over the replicas elsewhere, so that each finds its connections open.
-func (a *Agent) rankTargets(v *clusterView, r frontend.SelectRequest) []model.TargetID {
-	type ranked struct {
-		id    model.TargetID
-		order int
-		score uint64
-	}
-	var list []ranked
-	for _, t := range v.targets {
-		if t.Service != r.Service || t.State == catalog.Draining {
-			continue
-		}
-		entry := ranked{id: t.ID, score: placement.Score(string(r.Workspace), model.HostID(t.ID))}
-		switch {
-		case t.DataCentre == a.Self.DataCentre:
-		case t.ID != r.Primary:
-			entry.order = 1
-		default:
-			entry.order = 2
-		}
-		list = append(list, entry)
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
-	})
-	ids := make([]model.TargetID, len(list))
-	for i, entry := range list {
-		ids[i] = entry.id
-	}
-	return ids
-}
-
 // leastLoaded returns this host if it is one of the hosts, and otherwise the available host with the fewest outstanding
 // statements, or an empty id if none is available. Remote data centres count as additional load.
 func (a *Agent) leastLoaded(v *clusterView, hosts []model.HostID, excluded frontend.ExcludedHosts) model.HostID {
@@ -203,7 +166,7 @@
 		_, err = a.statementClients.callUnlessUnreachable(h, runOnMethod, request, reply, timeout, probe)
 	}
 	if err == nil {
-		reply.Reply.Elsewhere = reply.Elsewhere
+		reply.Reply.Elsewhere, reply.Reply.Load = reply.Elsewhere, reply.Load.load()
 		return reply.Reply, true, nil
 	}
 	return frontend.ForwardReply{}, a.recordForwardFailure(h, err), err
--- a/fleet/positions.go
+++ b/fleet/positions.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
+	"github.com/waxwingspindle/waxwingspindle/balance"
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/model"
@@ -68,12 +70,34 @@
 type RunOnReply struct {
 	Reply     frontend.ForwardReply
 	Elsewhere frontend.Elsewhere
+	Load      targetLoad
+}
+
+// targetLoad is the encoded form of a balance.Load. Its units keep the encoding short.
+type targetLoad struct {
+	Limit, Running, Waiting uint16
+	WaitMs, ServiceMs       uint32
+	SlowdownPercent         uint16 // 100: as fast as the best targets
+}
+
+func newTargetLoad(l balance.Load) targetLoad {
+	return targetLoad{Limit: clampUint16(l.Limit), Running: clampUint16(l.Running), Waiting: clampUint16(l.Waiting),
+		WaitMs: uint32(max(0, l.Wait.Milliseconds())), ServiceMs: uint32(max(0, l.Service.Milliseconds())),
+		SlowdownPercent: clampUint16(int(l.Slowdown * 100))}
+}
+
+func clampUint16(n int) uint16 { return uint16(min(max(0, n), math.MaxUint16)) }
+
+func (l targetLoad) load() balance.Load {
+	return balance.Load{Limit: int(l.Limit), Running: int(l.Running), Waiting: int(l.Waiting),
+		Wait: time.Duration(l.WaitMs) * time.Millisecond, Service: time.Duration(l.ServiceMs) * time.Millisecond,
+		Slowdown: float64(l.SlowdownPercent) / 100}
 }
 
 // RunOn executes a statement for another host on a target. An error means that it has not run.
 func (p *Peer) RunOn(r RunOnRequest, reply *RunOnReply) (err error) {
 	r.Request.Target = r.Target
 	reply.Reply, err = p.agent.Server.RunForwarded(r.Request)
-	reply.Elsewhere = reply.Reply.Elsewhere
+	reply.Elsewhere, reply.Load = reply.Reply.Elsewhere, newTargetLoad(reply.Reply.Load)
 	return err
 }
--- a/fleet/publish.go
+++ b/fleet/publish.go
@@ -74,6 +74,9 @@
 			go a.applyDocument(doc.value)
 		}
 	}
+	if v.routing.ByTarget && !a.NoLoadControl {
+		a.Server.SetLoadControl(true)
+	}
 	newCatalog := v.catalog != c.passedOn.catalog
 	if hosts := v.sharingHosts(a.Self); newCatalog || hosts != c.passedOn.hosts {
 		c.passedOn.catalog, c.passedOn.hosts = v.catalog, hosts
--- a/fleet/routing.go
+++ b/fleet/routing.go
@@ -69,10 +69,8 @@
 		if v.routing.ByTarget {
 			return
 		}
-		in := placement.RoutingInput{LoadControl: term.agent.LoadControl, LatencyTarget: tightestLatencyTarget(v.catalog)}
-		if !in.LoadControl {
-			in.Crossing = term.agent.measureCrossing(v)
-		}
+		in := placement.RoutingInput{LoadControl: term.agent.LoadControl, LatencyTarget: tightestLatencyTarget(v.catalog),
+			Crossing: term.agent.measureCrossing(v)}
 		if byTarget, cause := placement.DecideRouting(in); byTarget {
 			term.writeRouting(ctx, RoutingDocument{ByTarget: true, Cause: cause, Crossing: in.Crossing}, in)
 		}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -75,7 +75,7 @@
 	plans         map[model.Service]placement.Plan // empty if statements are assigned by target
 	routing       RoutingDocument
 	targetPlan    placement.TargetPlan // empty unless statements are assigned by target
-	ordered       *hostOrder // of a published view; nil in that of the control goroutine
+	ordered       *hostOrder           // of a published view; nil in that of the control goroutine
 }
 
 func (v *clusterView) clone() *clusterView {
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -7,8 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/waxwingspindle/waxwingspindle/balance"
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -74,6 +76,11 @@
 	// the epoch of the decision that the position belongs to. It asks the host that uses the primary.
 	PrimaryPosition(service model.Service, primary model.TargetID) (epoch uint64, position model.Position, at time.Time,
 		err error)
+	// TargetStarted and TargetFinished record a statement on a selected target, its outcome and the load of the target, whose
+	// Limit is 0 if it is not known.
+	TargetStarted(service model.Service, target model.TargetID)
+	TargetFinished(service model.Service, target model.TargetID, outcome concurrency.Outcome, load balance.Load,
+		took time.Duration)
 	// Forward runs a statement on another host. If it returns an error, sent reports whether the statement may have run.
 	Forward(host model.HostID, f ForwardRequest, timeout time.Duration) (reply ForwardReply, sent bool, err error)
 }
@@ -122,7 +129,8 @@
 	Mark       HighWaterMark
 	MayHaveRun bool // a target may have run the statement
 	// Elsewhere is set by the method that carries Target.
-	Elsewhere Elsewhere `msgpack:"-"`
+	Elsewhere Elsewhere    `msgpack:"-"`
+	Load      balance.Load `msgpack:"-"` // of the target
 }
 
 // Elsewhere tells the host of a caller why another host should run a statement. Whether the statement may have run is
@@ -171,7 +179,7 @@
 	if err == nil {
 		s.setMark(result.Mark)
 		s.mayHaveRun = s.mayHaveRun || result.MayHaveRun
-		s.elsewhere = result.Elsewhere
+		s.elsewhere, s.targetLoad = result.Elsewhere, result.Load
 		return result.Answer, result.Elsewhere == Here
 	}
 	s.elsewhere = OnOtherHost
@@ -261,7 +269,11 @@
 			deadline: s.statementDeadline(now, f.Remaining), isWrite: f.IsWrite, target: f.Target}
 		answer := sess.runLocally(op, f.Statement)
 		sess.logForwarded(f, answer, now)
-		return sess.forwardReply(answer), nil
+		reply := sess.forwardReply(answer)
+		if f.Target != "" {
+			reply.Load = s.TargetLoad(f.Route.Service, f.Target, f.Route.Priority)
+		}
+		return reply, nil
 	}
 	key := txnKey{f.Origin, f.Incarnation, f.TxnID}
 	sess, err := s.forwardedTxnSession(key, f)
@@ -285,6 +297,15 @@
 	return ForwardReply{Answer: answer, Mark: s.mark, MayHaveRun: s.mayHaveRun, Elsewhere: s.elsewhere}
 }
 
+// TargetLoad returns the load of a target for statements of the given priority. Its Limit is 0 if it is not known.
+func (s *Server) TargetLoad(service model.Service, target model.TargetID, priority int) balance.Load {
+	f, known := s.TargetFigures(service, target, priority)
+	if !known {
+		return balance.Load{}
+	}
+	return balance.Load{Limit: f.Limit, Running: f.Running, Waiting: f.Waiting, Wait: f.Wait}
+}
+
 // checkForward returns nil if this host can run a new statement or transaction of another host, or the reason why it
 // cannot.
 func (s *Server) checkForward(f ForwardRequest, now time.Time) error {
--- a/frontend/queue.go
+++ b/frontend/queue.go
@@ -336,7 +336,7 @@
 	c.turn = nil
 }
 
-// SetLoadControl switches the queues of targets on or off. It must be called before Serve.
+// SetLoadControl switches the queues of targets on or off. Statements that run already keep their turns.
 func (s *Server) SetLoadControl(on bool) { s.loadControl.Store(on) }
 
 // TargetFigures returns the load of a target for a statement of the given priority. It returns false if this host has no
--- a/frontend/select.go
+++ b/frontend/select.go
@@ -5,7 +5,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/waxwingspindle/waxwingspindle/balance"
 	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/pool"
 	"github.com/waxwingspindle/waxwingspindle/routing"
@@ -43,18 +45,54 @@
 			break
 		}
 		op.target = selected.Target
-		if selected.Local {
-			if lastAnswer = s.runLocally(op, st); s.elsewhere == Here {
-				return lastAnswer
-			}
-		} else if answer, done := s.forwardStatement(selected.Host, op, st); done {
+		answer := s.runOnTarget(op, selected, st)
+		if s.elsewhere == Here {
 			return answer
 		}
+		if answer.Code != Success {
+			lastAnswer = answer
+		}
 		s.excludeSelection(&op, op.needsPrimary(), selected, epoch, &excluded)
 	}
 	return lastAnswer
 }
 
+// runOnTarget runs a statement outside transactions at the selected host, and records what that tells about the target. s.elsewhere
+// is Here if the answer is final.
+func (s *session) runOnTarget(op operation, selected Selection, st Statement) (answer Answer) {
+	forwarder, started := s.server.forwarder, boottime.Now()
+	forwarder.TargetStarted(op.service.name, selected.Target)
+	s.targetLoad = balance.Load{}
+	if selected.Local {
+		answer = s.runLocally(op, st)
+		s.targetLoad = s.server.TargetLoad(op.service.name, selected.Target, op.route.Priority)
+	} else {
+		var done bool
+		if answer, done = s.forwardStatement(selected.Host, op, st); done {
+			s.elsewhere = Here
+		}
+	}
+	forwarder.TargetFinished(op.service.name, selected.Target, s.targetOutcome(answer), s.targetLoad,
+		boottime.Now().Sub(started))
+	return answer
+}
+
+// targetOutcome returns what the answer to a statement tells about its target. Without an answer of the host that uses the target,
+// or if that host refused the statement, it tells nothing, and counts as a success.
+func (s *session) targetOutcome(answer Answer) concurrency.Outcome {
+	switch {
+	case s.elsewhere == OnOtherHost && s.targetLoad.Limit > 0:
+		return concurrency.NoAnswer // the host that uses the target gets no connection to it, or no answer
+	case s.elsewhere == OnPrimary || !s.mayHaveRun:
+		return concurrency.Done
+	case answer.Code == Failed || answer.Code == OtherError:
+		return concurrency.Failed
+	case answer.Code == InDoubt, answer.Code == Timeout:
+		return concurrency.NoAnswer
+	}
+	return concurrency.Done
+}
+
 // beginOnSelectedTarget begins the open transaction with its first statement on a target that is selected on this host. It
 // reports false if the transaction has begun on a target of this host, where the statement is to run, or cannot begin.
 func (s *session) beginOnSelectedTarget(op operation, st Statement) (Answer, bool) {
--- a/frontend/select_test.go
+++ b/frontend/select_test.go
@@ -5,8 +5,10 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingspindle/waxwingspindle/balance"
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -19,6 +21,11 @@
 
 func (localForwarder) SelectsTargets() bool { return true }
 
+func (localForwarder) TargetStarted(model.Service, model.TargetID) {}
+
+func (localForwarder) TargetFinished(model.Service, model.TargetID, concurrency.Outcome, balance.Load, time.Duration) {
+}
+
 func (localForwarder) PrimaryPosition(model.Service, model.TargetID) (uint64, model.Position, time.Time, error) {
 	return 0, model.Position{}, time.Time{}, ErrPrimaryUnreachable
 }
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/waxwingspindle/waxwingspindle/balance"
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/model"
@@ -86,9 +87,10 @@
 
 	state      sessionState
 	mark       HighWaterMark
-	executedOn string    // target or host that the last statement was sent to, for logs
-	mayHaveRun bool      // a target may have run a statement of the current operation
-	elsewhere  Elsewhere // why the last statement should run on another host; only set if the target was selected
+	executedOn string       // target or host that the last statement was sent to, for logs
+	mayHaveRun bool         // a target may have run a statement of the current operation
+	elsewhere  Elsewhere    // why the last statement should run on another host; only set if the target was selected
+	targetLoad balance.Load // that the last host reported for the selected target
 
 	runningStatement atomic.Pointer[string] // id of the statement that has no answer yet, or nil
 
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -13,8 +13,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/waxwingspindle/waxwingspindle/balance"
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
 	"github.com/waxwingspindle/waxwingspindle/routing"
@@ -159,6 +161,11 @@
 
 func (*recordingForwarder) SelectsTargets() bool { return false }
 
+func (*recordingForwarder) TargetStarted(model.Service, model.TargetID) {}
+
+func (*recordingForwarder) TargetFinished(model.Service, model.TargetID, concurrency.Outcome, balance.Load, time.Duration) {
+}
+
 func (*recordingForwarder) PrimaryPosition(model.Service, model.TargetID) (uint64, model.Position, time.Time, error) {
 	return 0, model.Position{}, time.Time{}, ErrPrimaryUnreachable
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,7 @@
 			Configuration: platform.ParseConfiguration, Target: platform.ParseTarget},
 		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.PromotionAPI, self.ID), Server: server,
 		Log: log, Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed(),
-		LoadControl: settings.LoadControlEnabled()})
+		LoadControl: settings.LoadControlEnabled(), NoLoadControl: settings.LoadControl == "off"})
 
 	listeners, err := listen(settings)
 	if err != nil {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -224,12 +224,15 @@
 	return p.schedule(now)
 }
 
-// usable reports whether this host can use the target that the request names.
+// usable reports whether this host can use the target that the request names. It cannot while connections to it fail and none
+// is open.
 func (p *Pool) usable(now time.Time, r Request) bool {
 	if r.Target == "" {
 		return true
 	}
-	return slices.ContainsFunc(p.candidates(now, r), func(t *target) bool { return t.Limit > 0 })
+	return slices.ContainsFunc(p.candidates(now, r), func(t *target) bool {
+		return t.Limit > 0 && (!now.Before(t.backoffUntil) || p.connCount(t.ID) > 0)
+	})
 }
 
 // Cancel removes a request from the queue.
