Turns that cannot get a connection are given up; expected times learn from answers only

A statement that had a turn on a replica kept it for 500 ms when the replica turned out to lag, this time became the expected time of its class, and every later statement of the class was refused as late, also on a free slot.

Change: pool.Request.GiveUp refuses such a request at once, and frontend chooses another target. Only turns with an answer count for the expected time. The time that must remain at a start is at most half of the request's whole time, as in fairqueue, and a late request counts itself no more when the length of the queue is judged.

--- a/frontend/queue.go
+++ b/frontend/queue.go
@@ -201,6 +201,7 @@
 			return grant{}, refusal
 		}
 		pinned := r
+		pinned.GiveUp = true
 		pinned.Target, pinned.Deadline = q.Target(), minTime(op.deadline, boottime.Now().Add(dialTimeout))
 		if svc.chooseQueue(boottime.Now(), pinned, false) != q {
 			t.End()
@@ -211,6 +212,9 @@
 		q.CountAwaiting(-1)
 		if g.conn == nil {
 			t.End()
+			if g.refusal == pool.RefusedNoConnection {
+				continue
+			}
 			return g, noConnectionAnswer(g)
 		}
 		g.conn.turn = t
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -118,6 +118,10 @@
 			s.reportIdle(s.conns[a.Conn])
 			s.deliverResult(a.RequestID, grant{conn: s.conns[a.Conn]})
 		case pool.Refuse:
+			if a.Reason == pool.RefusedNoConnection {
+				s.deliverResult(a.RequestID, grant{refusal: a.Reason})
+				continue // the statement waits for another turn
+			}
 			s.log.Info("pool: request refused", zap.Stringer("reason", a.Reason), zap.Int("waiting", s.pool.QueueLength()),
 				zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open),
 				zap.Any("targets", s.pool.Load()))
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -68,6 +68,7 @@
 	PrimaryOnly bool
 	AsOf        time.Time
 	Target      model.TargetID // the only target that may run it, or empty
+	GiveUp      bool           // refused with RefusedNoConnection as soon as no connection is idle, opening or can be opened
 	Priority    int            // 0 is the highest
 	Deadline    time.Time      // time at which the request is refused if it has no connection yet
 
@@ -84,11 +85,13 @@
 	RefusedQueueTimeout
 	// RefusedNoTarget means that there is no target that this host may connect to.
 	RefusedNoTarget
+	// RefusedNoConnection means that a request with GiveUp would have to wait for more than the opening of a connection.
+	RefusedNoConnection
 )
 
 // String returns the reason as it appears in logs.
 func (r RefusalReason) String() string {
-	return [...]string{"none", "queue_full", "queue_timeout", "no_target"}[r]
+	return [...]string{"none", "queue_full", "queue_timeout", "no_target", "no_connection"}[r]
 }
 
 // Action is an instruction to the caller of the pool: Grant, Open, Close or Refuse.
@@ -396,9 +399,9 @@
 	var actions []Action
 	claimed := map[ConnID]bool{} // connections being opened that an earlier request waits for
 	for i := 0; i < len(p.queue); {
-		granted, more := p.assign(now, p.queue[i], claimed)
+		done, more := p.assign(now, p.queue[i], claimed)
 		actions = append(actions, more...)
-		if granted {
+		if done {
 			p.queue = slices.Delete(p.queue, i, i+1)
 		} else {
 			i++
@@ -407,7 +410,7 @@
 	return actions
 }
 
-// assign finds a connection for one request and reports whether it was granted. Otherwise the request waits for a
+// assign finds a connection for one request and reports whether it was granted or refused. Otherwise the request waits for a
 // connection that is being opened or becomes free.
 func (p *Pool) assign(now time.Time, r Request, claimed map[ConnID]bool) (bool, []Action) {
 	candidates := p.candidates(now, r)
@@ -433,6 +436,9 @@
 			return false, nil
 		}
 	}
+	if openTarget == nil && r.GiveUp {
+		return true, []Action{Refuse{r.ID, RefusedNoConnection}}
+	}
 	if openTarget == nil {
 		return false, nil
 	}
@@ -455,7 +461,8 @@
 // hasWaiter reports whether a queued request of at least the priority of r can use an idle connection without reopening it.
 func (p *Pool) hasWaiter(c *conn, r Request) bool {
 	for _, other := range p.queue {
-		if other.Workspace == c.workspace && other.Priority <= r.Priority && (!other.PrimaryOnly || c.target == p.primary) {
+		if other.Workspace == c.workspace && other.Priority <= r.Priority && (!other.PrimaryOnly || c.target == p.primary) &&
+			(other.Target == "" || other.Target == c.target) {
 			return true
 		}
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -343,3 +343,58 @@
 		}
 	}
 }
+
+// Guards against a statement that keeps its turn on a target while the pool waits for an event that may not come: a replica
+// that turns out to lag, a pause after a failed opening, or a connection that another statement returns.
+func TestGivesUpWithoutConnection(t *testing.T) {
+	pinned := func(id RequestID, workspace model.Workspace) Request {
+		r := readRequest(id, workspace, start.Add(-time.Second))
+		r.Target, r.GiveUp = "r", true
+		return r
+	}
+	gaveUp := func(f *fixture, id RequestID) bool { return f.refused[id] == RefusedNoConnection }
+	targets := []Target{{ID: "p", DataCentre: "east", Limit: 2}, {ID: "r", DataCentre: "east", Limit: 1}}
+
+	f := newFixture(t, targets...)
+	f.manualOpen = true
+	f.enqueue(pinned(1, "w"))
+	f.pool.ObserveLag(f.now, "r", 5*time.Second)
+	f.apply(f.pool.OpenFinished(f.now, f.opened[0].Conn, true))
+	if !gaveUp(f, 1) {
+		t.Error("the request waits for a replica that lags")
+	}
+
+	f = newFixture(t, targets...)
+	f.manualOpen = true
+	f.enqueue(pinned(1, "w"))
+	f.enqueue(pinned(2, "w"))
+	if gaveUp(f, 1) || !gaveUp(f, 2) {
+		t.Errorf("refused %v: the first request waits for its opening, the second for a used connection", f.refused)
+	}
+	f.apply(f.pool.OpenFinished(f.now, f.opened[0].Conn, false))
+	if !gaveUp(f, 1) {
+		t.Error("the request waits for the end of the pause after a failed opening")
+	}
+
+	f = newFixture(t, targets...)
+	f.enqueue(pinned(1, "w"))
+	if f.granted[1].Target != "r" {
+		t.Errorf("the request ran on %q, want its target", f.granted[1].Target)
+	}
+	if got := f.pool.Choose(f.now, pinned(2, "w"), func(model.TargetID) int { return 0 }); got != "" {
+		t.Errorf("chose %q without a free connection", got)
+	}
+	unpinned := pinned(3, "w")
+	unpinned.Target = ""
+	if got := f.pool.Choose(f.now, unpinned, func(model.TargetID) int { return 0 }); got != "p" {
+		t.Errorf("chose %q, want the target with a free connection", got)
+	}
+	f.release(1)
+	if got := f.pool.Choose(f.now, unpinned, func(model.TargetID) int { return 0 }); got != "r" {
+		t.Errorf("chose %q, want the replica", got)
+	}
+	waiting := func(id model.TargetID) int { return map[model.TargetID]int{"r": 5}[id] }
+	if got := f.pool.Choose(f.now, unpinned, waiting); got != "p" {
+		t.Errorf("chose %q although five statements wait for it", got)
+	}
+}
--- a/runqueue/order.go
+++ b/runqueue/order.go
@@ -113,7 +113,7 @@
 		switch {
 		case !now.Before(e.Deadline):
 			q.refuse(now, e, Deadline)
-		case e.Discardable && !e.InTxn && now.Add(e.Expected).After(e.LatencyTarget) && q.isLong():
+		case e.Discardable && !e.InTxn && !e.canMeetTarget(now) && q.isLong(e):
 			q.refuse(now, e, Late)
 		default:
 			q.start(now, e)
@@ -233,7 +233,7 @@
 // next returns the first request that can still meet its latency target, or the first one if none can.
 func (a *account) next(now time.Time) *entry {
 	for _, e := range a.waiting {
-		if !now.Add(e.Expected).After(e.LatencyTarget) {
+		if e.canMeetTarget(now) {
 			return e
 		}
 	}
--- a/runqueue/refuse.go
+++ b/runqueue/refuse.go
@@ -27,6 +27,16 @@
 // mayAlwaysWait reports whether the request is refused only at its deadline.
 func (r Request) mayAlwaysWait() bool { return r.InTxn || r.Opening }
 
+// required returns the time that must remain until the given end for the request to start.
+func (r Request) required(end time.Time) time.Duration {
+	return min(r.Expected, time.Duration(maxRequiredFraction*float64(end.Sub(r.Arrived))))
+}
+
+// canMeetTarget reports whether the request meets its latency target if it starts at the given time.
+func (r Request) canMeetTarget(at time.Time) bool {
+	return !at.Add(r.required(r.LatencyTarget)).After(r.LatencyTarget)
+}
+
 // assess returns the refusal of a request that should not be queued, and whether there is one.
 func (q *Queue) assess(now time.Time, r Request) (Refuse, bool) {
 	if r.mayAlwaysWait() {
@@ -34,10 +44,10 @@
 	}
 	wait := q.estimate(now, r)
 	reason := Reason(0)
-	switch end := now.Add(wait).Add(r.Expected); {
-	case !now.Before(r.Deadline), wait > 0 && end.After(r.Deadline):
+	switch startsAt := now.Add(wait); {
+	case !now.Before(r.Deadline), wait > 0 && startsAt.Add(r.required(r.Deadline)).After(r.Deadline):
 		reason = Deadline
-	case r.Discardable && wait > shortQueueTime && end.After(r.LatencyTarget):
+	case r.Discardable && wait > shortQueueTime && !r.canMeetTarget(startsAt):
 		reason = Late
 	case q.waiting >= maxWaiting && !q.hasBelow(r.Priority):
 		reason = Full
@@ -61,9 +71,9 @@
 	return time.Duration(float64(base) * (1 + retrySpread*q.random()))
 }
 
-// isLong reports whether the waiting requests take longer than shortQueueTime.
-func (q *Queue) isLong() bool {
-	sum := q.inTxnWork
+// isLong reports whether the waiting requests other than e take longer than shortQueueTime.
+func (q *Queue) isLong(e *entry) bool {
+	sum := q.inTxnWork - e.Expected.Seconds()
 	for i := range q.classes {
 		sum += q.classes[i].work
 	}
--- a/runqueue/runqueue.go
+++ b/runqueue/runqueue.go
@@ -55,6 +55,9 @@
 	affinityWait = 80 * time.Millisecond
 	// retrySpread is the part of the expected wait by which the time to come back is spread.
 	retrySpread = 0.5
+	// maxRequiredFraction bounds the time that must remain at the start of a request to a fraction of its whole time. So
+	// requests that have not waited long start regardless of the expected time, and their times correct it.
+	maxRequiredFraction = 0.5
 	// maxIdleAccounts is the number of accounts of a priority at which those of idle workspaces are removed.
 	maxIdleAccounts = 1024
 )
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -123,6 +123,7 @@
 	id        runqueue.RequestID
 	class     Class
 	startedAt time.Time
+	done      bool // the target has run a command
 }
 
 // NewQueue returns the queue of a registered target. If limit is nil, the limit follows from the slots of the target.
@@ -245,15 +246,22 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := boottime.Now()
-	if took, known := now.Sub(t.startedAt), q.expected[t.class]; known == 0 {
-		q.expected[t.class] = took
-	} else {
-		q.expected[t.class] = known + time.Duration(expectedSmoothing*float64(took-known))
+	if t.done { // the time of a turn without a connection or an answer says nothing about the next one
+		q.learn(t.class, now.Sub(t.startedAt))
 	}
 	q.apply(q.queue.Finish(now, t.id))
 	q.apply(q.queue.SetLimit(now, q.limit.Limit()))
 }
 
+// learn adds a sample to the expected time of a class. The caller holds q.mu.
+func (q *Queue) learn(class Class, took time.Duration) {
+	known, found := q.expected[class]
+	if !found {
+		known = runqueue.DefaultExpected
+	}
+	q.expected[class] = known + time.Duration(expectedSmoothing*float64(took-known))
+}
+
 // Sent records that a command of the statement is sent to the target.
 func (t *Turn) Sent(now time.Time) {
 	if t != nil {
@@ -264,6 +272,7 @@
 // Answered records the outcome of a command that was sent at the given time.
 func (t *Turn) Answered(sent time.Time, outcome Outcome) {
 	if t != nil {
+		t.done = t.done || outcome == Done
 		t.queue.Answered(sent, t.class, outcome)
 	}
 }
--- a/turns/queue_test.go
+++ b/turns/queue_test.go
@@ -64,6 +64,27 @@
 	}
 }
 
+// Guards against expected times that contain the time of turns without an answer, such as failed connections: statements would
+// be refused for a wait that doesn't exist.
+func TestOnlyAnswersAreLearned(t *testing.T) {
+	q, _ := newQueue(1, nil)
+	class := Class{"orders", Write}
+	for _, outcome := range []Outcome{NoAnswer, Failed, Busy, Done} {
+		turn, _ := q.Await(newRequest(time.Second), class)
+		turn.Sent(boottime.Now())
+		turn.Answered(boottime.Now(), outcome)
+		turn.End()
+		if _, learned := q.expected[class]; learned != (outcome == Done) {
+			t.Errorf("outcome %d: learned %t", outcome, learned)
+		}
+	}
+	turn, _ := q.Await(newRequest(time.Second), Class{"orders", Read})
+	turn.End()
+	if len(q.expected) != 1 {
+		t.Error("the time of a turn without a command was learned")
+	}
+}
+
 // fakeLimit is a LearnedLimit that records what it is told.
 type fakeLimit struct {
 	limit, slots, started int
