--- a/pool/pool.go
+++ b/pool/pool.go
@@ -73,6 +73,7 @@
 	// AsOf, or only on the primary if AsOf is zero.
 	PrimaryOnly bool
 	AsOf        time.Time
+	GiveUp      bool      // refused with RefusedNoConnection as soon as no connection is idle, opening or can be opened
 	Priority    int       // 0 is the highest
 	Deadline    time.Time // time at which the request is refused if it has no connection yet
 
@@ -89,11 +90,13 @@
 	RefusedQueueTimeout
 	// RefusedNoTarget means that there is no target that this host may connect to.
 	RefusedNoTarget
+	// RefusedNoConnection means that a request with GiveUp would have to wait for more than the opening of a connection.
+	RefusedNoConnection
 )
 
 // String returns the reason as it appears in logs.
 func (r RefusalReason) String() string {
-	return [...]string{"none", "queue_full", "queue_timeout", "no_target"}[r]
+	return [...]string{"none", "queue_full", "queue_timeout", "no_target", "no_connection"}[r]
 }
 
 // Action is an instruction to the caller of the pool: Grant, Open, Close or Refuse.
@@ -227,7 +230,7 @@
 // usable reports whether this host can use the target that the request names. It cannot while connections to it fail and none
 // is open.
 func (p *Pool) usable(now time.Time, r Request) bool {
-	if r.Target == "" {
+	if r.Target == "" || r.GiveUp {
 		return true
 	}
 	return slices.ContainsFunc(p.candidates(now, r), func(t *target) bool {
@@ -425,9 +428,9 @@
 			p.queue = slices.Delete(p.queue, i, i+1)
 			continue
 		}
-		granted, more := p.assign(now, p.queue[i], claimed)
+		done, more := p.assign(now, p.queue[i], claimed)
 		actions = append(actions, more...)
-		if granted {
+		if done {
 			p.queue = slices.Delete(p.queue, i, i+1)
 		} else {
 			i++
@@ -436,7 +439,7 @@
 	return actions
 }
 
-// assign finds a connection for one request and reports whether it was granted. Otherwise the request waits for a
+// assign finds a connection for one request and reports whether it was granted or refused. Otherwise the request waits for a
 // connection that is being opened or becomes free.
 func (p *Pool) assign(now time.Time, r Request, claimed map[ConnID]bool) (bool, []Action) {
 	candidates := p.candidates(now, r)
@@ -462,6 +465,9 @@
 			return false, nil
 		}
 	}
+	if openTarget == nil && r.GiveUp {
+		return true, []Action{Refuse{r.ID, RefusedNoConnection}}
+	}
 	if openTarget == nil {
 		return false, nil
 	}
@@ -484,7 +490,8 @@
 // hasWaiter reports whether a queued request of at least the priority of r can use an idle connection without reopening it.
 func (p *Pool) hasWaiter(c *conn, r Request) bool {
 	for _, other := range p.queue {
-		if other.Workspace == c.workspace && other.Priority <= r.Priority && (!other.PrimaryOnly || c.target == p.primary) {
+		if other.Workspace == c.workspace && other.Priority <= r.Priority && (!other.PrimaryOnly || c.target == p.primary) &&
+			(other.Target == "" || other.Target == c.target) {
 			return true
 		}
 	}
@@ -608,6 +615,17 @@
 	return least
 }
 
+// IdleConnections returns the number of idle connections of a workspace to a target.
+func (p *Pool) IdleConnections(id model.TargetID, workspace model.Workspace) int {
+	n := 0
+	for _, c := range p.conns {
+		if c.target == id && c.workspace == workspace && c.state == idle {
+			n++
+		}
+	}
+	return n
+}
+
 // Busy reports whether the connection is in use.
 func (p *Pool) Busy(id ConnID) bool {
 	c := p.conn(id)
