The leader does not look at all hosts for each token and each check

A token request counted the members of the broker, and a check of a primary, ten a second for each service, looked at all registrations and reports. The broker now knows a time before which no member expires, and the leader a time until which all hosts have reported; observations of hosts that do not connect to a service are left out.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -49,6 +49,7 @@
 	broker      *share.Broker
 	successor   *Host // host that took over the broker state
 	reports     map[model.HostID]hostReport
+	reporting   reportingHosts
 	supervised  map[model.Service]bool // services with a supervisor; used only by superviseServices
 }
 
@@ -58,6 +59,12 @@
 	byService map[model.Service]primacy.Observation
 }
 
+// reportingHosts records that all hosts of a view have reported recently enough until a time.
+type reportingHosts struct {
+	view  *clusterView
+	until time.Time
+}
+
 // campaign tries to become the leader while there is none. Hosts try in order of capacity, each after a delay that
 // grows with its rank, so that usually only one of them writes and a large host leads.
 func (c *control) campaign(ctx context.Context) {
--- a/fleet/leader_test.go
+++ b/fleet/leader_test.go
@@ -36,3 +36,29 @@
 		t.Errorf("in a fleet of equal hosts the second one waits for %v", delay)
 	}
 }
+
+// Guards against a planned replacement that does not wait for a host which has stopped reporting, or has just registered: the
+// leader does not look at all reports for each service.
+func TestAllHostsReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := newClusterView()
+	v.hosts["a"], v.hosts["b"] = Host{ID: "a"}, Host{ID: "b"}
+	term := &leadership{reports: map[model.HostID]hostReport{"a": {at: now}, "b": {at: now.Add(-300 * time.Millisecond)}}}
+	expect := func(when string, v *clusterView, at time.Time, want bool) {
+		t.Helper()
+		if got := term.allHostsReport(v, at); got != want {
+			t.Errorf("%s: %t, want %t", when, got, want)
+		}
+	}
+	expect("both have reported", v, now, true)
+	expect("both have reported, again", v, now.Add(700*time.Millisecond), true)
+	expect("one is late", v, now.Add(701*time.Millisecond), false)
+	term.reports["b"] = hostReport{at: now.Add(701 * time.Millisecond)}
+	expect("it has reported", v, now.Add(701*time.Millisecond), true)
+	expect("the other one is late", v, now.Add(1001*time.Millisecond), false)
+	term.reports["a"] = hostReport{at: now.Add(1001 * time.Millisecond)}
+	expect("both have reported later", v, now.Add(1001*time.Millisecond), true)
+	joined := newClusterView()
+	joined.hosts["a"], joined.hosts["b"], joined.hosts["c"] = Host{}, Host{}, Host{}
+	expect("a host has joined", joined, now.Add(1001*time.Millisecond), false)
+}
--- a/fleet/scale_test.go
+++ b/fleet/scale_test.go
@@ -494,3 +494,23 @@
 		t.Errorf("configuration %d is published", v.catalog.Version)
 	}
 }
+
+// BenchmarkObserve measures one check of a primary by the leader, which does ten a second for each service.
+func BenchmarkObserve(b *testing.B) {
+	for _, n := range fleetSizes {
+		leader := calmLeader(b, n)
+		term := leader.leadership()
+		for i := range n {
+			term.recordReport(ReportRequest{Host: scaledHost(i).ID, Observations: observations(i)})
+		}
+		doc := leader.view.Load().documents["service-00"].value
+		doc.Primary = "not registered" // is not probed
+		s := &supervisor{leadership: term, service: "service-00", log: zap.NewNop()}
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.observe(b.Context(), doc)
+			}
+		})
+	}
+}
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -66,8 +66,7 @@
 func (s *supervisor) observe(ctx context.Context, doc primacy.Document) primacy.Health {
 	v := s.agent.view.Load()
 	t, registered := v.targets[doc.Primary]
-	health := primacy.Health{Registered: registered, Draining: t.State == catalog.Draining, StartedAt: t.StartedAt,
-		AllHostsReport: true}
+	health := primacy.Health{Registered: registered, Draining: t.State == catalog.Draining, StartedAt: t.StartedAt}
 	if s.statusEpoch != doc.Epoch {
 		s.statusEpoch, s.statusKnown, s.answeredAt, s.probedAt = doc.Epoch, false, boottime.Now(), time.Time{}
 	}
@@ -90,14 +89,11 @@
 	if health.Draining {
 		health.DrainingFor = now.Sub(v.drainingSince[doc.Primary])
 	}
-	for id := range v.hosts {
-		if now.Sub(s.reports[id].at) > primacy.MaxObservationAge() {
-			health.AllHostsReport = false
-		}
-	}
+	health.AllHostsReport = s.allHostsReport(v, now)
 	for id, o := range s.reports {
-		if id != s.agent.Self.ID && now.Sub(o.at) <= primacy.MaxObservationAge() {
-			health.Observations = append(health.Observations, o.byService[s.service])
+		if observation, observes := o.byService[s.service]; observes && id != s.agent.Self.ID &&
+			now.Sub(o.at) <= primacy.MaxObservationAge() {
+			health.Observations = append(health.Observations, observation)
 		}
 	}
 	if !primacy.Unreachable(doc, health) {
@@ -111,6 +107,25 @@
 	return health
 }
 
+// allHostsReport reports whether all registered hosts have reported recently. The caller holds mu.
+func (term *leadership) allHostsReport(v *clusterView, now time.Time) bool {
+	if v == term.reporting.view && !now.After(term.reporting.until) {
+		return true // each service asks ten times a second
+	}
+	until := now.Add(primacy.MaxObservationAge())
+	for id := range v.hosts {
+		expiry := term.reports[id].at.Add(primacy.MaxObservationAge())
+		if now.After(expiry) {
+			return false
+		}
+		if expiry.Before(until) {
+			until = expiry
+		}
+	}
+	term.reporting.view, term.reporting.until = v, until
+	return true
+}
+
 func (s *supervisor) probe(ctx context.Context, t catalog.Target) (primacy.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -135,12 +135,6 @@
 	return s.last
 }
 
-// Close ends the session of a host that has left.
-func (s *Sessions) Close(host model.HostID) {
-	delete(s.layouts, s.byHost[host])
-	delete(s.byHost, host)
-}
-
 // Report returns the report that a heartbeat stands for, or false if its session is not known or does not fit.
 func (s *Sessions) Report(r Request) (Report, bool) {
 	l, known := s.layouts[r.Session]
--- a/share/share.go
+++ b/share/share.go
@@ -108,6 +108,7 @@
 	hosts      int
 	created    time.Time
 	lastReport map[model.HostID]time.Time // last report of each member
+	nextExpiry time.Time                  // no member expires before this time
 	buckets    map[model.Workspace]*brokerBucket
 	handedOver bool // only the reserve is left
 }
@@ -165,6 +166,9 @@
 		return
 	}
 	b.lastReport[host] = now
+	if expiry := now.Add(memberTTL); expiry.Before(b.nextExpiry) {
+		b.nextExpiry = expiry
+	}
 }
 
 // Deposit adds the surplus tokens that a host passes on when it becomes a member. After HandOver they are discarded.
@@ -208,9 +212,15 @@
 
 // MemberCount removes expired members and returns the number of the others. Members only use their fixed share.
 func (b *Broker) MemberCount(now time.Time) int {
+	if !now.After(b.nextExpiry) {
+		return len(b.lastReport) // each grant of a token needs the number
+	}
+	b.nextExpiry = now.Add(memberTTL)
 	for host, at := range b.lastReport {
 		if now.Sub(at) > memberTTL {
 			delete(b.lastReport, host)
+		} else if expiry := at.Add(memberTTL); expiry.Before(b.nextExpiry) {
+			b.nextExpiry = expiry
 		}
 	}
 	return len(b.lastReport)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -621,3 +622,58 @@
 		}
 	}
 }
+
+// BenchmarkTake measures a token request at the broker of a fleet whose hosts report every 250 ms.
+func BenchmarkTake(b *testing.B) {
+	for _, hosts := range []int{30, 100, 300, 820} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			broker := NewBroker(now)
+			broker.SetLimits(Limits{"w": {PerSecond: 100, Burst: 100}}, hosts)
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(250 * time.Millisecond / time.Duration(hosts))
+				broker.HandleReport(now, model.HostID(fmt.Sprintf("host-%d", i%hosts)), false)
+				broker.Take(now, "w", 1)
+			}
+		})
+	}
+}
+
+// Guards against members that count after their report has expired, or not before, because the broker does not look at all of
+// them for each token: it would hand out the share of a host that uses it itself.
+func TestMemberCountIsExact(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		now := start
+		broker := NewBroker(now)
+		if rng.IntN(2) == 0 {
+			broker = RestoreBroker(now, BrokerState{ReportAges: map[model.HostID]time.Duration{"a": time.Duration(rng.Int64N(int64(2 * memberTTL)))}})
+		}
+		last := map[model.HostID]time.Time{}
+		for host, at := range broker.lastReport {
+			last[host] = at
+		}
+		for range 300 {
+			now = now.Add(time.Duration(rng.Int64N(int64(memberTTL / 8))))
+			host := model.HostID(rune('a' + rng.IntN(12)))
+			switch rng.IntN(8) {
+			case 0:
+				broker.HandleReport(now, host, true)
+				delete(last, host)
+			case 1, 2:
+				broker.HandleReport(now, host, false)
+				last[host] = now
+			default:
+				want := 0
+				for _, at := range last {
+					if now.Sub(at) <= memberTTL {
+						want++
+					}
+				}
+				if got := broker.MemberCount(now); got != want {
+					t.Fatalf("%d members, want %d", got, want)
+				}
+			}
+		}
+	}
+}
