Unused control connections are closed

After a start each host keeps a connection to the seeds that it has synced with, and one to the host that has sent it the configuration. Each costs the other end two goroutines and their buffers, and both ends send probes every second to keep it alive.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -240,6 +240,10 @@
 		case <-ticker.C:
 			c.removeExpired()
 			c.expireDepartures()
+			if !a.isLeading() { // a leader keeps its connections, so that it can fence hosts at once
+				a.controlClients.closeIdle(boottime.Now())
+				a.bulkTransfer.clients.closeIdle(boottime.Now())
+			}
 			if c.plansStale && !boottime.Now().Before(c.nextPlanTime) {
 				c.publish()
 			}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/rpc"
 	"sync"
@@ -46,6 +47,11 @@
 // peerDialTimeout bounds the connection setup to another host, which takes a few milliseconds.
 const peerDialTimeout = 300 * time.Millisecond
 
+// unusedPeerTimeout is the time after which a host that does not lead closes a control connection which it has not used.
+// After a start each host has connections to the seeds and to the host that has sent it the configuration; each costs the
+// other end 20 KB, and four packets a second to keep it alive.
+const unusedPeerTimeout = 10 * time.Second
+
 // dialError reports that no connection could be established, so the request was not sent.
 type dialError struct{ error }
 
@@ -53,11 +59,28 @@
 
 // peerClients keeps one RPC connection to each host.
 type peerClients struct {
-	mu      sync.Mutex
-	clients map[string]*rpccodec.Client
+	mu       sync.Mutex
+	clients  map[string]*rpccodec.Client
+	lastUsed map[string]time.Time // of the clients
+}
+
+func newPeerClients() *peerClients {
+	return &peerClients{clients: map[string]*rpccodec.Client{}, lastUsed: map[string]time.Time{}}
 }
 
-func newPeerClients() *peerClients { return &peerClients{clients: map[string]*rpccodec.Client{}} }
+// closeIdle closes the connections that were not used within unusedPeerTimeout, which is longer than any call over them
+// lasts.
+func (p *peerClients) closeIdle(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, client := range p.clients {
+		if now.Sub(p.lastUsed[address]) > unusedPeerTimeout {
+			delete(p.clients, address)
+			_ = client.Close() // fails only if it is closed already
+		}
+	}
+	maps.DeleteFunc(p.lastUsed, func(address string, _ time.Time) bool { return p.clients[address] == nil })
+}
 
 // call calls a method that replies without blocking. The connection is closed on a timeout.
 func (p *peerClients) call(h Host, method string, args, reply any, timeout time.Duration) error {
@@ -136,7 +159,7 @@
 		_ = client.Close() // another goroutine has connected first
 		return other, nil
 	}
-	p.clients[address] = client
+	p.clients[address], p.lastUsed[address] = client, boottime.Now()
 	return client, nil
 }
 
@@ -146,6 +169,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	client := p.clients[address]
+	p.lastUsed[address] = boottime.Now()
 	if client != nil && client.Ended() {
 		delete(p.clients, address)
 		_ = client.Close() // fails only if it is closed already
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/rpccodec"
 )
@@ -185,3 +186,32 @@
 		}
 	}
 }
+
+// Guards against connections to seeds that stay open for good, one from each host of the fleet, and against one that is
+// closed while it is in use.
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	p, h := newPeerClients(), startSlowPeer(t)
+	call := func() *rpccodec.Client {
+		t.Helper()
+		var reply time.Duration
+		client, err := p.callKeepConn(h, "Slow.Wait", time.Duration(0), &reply, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client
+	}
+	p.openClient(h.Address)
+	p.closeIdle(boottime.Now()) // before the connection is established
+	first := call()
+	p.closeIdle(boottime.Now().Add(unusedPeerTimeout / 2))
+	if call() != first {
+		t.Error("a connection in use was closed")
+	}
+	p.closeIdle(boottime.Now().Add(2 * unusedPeerTimeout))
+	if len(p.clients) != 0 || len(p.lastUsed) != 0 {
+		t.Errorf("%d connections, %d times of use are left", len(p.clients), len(p.lastUsed))
+	}
+	if call() == first {
+		t.Error("a closed connection is used")
+	}
+}
