Evacuation of a data centre: decision, followers, replacement of primaries

Cause: an operator has to empty a data centre in 5 s; until now only single targets drain. With the setting evacuation_ms the configuration follower follows op/ and the view holds the requests; each host enforces them by itself. primacy has the cause evacuated, chosen and fenced like a draining primary.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/guard"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
@@ -69,9 +70,14 @@
 // Decoders decode the configuration and the target entries that the platform keeps in the store.
 type Decoders struct {
 	ConfigurationKey string
-	TargetPrefix     string
-	Configuration    func(value []byte) (*catalog.Catalog, error)
-	Target           func(id string, value []byte) (catalog.Target, error)
+	// OperatorPrefix precedes all keys of the operator, including ConfigurationKey. It is used only with an evacuation bound.
+	OperatorPrefix string
+	TargetPrefix   string
+	// Evacuation returns the data centre whose evacuation a key under OperatorPrefix requests. It returns false for other keys
+	// and an error for a key without a valid name.
+	Evacuation    func(key string) (dc model.DataCentre, isRequest bool, err error)
+	Configuration func(value []byte) (*catalog.Catalog, error)
+	Target        func(id string, value []byte) (catalog.Target, error)
 }
 
 // Prober queries and demotes targets. The context carries a deadline.
@@ -96,7 +102,9 @@
 	Server   *frontend.Server
 	Seeds    []string // addresses of the hosts to sync with at startup
 	IsSeed   bool     // this host is listed as a seed by other hosts
-	Log      *zap.Logger
+	// Evacuation holds the limits of evacuations; with a bound of zero this host does not follow requests for them.
+	Evacuation evacuation.Limits
+	Log        *zap.Logger
 }
 
 // Agent runs the control plane of one host.
@@ -153,6 +161,7 @@
 
 	plansStale   bool      // the plans do not reflect the current inputs
 	nextPlanTime time.Time // earliest time of the next computation
+	operatorKeys operatorKeysAge
 }
 
 // departure is a host whose registration has disappeared.
@@ -183,9 +192,9 @@
 		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
 		unconfirmed: map[model.Service]uint64{}}
-	a.view.Store(newClusterView())
+	a.view.Store(a.newClusterView())
 	a.leaderUnreachable.Store(true)
-	a.follower(a.Decoders.ConfigurationKey, (*control).applyConfiguration)
+	a.follower(a.configurationPrefix(), (*control).applyOperatorKeys)
 	a.follower(a.Decoders.TargetPrefix, (*control).applyTargets)
 	a.follower(controlPrefix, (*control).applyControlKeys)
 	c.Server.SetTokenSource(a.takeTokens, a.brokerChanging)
@@ -193,6 +202,12 @@
 	return a
 }
 
+func (a *Agent) newClusterView() *clusterView {
+	v := newClusterView()
+	v.evacuations = evacuation.NewState(a.Evacuation)
+	return v
+}
+
 func newClusterView() *clusterView {
 	return &clusterView{catalog: &catalog.Catalog{}, targets: map[model.TargetID]catalog.Target{},
 		drainingSince: map[model.TargetID]time.Time{},
@@ -204,12 +219,12 @@
 
 // Run runs the control plane until the context ends.
 func (a *Agent) Run(ctx context.Context) {
-	c := &control{agent: a, view: newClusterView(), removed: map[model.TargetID]time.Time{},
+	c := &control{agent: a, view: a.newClusterView(), removed: map[model.TargetID]time.Time{},
 		departed: map[model.HostID]departure{}}
 	a.startTime = boottime.Now().UnixNano()
 	a.lastBrokerReply.Store(a.startTime)
 	a.lastRelay.Store(a.startTime) // a leader usually relays the state before a starting host has to watch the store
-	go a.follow(ctx, a.Decoders.ConfigurationKey, (*control).applyConfiguration)
+	go a.follow(ctx, a.configurationPrefix(), (*control).applyOperatorKeys)
 	go a.follow(ctx, a.Decoders.TargetPrefix, (*control).applyTargets)
 	go a.follow(ctx, controlPrefix, (*control).applyControlKeys)
 	go a.syncWithSeeds(ctx)
@@ -227,6 +242,7 @@
 		case offer := <-a.successions:
 			go a.takeOverLeadership(ctx, offer)
 		case <-ticker.C:
+			c.trackOperatorKeys()
 			c.removeExpired()
 			if len(c.departed) > 0 {
 				c.trackDepartures(c.view.hosts)
@@ -422,6 +438,9 @@
 	for _, doc := range v.documents {
 		go a.applyDocument(doc.value)
 	}
+	if a.evacuates() {
+		a.Server.SetEvacuations(v.evacuations, v.dataCentres())
+	}
 	a.Server.SetCatalog(v.catalog, v.sharingHosts(a.Self))
 	if v.catalog.Version == 0 {
 		return
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -97,7 +97,7 @@
 func (a *Agent) follow(ctx context.Context, prefix string, apply func(*control, prefixChange)) {
 	f := a.follower(prefix, apply)
 	dep := dependencyLogger{log: a.Log, name: "store watch of " + prefix}
-	attempts := backoff{agent: a, passive: prefix != a.Decoders.ConfigurationKey}
+	attempts := backoff{agent: a, passive: prefix != a.configurationPrefix()}
 	list := a.Store.ListStale // the following watch returns the changes since the stale list
 	for ctx.Err() == nil {
 		items, revision, err := listWithTimeout(ctx, prefix, list)
@@ -370,6 +370,7 @@
 	for prefix, f := range a.followers {
 		revisions[prefix] = f.revision
 	}
+	a.addConfigurationRevision(revisions)
 	return revisions
 }
 
@@ -379,7 +380,11 @@
 	defer a.followMu.Unlock()
 	changes := map[string]PrefixState{}
 	for prefix, revision := range since {
-		if f := a.followers[prefix]; f != nil && f.revision > revision {
+		if _, complete := since[a.configurationPrefix()]; prefix == a.Decoders.ConfigurationKey && !complete {
+			if state, changed := a.configurationChange(revision); changed {
+				changes[prefix] = state
+			}
+		} else if f := a.followers[prefix]; f != nil && f.revision > revision {
 			changes[prefix] = f.changesSince(revision)
 		}
 	}
@@ -430,6 +435,10 @@
 
 func (a *Agent) applyRelayed(ctx context.Context, from model.HostID, changes map[string]PrefixState) {
 	for prefix, state := range changes {
+		if prefix == a.Decoders.ConfigurationKey && a.evacuates() {
+			a.applyRelayedConfiguration(ctx, state)
+			continue
+		}
 		a.followMu.Lock()
 		f := a.followers[prefix]
 		a.followMu.Unlock()
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/placement"
@@ -72,6 +73,7 @@
 	leader        *versioned[Leader]
 	documents     map[model.Service]versioned[primacy.Document]
 	plans         map[model.Service]placement.Plan
+	evacuations   evacuation.State // evacuated data centres; immutable
 }
 
 func (v *clusterView) clone() *clusterView {
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -48,12 +48,18 @@
 	listedEpoch      uint64    // epoch of the last closed document for which the hosts were listed
 	// unresolvedRevision is the revision of the last document whose successor was written without a reply, or 0.
 	unresolvedRevision uint64
+	orderedEpoch       uint64 // epoch of the last closed document for which a promotion was requested
+	evacuationBlocks   bool   // no target may be reached, as logged last
 }
 
 func (s *supervisor) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		doc := s.agent.view.Load().documents[s.service]
 		if !doc.value.Open && doc.value.Epoch > 0 {
+			if s.blockedByEvacuation() {
+				sleep(ctx, superviseInterval)
+				continue
+			}
 			s.replacePrimary(ctx, doc)
 		} else if cause := primacy.ReplacementCause(doc.value, s.observe(ctx, doc.value)); cause != primacy.CauseNone {
 			s.close(ctx, doc, cause)
@@ -76,12 +82,13 @@
 		status, err := s.probe(ctx, t)
 		if err == nil {
 			s.status, s.statusKnown, s.answeredAt = status, true, boottime.Now()
-		} else if isTargetRefusal(err) {
+		} else if isTargetRefusal(err) || errors.Is(err, errEvacuated) {
 			s.answeredAt = boottime.Now()
 		}
 	}
 	health.StatusKnown, health.IsPrimary, health.Term = s.statusKnown, s.status.Primary, s.status.Term
 	now := boottime.Now()
+	s.observeEvacuation(v, t, &health, now)
 	if s.answeredAt.Before(s.probedAt) {
 		health.SilentFor = now.Sub(s.answeredAt)
 	}
@@ -112,6 +119,9 @@
 }
 
 func (s *supervisor) probe(ctx context.Context, t catalog.Target) (primacy.Status, error) {
+	if !s.agent.view.Load().evacuations.MayReach(boottime.Now(), t.DataCentre) {
+		return primacy.Status{}, errEvacuated
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return s.agent.Prober.Status(ctx, t)
@@ -121,7 +131,7 @@
 func (s *supervisor) close(ctx context.Context, doc versioned[primacy.Document], cause primacy.Cause) {
 	next := doc.value
 	next.Service, next.Epoch, next.Open, next.Cause = s.service, next.Epoch+1, false, cause
-	next.Planned = cause == primacy.CauseDraining
+	next.Planned = cause.Planned()
 	s.log.Info("primary: replacing", zap.String("target", string(next.Primary)), zap.String("cause", string(cause)),
 		zap.Uint64("epoch", next.Epoch))
 	s.writeDocument(ctx, doc.revision, next)
@@ -291,14 +301,16 @@
 func (s *supervisor) collectGroup(ctx context.Context, doc primacy.Document, probeSilent bool) primacy.Group {
 	v := s.agent.view.Load()
 	group := primacy.Group{OldPrimary: doc.Primary, OldStartedAt: doc.Born, OldTerm: doc.Term, Cause: doc.Cause,
-		SyncReplicas: v.catalog.Services[s.service].SyncReplicas}
+		SyncReplicas:     v.catalog.Services[s.service].SyncReplicas,
+		PromotionOrdered: s.orderedEpoch == doc.Epoch}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, t := range v.targetsOf(s.service) {
 		if t.ID != doc.Primary {
 			group.ReplicaCount++
 		}
-		if t.ID == doc.Primary && doc.Cause == primacy.CauseUnreachable && !probeSilent {
+		if t.ID == doc.Primary && doc.Cause == primacy.CauseUnreachable && !probeSilent ||
+			!v.evacuations.MayReach(boottime.Now(), t.DataCentre) {
 			continue
 		}
 		wg.Go(func() {
@@ -310,7 +322,8 @@
 			mu.Lock()
 			defer mu.Unlock()
 			group.Candidates = append(group.Candidates, primacy.Candidate{ID: t.ID, StartedAt: t.StartedAt,
-				DataCentre: t.DataCentre, Draining: t.State == catalog.Draining, IsPrimary: status.Primary,
+				DataCentre: t.DataCentre, Draining: t.State == catalog.Draining,
+				Evacuated: v.evacuations.Evacuated(t.DataCentre), IsPrimary: status.Primary,
 				Term: status.Term, Received: status.Received})
 		})
 	}
@@ -326,6 +339,7 @@
 	if remaining <= 0 {
 		return 0, false
 	}
+	s.orderedEpoch = s.agent.view.Load().documents[s.service].value.Epoch
 	callCtx, cancel := context.WithTimeout(ctx, min(promoteCallTimeout, remaining))
 	defer cancel()
 	if err := s.agent.Promoter.Promote(callCtx, s.service, target.ID, s.fence); err != nil {
@@ -347,7 +361,8 @@
 // primary of a lower term becomes a replica.
 func (s *supervisor) demoteOldPrimary(ctx context.Context, old primacy.Document, term uint64) {
 	t, registered := s.agent.view.Load().targets[old.Primary]
-	if !registered || t.StartedAt != old.Born {
+	if !registered || t.StartedAt != old.Born ||
+		!s.agent.view.Load().evacuations.MayReach(boottime.Now(), t.DataCentre) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- /dev/null
+++ b/frontend/evacuation.go
@@ -0,0 +1,156 @@
+package frontend
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/evacuation"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/pool"
+)
+
+// maxRefusalLines is the maximum number of log lines per second and service for statements that an evacuation refuses.
+const maxRefusalLines = 20
+
+// errEvacuated means that nothing was sent because the data centre of the target is evacuated.
+var errEvacuated = errors.New("the data centre of the target is evacuated")
+
+// evacuatedDetail is the detail of the answer that ends a transaction on a target of an evacuated data centre.
+const evacuatedDetail = "the data centre of the transaction's target is evacuated"
+
+// SetEvacuations applies the evacuated data centres. known holds the data centres for the metric that shows them.
+func (s *Server) SetEvacuations(state evacuation.State, known []model.DataCentre) {
+	s.activeEvacuations.Store(&state)
+	for _, dc := range known {
+		s.metrics.setEvacuated(dc, state.Evacuated(dc))
+	}
+	for _, dc := range state.DataCentres() {
+		s.metrics.setEvacuated(dc, true)
+	}
+	for _, svc := range s.allServices() {
+		svc.refreshTargets()
+	}
+}
+
+func (s *Server) evacuations() evacuation.State { return *s.activeEvacuations.Load() }
+
+// endEvacuatedTransactions rolls back the idle transactions whose time on targets of evacuated data centres is up. A
+// transaction with a running statement ends afterwards.
+func (s *Server) endEvacuatedTransactions(now time.Time) {
+	if s.evacuations().Empty() {
+		return
+	}
+	s.mu.Lock()
+	list := slices.AppendSeq(slices.Collect(maps.Keys(s.sessions)), maps.Values(s.forwardedTxns))
+	s.mu.Unlock()
+	for _, sess := range list {
+		sess.endEvacuatedTxn(now)
+	}
+}
+
+// endEvacuatedTxn rolls back the open transaction if its time is up and no statement of it is running.
+func (s *session) endEvacuatedTxn(now time.Time) {
+	if !s.mu.TryLock() {
+		return
+	}
+	defer s.mu.Unlock()
+	if s.txn == nil || s.txn.failed || !s.evacuationEndsTxn(now) {
+		return
+	}
+	s.log.Info("evacuation: transaction rolled back", zap.String("target", string(s.txn.conn.target.ID)),
+		zap.String("data_centre", string(s.txn.conn.target.DataCentre)))
+	s.txn.stopIdleTimer()
+	s.rollback(s.txn)
+	s.txn.failed, s.txn.evacuated = true, true
+	if s.onIdleRollback != nil {
+		s.onIdleRollback()
+	}
+}
+
+// evacuationEndsTxn reports whether the open transaction may no longer continue on its target. The caller holds s.mu.
+func (s *session) evacuationEndsTxn(now time.Time) bool {
+	c := s.txn.conn
+	return c != nil && !s.server.evacuations().MayContinue(now, c.target.DataCentre)
+}
+
+// mayBeginOn reports whether the session may use the connection for its operation: a transaction does not begin when it would
+// have to end at once.
+func (s *session) mayBeginOn(c *targetConn) bool {
+	return s.txn == nil || s.server.evacuations().MayContinue(boottime.Now(), c.target.DataCentre)
+}
+
+// failedAnswer returns the answer to a statement of a failed transaction.
+func (t *txn) failedAnswer() Answer {
+	if t.evacuated {
+		t.evacuated = false
+		return errorAnswer(Aborted, evacuatedDetail)
+	}
+	return errorAnswer(Malformed, "the transaction has failed")
+}
+
+// refreshTargets passes the targets to the pool again if an evacuation has changed which of them start statements.
+func (s *service) refreshTargets() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refreshPoolTargets(boottime.Now())
+}
+
+// refreshPoolTargets is refreshTargets for callers that hold s.mu.
+func (s *service) refreshPoolTargets(now time.Time) {
+	evacuated := slices.ContainsFunc(s.poolTargets, func(t pool.Target) bool { return t.Evacuated })
+	if !evacuated && s.server.evacuations().Empty() {
+		return
+	}
+	list := s.currentPoolTargets(now)
+	if slices.Equal(list, s.poolTargets) {
+		return
+	}
+	s.poolTargets = list
+	s.applyActions(s.pool.SetTargets(now, list))
+}
+
+// currentPoolTargets returns the registered targets as the pool may use them, sorted by id. The caller holds s.mu.
+func (s *service) currentPoolTargets(now time.Time) []pool.Target {
+	registered := slices.SortedFunc(maps.Values(s.targets), func(a, b catalog.Target) int { return cmp.Compare(a.ID, b.ID) })
+	state := s.server.evacuations()
+	list := make([]pool.Target, 0, len(registered))
+	for _, t := range registered {
+		// A draining primary accepts work until another target has been promoted.
+		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
+		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: s.connectionLimit, Draining: draining,
+			Evacuated: !state.MayStart(now, t, s.doc.Primary, registered)})
+	}
+	return list
+}
+
+// refusalLog bounds the log lines for refused statements.
+type refusalLog struct {
+	second     time.Time
+	lines      int
+	suppressed int // since the last line
+}
+
+// recordEvacuationRefusal counts and logs a statement that only targets of evacuated data centres could run. The caller holds
+// s.mu.
+func (s *service) recordEvacuationRefusal(now time.Time) {
+	s.server.metrics.evacuationRefusals.Inc()
+	l := &s.evacuationRefusals
+	if now.Sub(l.second) >= time.Second {
+		l.second, l.lines = now, 0
+	}
+	if l.lines >= maxRefusalLines {
+		l.suppressed++
+		return
+	}
+	l.lines++
+	s.log.Info("evacuation: statement refused", zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open),
+		zap.Int("suppressed", l.suppressed))
+	l.suppressed = 0
+}
--- a/frontend/metrics.go
+++ b/frontend/metrics.go
@@ -13,6 +13,9 @@
 	answers *prometheus.CounterVec
 	latency prometheus.Histogram
 	opens   *prometheus.CounterVec
+
+	evacuated          *prometheus.GaugeVec
+	evacuationRefusals prometheus.Counter
 }
 
 // NewMetrics creates the collectors and registers them with r.
@@ -24,8 +27,13 @@
 			Help: "Time from a caller's statement to its answer.", Buckets: prometheus.ExponentialBuckets(.002, 2, 12)}),
 		opens: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "waxwingspindle_target_connections_opened_total",
 			Help: "Attempts to open a connection to a target by result."}, []string{"service", "result"}),
+		evacuated: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "waxwingspindle_evacuated",
+			Help: "1 while this host knows of the request to evacuate the data centre, otherwise 0."}, []string{"data_centre"}),
+		evacuationRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "waxwingspindle_evacuation_statements_refused_total",
+			Help: "Statements refused because only targets of evacuated data centres could run them."}),
 	}
-	r.MustRegister(m.answers, m.latency, m.opens)
+	r.MustRegister(m.answers, m.latency, m.opens, m.evacuated, m.evacuationRefusals)
 	return m
 }
 
@@ -35,6 +43,15 @@
 	m.latency.Observe(took.Seconds())
 }
 
+// setEvacuated records whether a data centre is evacuated.
+func (m *Metrics) setEvacuated(dc model.DataCentre, evacuated bool) {
+	value := 0.0
+	if evacuated {
+		value = 1
+	}
+	m.evacuated.WithLabelValues(string(dc)).Set(value)
+}
+
 // observeOpen records the result of an attempt to open a connection to a target.
 func (m *Metrics) observeOpen(service model.Service, err error) {
 	result := "ok"
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
 	"github.com/waxwingspindle/waxwingspindle/share"
@@ -38,6 +39,7 @@
 	metrics    *Metrics
 
 	activeCatalog       atomic.Pointer[catalog.Catalog]
+	activeEvacuations   atomic.Pointer[evacuation.State]
 	stopTimes           atomic.Pointer[StopTimes] // nil unless a planned stop was announced
 	closing             atomic.Bool               // sessions end as soon as they have no open transaction
 	primaryAllowedUntil atomic.Int64              // boot time in nanoseconds until which primaries may be used
@@ -63,6 +65,7 @@
 		services: map[model.Service]*service{}, sessions: map[*session]CallerConn{},
 		forwardedTxns: map[txnKey]*session{}, limiter: share.NewLimiter()}
 	s.activeCatalog.Store(&catalog.Catalog{})
+	s.activeEvacuations.Store(&evacuation.State{})
 	return s
 }
 
@@ -78,6 +81,7 @@
 			for _, svc := range s.allServices() {
 				svc.tick()
 			}
+			s.endEvacuatedTransactions(boottime.Now())
 		}
 	}
 }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -78,6 +78,9 @@
 	primaryFailingSince time.Time                    // time of the first failure since that reply, or zero
 	primaryProbedAt     time.Time                    // last attempt to reach an unreachable primary
 	lastWorkspace       model.Workspace              // workspace of the last request
+	connectionLimit     int                          // maximum number of connections from this host to each target
+	poolTargets         []pool.Target                // as last passed to the pool
+	evacuationRefusals  refusalLog
 }
 
 // targetConn is an open connection and the session state that is set up on it.
@@ -112,9 +115,13 @@
 		case pool.Grant:
 			s.deliverResult(a.RequestID, grant{conn: s.conns[a.Conn]})
 		case pool.Refuse:
-			s.log.Info("pool: request refused", zap.Stringer("reason", a.Reason), zap.Int("waiting", s.pool.QueueLength()),
-				zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open),
-				zap.Any("targets", s.pool.Load()))
+			if a.Reason == pool.RefusedEvacuated {
+				s.recordEvacuationRefusal(boottime.Now())
+			} else {
+				s.log.Info("pool: request refused", zap.Stringer("reason", a.Reason), zap.Int("waiting", s.pool.QueueLength()),
+					zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open),
+					zap.Any("targets", s.pool.Load()))
+			}
 			s.deliverResult(a.RequestID, grant{refusal: a.Reason})
 		case pool.Open:
 			go s.open(a, s.targets[a.Target])
@@ -308,6 +315,9 @@
 func (s *service) run(c *targetConn, sess *sessionState, command Command, epoch uint64, deadline time.Time) (Reply, bool,
 	error) {
 	sentAt := boottime.Now()
+	if !s.server.evacuations().MayReach(sentAt, c.target.DataCentre) {
+		return Reply{}, false, errEvacuated
+	}
 	if epoch != 0 {
 		s.mu.Lock()
 		allowed := s.primaryUsable() && s.doc.Epoch == epoch && c.target.StartedAt == s.doc.Born && s.conns[c.id] == c &&
@@ -395,20 +405,17 @@
 	defer s.mu.Unlock()
 	now := boottime.Now()
 	registered := make(map[model.TargetID]catalog.Target, len(targets))
-	list := make([]pool.Target, 0, len(targets))
 	for _, t := range targets {
 		registered[t.ID] = t
-		// A draining primary accepts work until another target has been promoted.
-		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
-		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: limit, Draining: draining})
 	}
 	for id, old := range s.targets {
 		if t, present := registered[id]; present && (t.StartedAt != old.StartedAt || t.Address != old.Address) {
 			s.closeConnections(now, id)
 		}
 	}
-	s.targets = registered
-	s.applyActions(s.pool.SetTargets(now, list))
+	s.targets, s.connectionLimit = registered, limit
+	s.poolTargets = s.currentPoolTargets(now)
+	s.applyActions(s.pool.SetTargets(now, s.poolTargets))
 	s.updatePoolPrimary(now)
 }
 
@@ -427,6 +434,7 @@
 			zap.Uint64("epoch", s.doc.Epoch), zap.Int64("born", s.targets[s.doc.Primary].StartedAt),
 			zap.Int64("expected_born", s.doc.Born))
 	}
+	s.refreshPoolTargets(now)
 	s.applyActions(s.pool.SetPrimary(now, s.doc.Primary, usable))
 }
 
@@ -547,9 +555,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
+	s.refreshPoolTargets(now)
 	s.applyActions(s.pool.Tick(now))
 	if t, registered := s.targets[s.doc.Primary]; registered && s.primaryUnreachableLocked(now) &&
-		now.Sub(s.primaryProbedAt) >= primaryProbeInterval {
+		now.Sub(s.primaryProbedAt) >= primaryProbeInterval && s.server.evacuations().MayReach(now, t.DataCentre) {
 		s.primaryProbedAt = now
 		go s.probePrimary(t, s.lastWorkspace)
 	}
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -184,7 +184,7 @@
 		s.txn.stopIdleTimer()
 		defer s.startIdleTimer()
 		if s.txn.failed && st.Kind != Commit && st.Kind != Rollback {
-			return errorAnswer(Malformed, "the transaction has failed")
+			return s.txn.failedAnswer()
 		}
 	}
 	switch st.Kind {
@@ -400,6 +400,10 @@
 	if g.conn == nil {
 		return nil, 0, minPosition, errorAnswer(Busy, "no connection: "+g.refusal.String())
 	}
+	if !s.mayBeginOn(g.conn) {
+		op.service.release(g.conn, false)
+		return nil, 0, minPosition, errorAnswer(Busy, "no connection: "+pool.RefusedEvacuated.String())
+	}
 	epoch, id, open := op.service.currentPrimary()
 	if g.conn.target.ID == id && open {
 		return g.conn, epoch, model.Position{}, Answer{}
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -19,6 +19,7 @@
 	epoch     uint64 // epoch of the primary document in use, 0 on a replica
 	wrote     bool
 	failed    bool
+	evacuated bool // it was rolled back because of an evacuation, which no answer has told the caller yet
 	idleTimer *time.Timer
 	workspace model.Workspace // of the caller when the transaction began; empty for transactions of other hosts
 	needsKey  bool            // the route was not public when the transaction began
@@ -138,6 +139,9 @@
 	if s.server.transactionsEnded(now) {
 		return op, errorAnswer(Aborted, "the host is stopping")
 	}
+	if s.evacuationEndsTxn(now) {
+		return op, errorAnswer(Aborted, evacuatedDetail)
+	}
 	op = operation{service: t.service, arrived: now}
 	allowed := false
 	if s.forwardedFor != nil {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -25,13 +25,15 @@
 
 // testFleet is a platform with three hosts, which run inside the test process, and one service with three targets.
 type testFleet struct {
-	t            *testing.T
-	store        *lines.Store
-	group        *lines.Group
-	promotionAPI *httptest.Server
-	hosts        []*hostProcess
-	seeds        []string // addresses at which the hosts reach each other
-	log          *zap.Logger
+	t             *testing.T
+	store         *lines.Store
+	group         *lines.Group
+	promotionAPI  *httptest.Server
+	platformStore *httptest.Server
+	hosts         []*hostProcess
+	seeds         []string // addresses at which the hosts reach each other
+	settings      string   // additional lines of the settings files
+	log           *zap.Logger
 }
 
 // hostProcess is a running gateway with its addresses.
@@ -46,7 +48,14 @@
 // newTestFleet starts the platform and the hosts, and waits until all hosts are ready and the primary accepts writes.
 func newTestFleet(t *testing.T) *testFleet {
 	t.Helper()
-	fleet := &testFleet{t: t, store: lines.NewStore(), log: zap.NewNop()}
+	return newTestFleetWith(t, "", func(*lines.Group) {})
+}
+
+// newTestFleetWith is newTestFleet with additional lines of the settings files, and a function that changes the targets before
+// the hosts start.
+func newTestFleetWith(t *testing.T, settings string, prepare func(*lines.Group)) *testFleet {
+	t.Helper()
+	fleet := &testFleet{t: t, store: lines.NewStore(), log: zap.NewNop(), settings: settings}
 	if os.Getenv("E2E_LOGS") != "" {
 		log, err := zap.NewDevelopment() // hosts may log after the end of the test, when t.Log panics
 		if err != nil {
@@ -59,9 +68,11 @@
 		t.Fatal(err)
 	}
 	fleet.group = group
+	prepare(group)
 	fleet.store.PutConfig(lines.NewConfig(1, "workshop-key"))
 	platformStore, promotionAPI := httptest.NewServer(fleet.store), httptest.NewServer(group)
 	fleet.promotionAPI = promotionAPI
+	fleet.platformStore = platformStore
 	for i := range 3 {
 		fleet.hosts = append(fleet.hosts, fleet.startHost(fmt.Sprintf("host-%d", i), platformStore, promotionAPI))
 	}
@@ -109,7 +120,7 @@
 		fleet.t.Fatal(err)
 	}
 	fleet.t.Cleanup(relay.Close)
-	settings += "advertise = " + relay.Address + "\n"
+	settings += "advertise = " + relay.Address + "\n" + fleet.settings
 	fleet.seeds = append(fleet.seeds, relay.Address)
 	path := filepath.Join(fleet.t.TempDir(), name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,9 +66,10 @@
 		DataCentre: model.DataCentre(settings.DataCentre), LinkMbps: settings.LinkMbps, Cores: settings.Cores}
 	agent := fleet.New(fleet.Config{Self: self, Store: metastore.Measure(platform.NewStore(settings.Store), registry),
 		Decoders: fleet.Decoders{ConfigurationKey: platform.ConfigurationKey, TargetPrefix: platform.TargetPrefix,
+			OperatorPrefix: platform.OperatorPrefix, Evacuation: platform.ParseEvacuation,
 			Configuration: platform.ParseConfiguration, Target: platform.ParseTarget},
 		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.PromotionAPI, self.ID), Server: server,
-		Log: log, Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed()})
+		Log: log, Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed(), Evacuation: settings.EvacuationLimits()})
 
 	listeners, err := listen(settings)
 	if err != nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 	"gopkg.in/ini.v1"
 
+	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 )
 
@@ -48,6 +50,27 @@
 	PromotionAPI string `ini:"duties"` // address of the platform's promotion API
 
 	DrainSeconds float64 `ini:"drain_seconds"` // time between the stop signal and the kill of the process
+
+	// EvacuationMs is the time in milliseconds after the request to evacuate a data centre from which no statement may reach a
+	// target there. Hosts ignore such requests if it is empty.
+	EvacuationMs string `ini:"evacuation_ms"`
+}
+
+// EvacuationBound returns EvacuationMs as a duration, or 0 if it is empty or invalid.
+func (s Settings) EvacuationBound() time.Duration {
+	ms, err := strconv.ParseInt(s.EvacuationMs, 10, 32)
+	if err != nil {
+		return 0 // validate reports an invalid value
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// EvacuationLimits returns the limits that follow from EvacuationMs, which are zero if it is empty.
+func (s Settings) EvacuationLimits() evacuation.Limits {
+	if s.EvacuationMs == "" {
+		return evacuation.Limits{}
+	}
+	return evacuation.NewLimits(s.EvacuationBound())
 }
 
 // AdvertisedAddress returns the address at which other hosts reach this one.
@@ -110,6 +133,10 @@
 			problems = append(problems, fmt.Sprintf("%s: %q is not an IP address with a port", a.name, a.value))
 		}
 	}
+	if s.EvacuationMs != "" && s.EvacuationBound() < evacuation.MinBound {
+		problems = append(problems, fmt.Sprintf("evacuation_ms: %q is not a number of milliseconds of at least %d",
+			s.EvacuationMs, evacuation.MinBound.Milliseconds()))
+	}
 	if s.DrainSeconds < 0 {
 		problems = append(problems, "drain_seconds is negative")
 	}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// Guards against a host that does not start in a deployment without a bound for evacuations, or ignores requests in one with it.
+func TestEvacuationSetting(t *testing.T) {
+	for text, enabled := range map[string]bool{"": false, "evacuation_ms =\n": false, "evacuation_ms = 5000\n": true} {
+		s, err := readSettingsText(t, validSettings+text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if limits := s.EvacuationLimits(); (limits.Bound > 0) != enabled {
+			t.Errorf("%q: limits %+v", text, limits)
+		}
+	}
+}
+
 // Guards against accepting invalid settings, and against errors that do not name the key.
 func TestInvalidSettings(t *testing.T) {
 	tests := []struct{ from, to, want string }{
@@ -58,6 +71,8 @@
 		{"seeds = 10.0.0.1:7560,", "seeds = front,", "seeds"},
 		{"metrics = 10.0.0.1:9464", "metrics = 10.0.0.1:99999", "metrics"},
 		{"drain_seconds = 6", "drain_seconds = -1", "drain_seconds"},
+		{"drain_seconds = 6", "drain_seconds = 6\nevacuation_ms = 2999", "evacuation_ms"},
+		{"drain_seconds = 6", "drain_seconds = 6\nevacuation_ms = soon", "evacuation_ms"},
 		{"memory_mb = 200", "memory_mb = much", "memory_mb"},
 	}
 	for _, test := range tests {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -57,8 +57,14 @@
 	DataCentre model.DataCentre
 	Limit      int  // maximum number of connections from this host
 	Draining   bool // accepts no new work
+	// Evacuated targets accept no new work either, also if they are the primary. A request that no other target can run is
+	// refused at once.
+	Evacuated bool
 }
 
+// acceptsWork reports whether the target may start statements.
+func (t Target) acceptsWork() bool { return !t.Draining && !t.Evacuated }
+
 // Request asks for a connection to run one statement or transaction.
 type Request struct {
 	ID        RequestID
@@ -83,11 +89,13 @@
 	RefusedQueueTimeout
 	// RefusedNoTarget means that there is no target that this host may connect to.
 	RefusedNoTarget
+	// RefusedEvacuated means that only targets of evacuated data centres can run the request.
+	RefusedEvacuated
 )
 
 // String returns the reason as it appears in logs.
 func (r RefusalReason) String() string {
-	return [...]string{"none", "queue_full", "queue_timeout", "no_target"}[r]
+	return [...]string{"none", "queue_full", "queue_timeout", "no_target", "evacuated"}[r]
 }
 
 // Action is an instruction to the caller of the pool: Grant, Open, Close or Refuse.
@@ -162,7 +170,8 @@
 	return &Pool{dataCentre: dataCentre, targets: map[model.TargetID]*target{}}
 }
 
-// SetTargets replaces the targets. Connections to removed or draining targets are closed; busy ones when they are released.
+// SetTargets replaces the targets. Connections to removed, draining or evacuated targets are closed; busy ones when they are
+// released.
 func (p *Pool) SetTargets(now time.Time, list []Target) []Action {
 	registered := make(map[model.TargetID]*target, len(list))
 	for _, t := range list {
@@ -174,7 +183,9 @@
 		registered[t.ID] = state
 	}
 	p.targets = registered
-	actions := p.closeIdleWhere(func(c *conn) bool { return registered[c.target] == nil || registered[c.target].Draining })
+	actions := p.closeIdleWhere(func(c *conn) bool {
+		return registered[c.target] == nil || !registered[c.target].acceptsWork()
+	})
 	return append(append(actions, p.closeAboveLimits()...), p.schedule(now)...)
 }
 
@@ -233,7 +244,7 @@
 		}
 		return p.schedule(now)
 	}
-	if t == nil || t.Draining {
+	if t == nil || !t.acceptsWork() {
 		p.remove(id)
 		return append([]Action{Close{id}}, p.schedule(now)...)
 	}
@@ -242,15 +253,15 @@
 	return p.schedule(now)
 }
 
-// Release returns a granted connection to the pool. The pool closes it if the target was removed, is draining or has more
-// connections than its limit.
+// Release returns a granted connection to the pool. The pool closes it if the target was removed, is draining or
+// evacuated, or has more connections than its limit.
 func (p *Pool) Release(now time.Time, id ConnID) []Action {
 	c := p.conn(id)
 	if c == nil {
 		return nil
 	}
 	t := p.targets[c.target]
-	if t == nil || t.Draining {
+	if t == nil || !t.acceptsWork() {
 		p.remove(id)
 		return append([]Action{Close{id}}, p.schedule(now)...)
 	}
@@ -392,7 +403,7 @@
 
 // schedule assigns connections to queued requests in order and opens connections for requests that found none.
 func (p *Pool) schedule(now time.Time) []Action {
-	var actions []Action
+	actions := p.refuseEvacuated()
 	claimed := map[ConnID]bool{} // connections being opened that an earlier request waits for
 	for i := 0; i < len(p.queue); {
 		granted, more := p.assign(now, p.queue[i], claimed)
@@ -406,6 +417,30 @@
 	return actions
 }
 
+// refuseEvacuated refuses the queued requests that only targets of evacuated data centres can run. A request that needs the
+// primary waits while it is being replaced, unless the next one would be in an evacuated data centre too.
+func (p *Pool) refuseEvacuated() []Action {
+	var evacuated, usable bool // there are targets that are evacuated, and others that accept work
+	for _, t := range p.targets {
+		evacuated, usable = evacuated || t.Evacuated, usable || t.acceptsWork()
+	}
+	if !evacuated {
+		return nil
+	}
+	var actions []Action
+	primary := p.targets[p.primary]
+	primaryEvacuated := primary != nil && !p.closed && primary.Evacuated
+	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
+		needsPrimary := r.PrimaryOnly || r.AsOf.IsZero()
+		if usable && !(needsPrimary && primaryEvacuated) {
+			return false
+		}
+		actions = append(actions, Refuse{r.ID, RefusedEvacuated})
+		return true
+	})
+	return actions
+}
+
 // assign finds a connection for one request and reports whether it was granted. Otherwise the request waits for a
 // connection that is being opened or becomes free.
 func (p *Pool) assign(now time.Time, r Request, claimed map[ConnID]bool) (bool, []Action) {
@@ -467,13 +502,13 @@
 	primary := p.targets[p.primary]
 	if !r.PrimaryOnly && !r.AsOf.IsZero() {
 		for id, t := range p.targets {
-			if id != p.primary && !t.Draining && t.mayHaveData(now, r.AsOf) {
+			if id != p.primary && t.acceptsWork() && t.mayHaveData(now, r.AsOf) {
 				list = append(list, t)
 			}
 		}
 		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	if primary != nil && !p.closed {
+	if primary != nil && !p.closed && !primary.Evacuated {
 		list = append(list, primary)
 	}
 	return list
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -27,6 +27,9 @@
 	// minCutOffHosts is the number of hosts that must fail to reach a primary which no host reaches but the leader. The link
 	// of a single host may be at fault.
 	minCutOffHosts = 2
+	// maxEvacuationDelay is the time for which the replacement of an evacuated primary waits for hosts that do not report.
+	// Hosts stop using the primary after 2.5 s by themselves; a replacement takes 0.5 to 1 s.
+	maxEvacuationDelay = 1500 * time.Millisecond
 	// maxObservationAge is the age up to which a host's observation counts. Hosts report every 250 ms.
 	maxObservationAge = time.Second
 )
@@ -59,6 +62,7 @@
 	CauseNone          Cause = ""
 	CauseNoPrimary     Cause = "no_primary_known"
 	CauseDraining      Cause = "draining"
+	CauseEvacuated     Cause = "evacuated" // its data centre is evacuated
 	CauseNotRegistered Cause = "not_registered"
 	CauseRestarted     Cause = "restarted_without_data"
 	CauseDemoted       Cause = "not_primary"
@@ -84,6 +88,11 @@
 	StartedAt   int64
 	Draining    bool
 	DrainingFor time.Duration
+	// Evacuated is true if the evacuation of the primary's data centre has been requested, EvacuatedFor ago. Replaceable is
+	// true if a target in another data centre can be promoted; it is not used otherwise.
+	Evacuated    bool
+	EvacuatedFor time.Duration
+	Replaceable  bool
 	// AllHostsReport is true if all registered hosts have reported recently, so that a replacement does not have to
 	// wait for any of them.
 	AllHostsReport bool
@@ -105,6 +114,8 @@
 	switch {
 	case doc.Primary == "":
 		return CauseNoPrimary
+	case h.Evacuated && !h.Replaceable:
+		return CauseNone // nothing could be promoted; the hosts stop using the primary by themselves
 	case !h.Registered:
 		return CauseNotRegistered
 	case h.StartedAt != doc.Born:
@@ -113,6 +124,8 @@
 		return CauseDemoted
 	case Unreachable(doc, h) && h.SilentFor >= unreachableTimeout:
 		return CauseUnreachable
+	case h.Evacuated && (h.AllHostsReport || h.EvacuatedFor >= maxEvacuationDelay):
+		return CauseEvacuated
 	case Unreachable(doc, h) && (h.AllHostsReport || noHostReaches(doc, h) || h.UnreachableFor >= maxCutOffDelay):
 		return CauseCutOff
 	case h.Draining && (h.AllHostsReport || h.DrainingFor >= maxDrainDelay):
@@ -168,6 +181,7 @@
 	StartedAt  int64
 	DataCentre model.DataCentre
 	Draining   bool
+	Evacuated  bool // in an evacuated data centre
 	IsPrimary  bool
 	Term       uint64
 	Received   model.Position
@@ -183,17 +197,22 @@
 	// it has no data then.
 	ReplicaCount int
 	SyncReplicas int
-	Candidates   []Candidate // targets that replied
+	// PromotionOrdered means that a promotion has been requested since the document was closed, and may take effect late.
+	PromotionOrdered bool
+	Candidates       []Candidate // targets that replied
 }
 
+// leaves reports whether the candidate must not be opened for use: it drains or is evacuated.
+func (c Candidate) leaves() bool { return c.Draining || c.Evacuated }
+
 // Choice is the result of Choose.
 type Choice struct {
 	Target         Candidate
 	AlreadyPrimary bool // the target is the primary already, so no promotion is needed
-	// HandsOver means that the target drains and has commits that no other target has. It has to be promoted, so that the
-	// others receive them, but must not be opened for use: it may end at any moment.
+	// HandsOver means that the target drains or is evacuated, and has commits that no other target has. It has to be promoted, so that the
+	// others receive them, but must not be opened for use.
 	HandsOver bool
-	// AwaitsCatchUp means that the target is about to receive the commits of a draining one that was promoted to hand them over.
+	// AwaitsCatchUp means that the target is about to receive the commits of a draining or evacuated one that was promoted to hand them over.
 	AwaitsCatchUp bool
 	Found         bool // false if no target can be promoted without losing acknowledged commits, or not yet
 }
@@ -202,7 +221,8 @@
 // primary if it was only unreachable and answers again, because it has all commits. Otherwise the replica with the most
 // advanced position is chosen. With synchronous replicas, enough replicas must reply that one of them has every
 // acknowledged commit. A draining target is chosen for use only if no other one replies: it hands its commits over to one that
-// stays.
+// stays. So does an evacuated one, which is never promoted for use. When no target can be promoted instead of an evacuated primary
+// and the evacuation has been withdrawn, the old primary is chosen as it is.
 func Choose(g Group) Choice {
 	candidates := slices.Clone(g.Candidates)
 	slices.SortFunc(candidates, func(a, b Candidate) int {
@@ -215,7 +235,7 @@
 	}
 	for _, c := range candidates {
 		if g.Cause == CauseUnreachable && c.IsPrimary && c.ID == g.OldPrimary && c.StartedAt == g.OldStartedAt &&
-			!c.Draining {
+			!c.leaves() {
 			return Choice{Target: c, AlreadyPrimary: true, Found: true}
 		}
 	}
@@ -227,10 +247,25 @@
 		}
 	}
 	if len(replicas) == 0 || g.SyncReplicas > 0 && answered < g.ReplicaCount-g.SyncReplicas+1 {
-		return Choice{}
+		return g.reopened()
 	}
 	_, stays := staying(replicas)
-	return Choice{Target: replicas[0], HandsOver: replicas[0].Draining && stays, Found: true}
+	if replicas[0].Evacuated && !stays {
+		return g.reopened()
+	}
+	return Choice{Target: replicas[0], HandsOver: replicas[0].leaves() && stays, Found: true}
+}
+
+// reopened returns the old primary as the choice if it was to be replaced because of an evacuation that has been withdrawn, and
+// no promotion was requested that could take effect later. Otherwise nothing is chosen.
+func (g Group) reopened() Choice {
+	for _, c := range g.Candidates {
+		if g.Cause == CauseEvacuated && !g.PromotionOrdered && c.IsPrimary && c.ID == g.OldPrimary &&
+			c.StartedAt == g.OldStartedAt && !c.leaves() {
+			return Choice{Target: c, AlreadyPrimary: true, Found: true}
+		}
+	}
+	return Choice{}
 }
 
 // replicas returns the candidates other than the old primary, those that received most first.
@@ -239,14 +274,14 @@
 		return c.ID == g.OldPrimary && c.StartedAt == g.OldStartedAt
 	})
 	slices.SortFunc(replicas, func(a, b Candidate) int {
-		return cmp.Or(compareReceived(b, a), compareDraining(a, b), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(compareReceived(b, a), cmp.Compare(a.leaving(), b.leaving()), cmp.Compare(a.ID, b.ID))
 	})
 	return replicas
 }
 
-// staying returns the first candidate that does not drain.
+// staying returns the first candidate that neither drains nor is evacuated.
 func staying(candidates []Candidate) (Candidate, bool) {
-	i := slices.IndexFunc(candidates, func(c Candidate) bool { return !c.Draining })
+	i := slices.IndexFunc(candidates, func(c Candidate) bool { return !c.leaves() })
 	if i < 0 {
 		return Candidate{}, false
 	}
@@ -254,10 +289,10 @@
 }
 
 // afterPromotion returns the choice when a candidate is the primary of a later term than the old one: this candidate, unless it
-// drains and another one stays.
+// drains or is evacuated and another one stays.
 func (g Group) afterPromotion(promoted Candidate) Choice {
 	successor, stays := staying(g.replicas())
-	if !promoted.Draining || !stays {
+	if !promoted.leaves() || !stays {
 		return Choice{Target: promoted, AlreadyPrimary: true, Found: true}
 	}
 	if !hasReceivedAll(successor, promoted) {
@@ -278,20 +313,25 @@
 	return cmp.Or(cmp.Compare(a.Received.Term, b.Received.Term), cmp.Compare(a.Received.Offset, b.Received.Offset))
 }
 
-// compareDraining orders targets that do not drain before those that do.
-func compareDraining(a, b Candidate) int {
+// leaving returns a rank: 0 for a candidate that stays, 1 for one that drains, 2 for an evacuated one.
+func (c Candidate) leaving() int {
 	switch {
-	case a.Draining == b.Draining:
-		return 0
-	case a.Draining:
+	case c.Evacuated:
+		return 2
+	case c.Draining:
 		return 1
 	}
-	return -1
+	return 0
 }
 
 // WaitsForCatchUp reports whether a replacement should wait until the next primary has received everything that the
 // old one has. That applies to the causes where the leader still reaches the old primary.
-func (c Cause) WaitsForCatchUp() bool { return c == CauseDraining || c == CauseCutOff }
+func (c Cause) WaitsForCatchUp() bool {
+	return c == CauseDraining || c == CauseEvacuated || c == CauseCutOff
+}
+
+// Planned reports whether running transactions may end before the primary is replaced.
+func (c Cause) Planned() bool { return c == CauseDraining || c == CauseEvacuated }
 
 // CaughtUp reports whether a candidate has received everything that the old primary has, or the old primary did not
 // reply.
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -79,8 +79,10 @@
 	partitioned        bool
 	replicationBlocked bool // the replica receives no commits
 	state              string
-	advertisedAddress  string // address in the store entry; differs from Address behind a proxy
-	incarnation        int64  // "born" in the store entry; incremented by a restart without data
+	dataCentre         string
+	lastRequestAt      time.Time // time at which the member last received a line, also of the hosts' own statements
+	advertisedAddress  string    // address in the store entry; differs from Address behind a proxy
+	incarnation        int64     // "born" in the store entry; incremented by a restart without data
 	term               uint64
 	log                []*Commit
 	applied            int // number of log entries visible to reads
@@ -96,7 +98,7 @@
 			return nil, err
 		}
 		m := &Member{ID: fmt.Sprintf("%s-%d", service, i), Address: l.Addr().String(), group: g, listener: l,
-			primary: i == 0, term: 1, incarnation: 1, state: "ready", advertisedAddress: l.Addr().String(),
+			primary: i == 0, term: 1, incarnation: 1, state: "ready", dataCentre: "z1", advertisedAddress: l.Addr().String(),
 			conns: map[net.Conn]bool{}}
 		g.members = append(g.members, m)
 		m.publishEntry()
@@ -200,6 +202,28 @@
 	m.publishEntry()
 }
 
+// SetDataCentre sets the data centre in the member's store entry. Initially it is z1.
+func (m *Member) SetDataCentre(name string) {
+	m.group.mu.Lock()
+	m.dataCentre = name
+	m.group.mu.Unlock()
+	m.publishEntry()
+}
+
+// LastRequest returns the time at which the member last received a line: a statement of any kind, or the start of a session.
+func (m *Member) LastRequest() time.Time {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.lastRequestAt
+}
+
+// recordRequest records that the member has received a line.
+func (m *Member) recordRequest() {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.lastRequestAt = time.Now()
+}
+
 // SetAdvertisedAddress replaces the address in the member's store entry, for example by that of a proxy.
 func (m *Member) SetAdvertisedAddress(address string) {
 	m.group.mu.Lock()
@@ -249,8 +273,8 @@
 	if m.primary {
 		role = "primary"
 	}
-	entry := map[string]any{"service": g.Service, "address": m.advertisedAddress, "zone": "z1", "slots": 3, "state": state,
-		"dbRole": role, "sequence": 1, "born": m.incarnation}
+	entry := map[string]any{"service": g.Service, "address": m.advertisedAddress, "zone": m.dataCentre, "slots": 3,
+		"state": state, "dbRole": role, "sequence": 1, "born": m.incarnation}
 	g.mu.Unlock()
 	if state == "gone" {
 		g.store.Remove("servers/" + m.ID)
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -58,6 +58,7 @@
 	if !scanner.Scan() {
 		return
 	}
+	m.recordRequest()
 	fields := strings.Fields(scanner.Text())
 	switch {
 	case len(fields) != 4 || fields[0] != "STARTUP" || fields[1] != m.group.Service || fields[3] != m.ID:
@@ -75,6 +76,7 @@
 	m.group.mu.Unlock()
 	fmt.Fprintf(conn, "READY I %s\r\n", position)
 	for scanner.Scan() {
+		m.recordRequest()
 		response, answered := s.handle(scanner.Text())
 		if !answered {
 			return
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -128,6 +128,17 @@
 	s.notifyWatchers()
 }
 
+// evacuationPrefix precedes the name of a data centre in the key that requests its evacuation.
+const evacuationPrefix = "op/evacuate/"
+
+// RequestEvacuation stores the request to evacuate a data centre.
+func (s *Store) RequestEvacuation(dataCentre string) {
+	s.PutRaw(evacuationPrefix+dataCentre, []byte("{}"))
+}
+
+// WithdrawEvacuation removes the request to evacuate a data centre.
+func (s *Store) WithdrawEvacuation(dataCentre string) { s.Remove(evacuationPrefix + dataCentre) }
+
 // Get returns the value of a key.
 func (s *Store) Get(key string) ([]byte, bool) {
 	s.mu.Lock()
