--- a/frontend/evacuation.go
+++ b/frontend/evacuation.go
@@ -130,6 +130,16 @@
 	return list
 }
 
+// logRefusal logs a request that the pool has refused. The caller holds s.mu.
+func (s *service) logRefusal(reason pool.RefusalReason) {
+	if reason == pool.RefusedEvacuated {
+		s.recordEvacuationRefusal(boottime.Now())
+		return
+	}
+	s.log.Info("pool: request refused", zap.Stringer("reason", reason), zap.Int("waiting", s.pool.QueueLength()),
+		zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open), zap.Any("targets", s.pool.Load()))
+}
+
 // refusalLog bounds the log lines for refused statements.
 type refusalLog struct {
 	second     time.Time
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -115,13 +115,7 @@
 		case pool.Grant:
 			s.deliverResult(a.RequestID, grant{conn: s.conns[a.Conn]})
 		case pool.Refuse:
-			if a.Reason == pool.RefusedEvacuated {
-				s.recordEvacuationRefusal(boottime.Now())
-			} else {
-				s.log.Info("pool: request refused", zap.Stringer("reason", a.Reason), zap.Int("waiting", s.pool.QueueLength()),
-					zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open),
-					zap.Any("targets", s.pool.Load()))
-			}
+			s.logRefusal(a.Reason)
 			s.deliverResult(a.RequestID, grant{refusal: a.Reason})
 		case pool.Open:
 			go s.open(a, s.targets[a.Target])
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -167,6 +167,49 @@
 	}
 }
 
+// An evacuated target must get no new work, also if it is the primary. What only such targets can run must be refused at once,
+// also if it is queued already.
+func TestEvacuatedTargetsGetNoWork(t *testing.T) {
+	p, r := Target{ID: "p", DataCentre: "east", Limit: 1}, Target{ID: "r", DataCentre: "west", Limit: 1}
+	f := newFixture(t, p, r)
+	f.enqueue(writeRequest(1, "w"))
+	f.enqueue(writeRequest(2, "w"))
+	p.Evacuated = true
+	f.apply(f.pool.SetTargets(f.now, []Target{p, r}))
+	f.enqueue(writeRequest(3, "w"))
+	f.enqueue(readRequest(4, "w", time.Time{}))
+	f.enqueue(readRequest(5, "w", start.Add(-time.Second)))
+	want := map[RequestID]RefusalReason{2: RefusedEvacuated, 3: RefusedEvacuated, 4: RefusedEvacuated}
+	if diff := cmp.Diff(want, f.refused); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+	if got := f.granted[5].Target; got != "r" {
+		t.Errorf("the read ran on %q", got)
+	}
+	f.release(1)
+	if len(f.closed) != 1 {
+		t.Error("the connection to the evacuated target stays open")
+	}
+	f.apply(f.pool.SetPrimary(f.now, "p", false))
+	f.enqueue(writeRequest(6, "w"))
+	if len(f.refused) != len(want) {
+		t.Error("a write was refused although its primary is being replaced")
+	}
+	r.Evacuated = true
+	f.apply(f.pool.SetTargets(f.now, []Target{p, r}))
+	f.enqueue(readRequest(7, "w", start.Add(-time.Second)))
+	if f.refused[6] != RefusedEvacuated || f.refused[7] != RefusedEvacuated {
+		t.Errorf("all targets are evacuated, refused were %v", f.refused)
+	}
+	p.Evacuated, r.Evacuated = false, false
+	f.apply(f.pool.SetTargets(f.now, []Target{p, r}))
+	f.apply(f.pool.SetPrimary(f.now, "p", true))
+	f.enqueue(writeRequest(8, "w"))
+	if f.granted[8].Target != "p" {
+		t.Error("the primary is not used after the evacuation")
+	}
+}
+
 // Requests must be refused at their deadline, not held until the caller has timed out.
 func TestRefusesAtDeadline(t *testing.T) {
 	f := newFixture(t, Target{ID: "a", DataCentre: "east", Limit: 1})
--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -68,6 +68,19 @@
 		{"the observations are of an earlier primary", openDocument(), func(h *Health) {
 			h.Observations = []Observation{{Epoch: 2, UnreachableFor: time.Minute}, {Epoch: 2, UnreachableFor: time.Minute}}
 		}, CauseNone},
+		{"its data centre is evacuated", openDocument(), func(h *Health) {
+			h.Evacuated, h.Replaceable = true, true
+		}, CauseEvacuated},
+		{"its data centre is evacuated, but a host does not report", openDocument(), func(h *Health) {
+			h.Evacuated, h.Replaceable, h.AllHostsReport = true, true, false
+		}, CauseNone},
+		{"its data centre is evacuated for longer than maxEvacuationDelay", openDocument(), func(h *Health) {
+			h.Evacuated, h.Replaceable, h.AllHostsReport, h.EvacuatedFor = true, true, false, maxEvacuationDelay
+		}, CauseEvacuated},
+		{"its data centre is evacuated, and no target elsewhere can be promoted", openDocument(), func(h *Health) {
+			h.Evacuated, h.Draining, h.SilentFor = true, true, time.Minute
+			h.Observations = []Observation{failing(), failing()}
+		}, CauseNone},
 		{"one probe was lost", openDocument(), func(h *Health) { h.SilentFor = unreachableTimeout / 2 }, CauseNone},
 	}
 	for _, test := range tests {
@@ -81,6 +94,50 @@
 
 func position(term, offset uint64) model.Position { return model.Position{Term: term, Offset: offset} }
 
+// Guards against the promotion of a target in an evacuated data centre for use, and against a service that stays without a primary
+// after the request was withdrawn.
+func TestChooseDuringEvacuation(t *testing.T) {
+	old := Candidate{ID: "a", StartedAt: 7, IsPrimary: true, Term: 3, Received: position(3, 90), Evacuated: true}
+	returned := old
+	returned.Evacuated = false
+	ahead := Candidate{ID: "b", Term: 3, Received: position(3, 85), Evacuated: true}
+	equal := Candidate{ID: "c", Term: 3, Received: position(3, 85)}
+	behind := Candidate{ID: "c", Term: 3, Received: position(3, 80)}
+	handing := Candidate{ID: "b", IsPrimary: true, Term: 4, Received: position(4, 85), Evacuated: true}
+	follower := Candidate{ID: "c", Term: 4, Received: position(3, 85)}
+	tests := []struct {
+		name       string
+		candidates []Candidate
+		ordered    bool
+		want       Choice
+	}{
+		{"the one elsewhere", []Candidate{old, ahead, equal}, false, Choice{Target: equal, Found: true}},
+		{"one there only hands over the commits that no other has", []Candidate{old, ahead, behind}, false,
+			Choice{Target: ahead, HandsOver: true, Found: true}},
+		{"wait for the commits that it hands over", []Candidate{handing, behind}, false,
+			Choice{Target: behind, AwaitsCatchUp: true}},
+		{"it has handed over its commits", []Candidate{handing, follower}, false, Choice{Target: follower, Found: true}},
+		{"none if all are evacuated", []Candidate{old, ahead}, false, Choice{}},
+		{"the primary of a later term is recorded as it is", []Candidate{handing}, false,
+			Choice{Target: handing, AlreadyPrimary: true, Found: true}},
+		{"the old primary after the withdrawal, if no replica answers", []Candidate{returned}, false,
+			Choice{Target: returned, AlreadyPrimary: true, Found: true}},
+		{"not the old primary if a promotion may take effect late", []Candidate{returned}, true, Choice{}},
+		{"a replica elsewhere also after the withdrawal", []Candidate{returned, behind}, false,
+			Choice{Target: behind, Found: true}},
+	}
+	for _, test := range tests {
+		group := Group{OldPrimary: "a", OldStartedAt: 7, OldTerm: 3, Cause: CauseEvacuated, ReplicaCount: 2,
+			PromotionOrdered: test.ordered, Candidates: test.candidates}
+		if diff := cmp.Diff(test.want, Choose(group)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+	if !CauseEvacuated.WaitsForCatchUp() || !CauseEvacuated.Planned() {
+		t.Error("the replacement of an evacuated primary loses commits or transactions")
+	}
+}
+
 // Guards against the promotion of a target that lacks commits which another one has, and against a second promotion
 // when the reply to the first request was lost.
 func TestChoose(t *testing.T) {
