--- a/soak/check.go
+++ b/soak/check.go
@@ -25,6 +25,8 @@
 	statementTimeout     = 2 * time.Second         // timeout of the routes
 	// responseSlack is added to the statement timeout to allow for network latency and a loaded machine.
 	responseSlack = time.Second
+	// evacuationBound is the time after the acknowledgement of an evacuation from which no statement may reach a database.
+	evacuationBound = 5 * time.Second
 	// loweredLimitGrace is the time for which the old value of a lowered limit still applies: one window after all hosts
 	// are free of faults.
 	loweredLimitGrace = maxConfigDelay + rateWindow + 12*time.Second
@@ -46,6 +48,7 @@
 	NoUnsentStatements Invariant = "databases execute only statements sent by callers"
 	KeyWithdrawal      Invariant = "a withdrawn key stops working"
 	KeyAcceptance      Invariant = "a configured key is accepted"
+	EvacuationBound    Invariant = "an evacuated data centre gets no statements"
 	RateLimit          Invariant = "workspaces keep to their limits"
 	ResponseTime       Invariant = "statements are answered within their timeout"
 	GracefulStop       Invariant = "a planned stop interrupts no statement"
@@ -97,6 +100,7 @@
 	c.checkResponses()
 	c.checkKeys()
 	c.checkRateLimit()
+	c.checkEvacuations()
 	c.checkFencingTokens()
 	return c.violations
 }
@@ -377,6 +381,28 @@
 	return rate, burst
 }
 
+// checkEvacuations checks that databases in evacuated data centres execute nothing after the bound. A host that was cut off or
+// suspended does not know of the request, and a link fault may delay a statement.
+func (c *checker) checkEvacuations() {
+	for _, evacuation := range c.Evacuations {
+		bound, end := evacuation.From.Add(evacuationBound), cmp.Or(evacuation.To, c.Now)
+		for _, e := range c.ExecutedStatements {
+			if e.At.After(bound) && e.At.Before(end) && slices.Contains(evacuation.Databases, e.Database) &&
+				!c.unplannedFaultDuring(evacuation.From, e.At) {
+				c.report(EvacuationBound, "database %s ran statement %s (%s) %s after the request to evacuate it", e.Database,
+					e.ID, e.Text, e.At.Sub(evacuation.From))
+			}
+		}
+	}
+}
+
+// unplannedFaultDuring reports whether a fault other than a planned operation was active between two times.
+func (c *checker) unplannedFaultDuring(from, to time.Time) bool {
+	return slices.ContainsFunc(c.FaultWindows, func(w FaultWindow) bool {
+		return !w.PlannedStop && !w.PlannedOperation && overlaps(w, from, to)
+	})
+}
+
 // checkFencingTokens checks that fencing tokens never decrease and that no two holders use the same token.
 func (c *checker) checkFencingTokens() {
 	holders, highest := map[uint64]string{}, uint64(0)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -73,6 +73,23 @@
 			s.Commits[0].StaleTerm, s.Commits[0].RolledBack = true, true
 			s.FaultWindows = []FaultWindow{{From: at(-1000), To: at(-100)}}
 		}, ""},
+		{"a database runs a statement after the bound of its evacuation", "orders", func(s *scenario) {
+			s.ExecutedStatements[1].Database = "stock-0"
+			s.Evacuations = []Evacuation{{From: at(24).Add(-evacuationBound), Databases: []string{"stock-0"}}}
+		}, EvacuationBound},
+		{"a database runs a statement before the bound of its evacuation", "orders", func(s *scenario) {
+			s.ExecutedStatements[1].Database = "stock-0"
+			s.Evacuations = []Evacuation{{From: at(26).Add(-evacuationBound), Databases: []string{"stock-0"}}}
+		}, ""},
+		{"a database runs a statement after the withdrawal of its evacuation", "orders", func(s *scenario) {
+			s.ExecutedStatements[1].Database = "stock-0"
+			s.Evacuations = []Evacuation{{From: at(-60000), To: at(20), Databases: []string{"stock-0"}}}
+		}, ""},
+		{"a fault hides an evacuation from a host", "orders", func(s *scenario) {
+			s.ExecutedStatements[1].Database = "stock-0"
+			s.Evacuations = []Evacuation{{From: at(-60000), Databases: []string{"stock-0"}}}
+			s.FaultWindows = []FaultWindow{{From: at(-1000), To: at(-100)}}
+		}, ""},
 		{"a read of the primary misses a commit", "orders", func(s *scenario) {
 			s.otherSession()
 			s.ExecutedStatements[1].VisibleLog = nil
@@ -197,7 +214,8 @@
 			}
 		}
 	}
-	if len(kinds) != len(faultWeights) || overlapping == 0 {
-		t.Errorf("%d of %d kinds, %d faults overlap", len(kinds), len(faultWeights), overlapping)
+	wanted := len(faultWeights) + 1 // evacuations have no weight
+	if len(kinds) != wanted || !kinds[DataCentreEvacuated] || overlapping == 0 {
+		t.Errorf("%d of %d kinds, %d faults overlap", len(kinds), wanted, overlapping)
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -22,6 +22,8 @@
 	faultReplicationLag = 900 * time.Millisecond
 	// registrationDelay is the time until a restarted database updates its registration.
 	registrationDelay = 600 * time.Millisecond
+	// evacuationDuration is the duration of an evacuation: long enough to check the time after its bound.
+	evacuationDuration = 8 * time.Second
 	// defaultReplicationLag is the initial replication lag of the stand-in.
 	defaultReplicationLag = 20 * time.Millisecond
 )
@@ -68,6 +70,7 @@
 		end = func() { sys.adjustActiveFaults(f.Kind, -1) }
 	default:
 		window.DatabasesOnly = true
+		window.PlannedOperation = f.Kind == DataCentreEvacuated || f.Kind == DatabaseDrained
 		var possible bool
 		if end, possible = sys.injectDatabaseFault(f); !possible {
 			return activeFault{}, false
@@ -230,6 +233,8 @@
 	case DatabaseDataLost:
 		m.RestartEmpty()
 		time.AfterFunc(registrationDelay, m.Register)
+	case DataCentreEvacuated:
+		return sys.evacuate(f.Database), true
 	case DatabaseDrained:
 		m.Drain()
 		time.AfterFunc(drainDuration, func() {
@@ -244,3 +249,22 @@
 	// Until this member has caught up, the other members hold the only copies.
 	return func() { time.AfterFunc(drainDuration+settleTime, func() { sys.releaseDatabases(f.Kind) }) }, true
 }
+
+// evacuate requests the evacuation of the data centre of a database, and returns a function that withdraws it.
+func (sys *system) evacuate(database int) func() {
+	name := databaseDataCentre(database)
+	sys.store.RequestEvacuation(name)
+	record := &Evacuation{From: time.Now()}
+	for i := range databaseCount {
+		if databaseDataCentre(i) == name {
+			record.Databases = append(record.Databases, sys.group.Member(i).ID)
+		}
+	}
+	sys.history.update(func() { sys.history.evacuations = append(sys.history.evacuations, record) })
+	return func() {
+		time.Sleep(time.Until(record.From.Add(evacuationDuration)))
+		sys.history.update(func() { record.To = time.Now() }) // hosts may learn of the withdrawal before it returns
+		sys.store.WithdrawEvacuation(name)
+		sys.releaseDatabases(DataCentreEvacuated)
+	}
+}
--- a/soak/history.go
+++ b/soak/history.go
@@ -56,6 +56,8 @@
 	PlannedStop     bool      // the fault is a planned stop of the host
 	HostUnavailable bool      // the host does not serve callers during the fault
 	DatabasesOnly   bool      // only databases are affected
+	// PlannedOperation marks an operation on databases that is no fault: an evacuation or a drain.
+	PlannedOperation bool
 }
 
 // allHosts is the host number that represents all hosts.
@@ -70,6 +72,12 @@
 	Burst        float64
 }
 
+// Evacuation is an acknowledged request to evacuate a data centre.
+type Evacuation struct {
+	From, To  time.Time // To is zero until the request is withdrawn
+	Databases []string  // in the data centre
+}
+
 // History records the statements of callers, the injected faults and the configuration changes. It is safe for concurrent
 // use.
 type History struct {
@@ -77,6 +85,7 @@
 	statements    []*Statement
 	faultWindows  []*FaultWindow
 	configChanges []ConfigChange
+	evacuations   []*Evacuation
 }
 
 // View is a copy of a History together with the statements, commits and promotions recorded by the databases.
@@ -84,6 +93,7 @@
 	Statements         []Statement
 	FaultWindows       []FaultWindow
 	ConfigChanges      []ConfigChange
+	Evacuations        []Evacuation
 	ExecutedStatements []lines.ExecutedStatement
 	Commits            []*lines.Commit
 	Promotions         []lines.Promotion
@@ -140,6 +150,9 @@
 	for _, window := range h.faultWindows {
 		v.FaultWindows = append(v.FaultWindows, *window)
 	}
+	for _, e := range h.evacuations {
+		v.Evacuations = append(v.Evacuations, *e)
+	}
 	v.ConfigChanges = append(v.ConfigChanges, h.configChanges...)
 	v.Now = time.Now()
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -40,6 +40,8 @@
 	ReplicationBlocked     FaultKind = "replication blocked"
 	DatabaseDrained        FaultKind = "database drained"
 
+	DataCentreEvacuated FaultKind = "data centre of a database evacuated"
+
 	KeyChanged   FaultKind = "key withdrawn and another added"
 	LimitChanged FaultKind = "limit changed"
 )
@@ -100,7 +102,7 @@
 	for at := time.Duration(0); ; {
 		at += time.Duration(random.Int64N(int64(maxFaultGap)))
 		if at >= length {
-			return plan
+			return append(plan, generateEvacuations(seed, databases, length)...)
 		}
 		pick, kind := random.IntN(total), FaultKind("")
 		for _, w := range faultWeights {
@@ -134,7 +136,25 @@
 			plan = append(plan, Fault{Start: at + time.Duration(random.Int64N(int64(stopSpacing))), Kind: kind})
 		}
 	}
-	return plan
+	return append(plan, generateEvacuations(seed, databaseCount, length)...)
+}
+
+// evacuationSpacing is the mean time between the starts of two evacuations, one of which takes evacuationDuration.
+const evacuationSpacing = 10 * time.Second
+
+// generateEvacuations returns the evacuations of a plan. They have a random source of their own, so that the other faults of a
+// seed stay the same.
+func generateEvacuations(seed uint64, databases int, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var plan []Fault
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.Int64N(int64(2 * evacuationSpacing)))
+		if at >= length {
+			return plan
+		}
+		plan = append(plan, Fault{Start: at, Duration: min(evacuationDuration, length-at), Kind: DataCentreEvacuated,
+			Database: random.IntN(databases)})
+	}
 }
 
 // planSteps returns the starts and ends of the faults of a plan in chronological order.
--- a/soak/system.go
+++ b/soak/system.go
@@ -102,6 +102,7 @@
 			return nil, err
 		}
 		group.Member(i).SetAdvertisedAddress(address)
+		group.Member(i).SetDataCentre(databaseDataCentre(i))
 	}
 	sys.servers = []*httptest.Server{httptest.NewServer(sys.store), httptest.NewServer(group)}
 	sys.writeConfiguration("", "")
@@ -119,6 +120,9 @@
 	return sys, nil
 }
 
+// databaseDataCentre returns the data centre of a database. Hosts are in the same three.
+func databaseDataCentre(i int) string { return fmt.Sprintf("z%d", 1+i%3) }
+
 func databaseLink(i int) string { return fmt.Sprintf("%s %d", LinkToDatabase, i) }
 
 func hostLink(peer LinkKind, i int) string { return fmt.Sprintf("%s %d", peer, i) }
@@ -154,9 +158,10 @@
 		}
 	}
 	text := fmt.Sprintf("[host]\nname = host-%d\ndata_centre = z%d\ncallers = %s\nhealth = %s\npeers = %s\n"+
-		"seeds = %s\nadvertise = %s\nmetrics = %s\nstore = %s\nduties = %s\ndrain_seconds = %d\n", number,
+		"seeds = %s\nadvertise = %s\nmetrics = %s\nstore = %s\nduties = %s\ndrain_seconds = %d\n"+
+		"evacuation_ms = %d\n", number,
 		1+number%3, h.listenAddress, h.healthAddress, h.peerAddress, strings.Join(sys.seedAddresses, ","), advertised,
-		metrics, store, strings.TrimPrefix(sys.servers[1].URL, "http://"), drainSeconds)
+		metrics, store, strings.TrimPrefix(sys.servers[1].URL, "http://"), drainSeconds, evacuationBound.Milliseconds())
 	sys.seedAddresses = append(sys.seedAddresses, advertised)
 	return h, trace.Wrap(os.WriteFile(h.settingsFile, []byte(text), 0o600))
 }
