Bound of requests to cold targets

Cause: a cold target may get 1.5 coldPerS + 5 requests a second from all hosts together; nothing kept to that. Result: go test -race of coldstart, pool, primacy, fleet, frontend, platform and gateway's TestColdTargetsKeepToBound passes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -37,6 +37,8 @@
 	Name           model.Service
 	MaxConnections int // per target, over all hosts together
 	SyncReplicas   int // replicas that must hold a commit before it is acknowledged
+	// ColdPerSecond is the rate of requests to a cold target that its bound is derived from, or 0 without a bound.
+	ColdPerSecond float64
 }
 
 // Limit is the rate of operations that a workspace may start over all hosts together.
@@ -83,4 +85,12 @@
 	State          TargetState
 	ReportsPrimary bool  // whether the target considers itself the primary, which may be out of date
 	StartedAt      int64 // Unix time in milliseconds; a restarted target has no connections from before
+	// ColdFor is how long the target stays cold, that is slow, after it has written its entry.
+	ColdFor time.Duration
+	// ColdUntil is the boot time at which the target is no longer cold, as seen by the host that has read its entry. It is zero
+	// for a target that was not cold.
+	ColdUntil time.Time
 }
+
+// Cold reports whether the target is cold at the given boot time.
+func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -334,7 +334,9 @@
 		}
 		listed[id] = true
 		delete(c.removed, id)
-		if known, ok := c.view.targets[id]; !ok || known != t {
+		known, ok := c.view.targets[id]
+		c.setColdUntil(&t, known, now)
+		if !ok || known != t {
 			c.agent.Log.Info("targets: entry applied", zap.String("target", name), zap.Uint64("revision", e.Revision),
 				zap.String("service", string(t.Service)), zap.Bool("draining", t.State == catalog.Draining),
 				zap.Bool("says_primary", t.ReportsPrimary), zap.Int64("born", t.StartedAt))
@@ -447,6 +449,7 @@
 	}
 	for service := range v.catalog.Services {
 		plan := v.plans[service]
+		a.setColdRate(v, service)
 		a.Server.SetTargets(service, v.targetsOf(service), plan.ConnectionLimit(a.Self.ID))
 	}
 }
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -49,7 +49,8 @@
 	// unresolvedRevision is the revision of the last document whose successor was written without a reply, or 0.
 	unresolvedRevision uint64
 	orderedEpoch       uint64 // epoch of the last closed document for which a promotion was requested
-	evacuationBlocks   bool   // no target may be reached, as logged last
+	coldProbes         coldProbes
+	evacuationBlocks   bool // no target may be reached, as logged last
 }
 
 func (s *supervisor) run(ctx context.Context) {
@@ -122,6 +123,9 @@
 	if !s.agent.view.Load().evacuations.MayReach(boottime.Now(), t.DataCentre) {
 		return primacy.Status{}, errEvacuated
 	}
+	if s.agent.view.Load().catalog.Services[s.service].ColdPerSecond > 0 {
+		s.coldProbes.await(ctx, t)
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return s.agent.Prober.Status(ctx, t)
@@ -284,8 +288,8 @@
 				zap.Int("replicas", group.ReplicaCount))
 			return choice, false
 		}
-		if !doc.Cause.WaitsForCatchUp() || choice.AlreadyPrimary || group.CaughtUp(choice.Target) ||
-			boottime.Now().After(deadline) {
+		if !doc.Cause.WaitsForCatchUp() || choice.AlreadyPrimary ||
+			group.CaughtUp(choice.Target) && !group.WarmBehind(choice.Target) || boottime.Now().After(deadline) {
 			s.log.Info("primary: chosen", zap.String("target", string(choice.Target.ID)),
 				zap.Bool("leads_already", choice.AlreadyPrimary), zap.Bool("hands_over", choice.HandsOver),
 				zap.Uint64("term", choice.Target.Received.Term), zap.Uint64("offset", choice.Target.Received.Offset),
@@ -323,7 +327,7 @@
 			defer mu.Unlock()
 			group.Candidates = append(group.Candidates, primacy.Candidate{ID: t.ID, StartedAt: t.StartedAt,
 				DataCentre: t.DataCentre, Draining: t.State == catalog.Draining,
-				Evacuated: v.evacuations.Evacuated(t.DataCentre), IsPrimary: status.Primary,
+				Evacuated: v.evacuations.Evacuated(t.DataCentre), Cold: t.Cold(boottime.Now()), IsPrimary: status.Primary,
 				Term: status.Term, Received: status.Received})
 		})
 	}
--- a/frontend/evacuation.go
+++ b/frontend/evacuation.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/coldstart"
 	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/pool"
@@ -95,6 +96,24 @@
 	return errorAnswer(Malformed, "the transaction has failed")
 }
 
+// SetColdRate sets this host's share of the requests to each cold target of a service. It takes effect with the next SetTargets.
+func (s *Server) SetColdRate(name model.Service, limited bool, rate coldstart.Rate) {
+	svc := s.service(name)
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	svc.limitsCold, svc.coldRate = limited, rate
+}
+
+// countCommands counts the commands that are about to be sent on a connection, except for one that the pool has counted with the
+// grant. The caller holds s.mu.
+func (s *service) countCommands(now time.Time, c *targetConn, commands int) {
+	if c.granted {
+		commands--
+		c.granted = false
+	}
+	s.pool.CountRequests(now, c.target.ID, commands)
+}
+
 // refreshTargets passes the targets to the pool again if an evacuation has changed which of them start statements.
 func (s *service) refreshTargets() {
 	s.mu.Lock()
@@ -124,8 +143,12 @@
 	for _, t := range registered {
 		// A draining primary accepts work until another target has been promoted.
 		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
-		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: s.connectionLimit, Draining: draining,
-			Evacuated: !state.MayStart(now, t, s.doc.Primary, registered)})
+		p := pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: s.connectionLimit, Draining: draining,
+			Evacuated: !state.MayStart(now, t, s.doc.Primary, registered)}
+		if s.limitsCold {
+			p.ColdUntil, p.ColdRate = t.ColdUntil, s.coldRate
+		}
+		list = append(list, p)
 	}
 	return list
 }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/coldstart"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/pool"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
@@ -81,6 +82,8 @@
 	connectionLimit     int                          // maximum number of connections from this host to each target
 	poolTargets         []pool.Target                // as last passed to the pool
 	evacuationRefusals  refusalLog
+	limitsCold          bool           // requests to cold targets are limited
+	coldRate            coldstart.Rate // share of this host
 }
 
 // targetConn is an open connection and the session state that is set up on it.
@@ -92,6 +95,7 @@
 	variables  map[string]string
 	prepared   map[string]bool
 	lastSentAt time.Time // time of the last command
+	granted    bool      // nothing has been sent since the connection was granted
 }
 
 // grant is the result of a request for a connection: either conn or refusal is set.
@@ -113,6 +117,9 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case pool.Grant:
+			if c := s.conns[a.Conn]; c != nil {
+				c.granted = true
+			}
 			s.deliverResult(a.RequestID, grant{conn: s.conns[a.Conn]})
 		case pool.Refuse:
 			s.logRefusal(a.Reason)
@@ -169,6 +176,7 @@
 		return nil, position, err
 	}
 	if verify {
+		s.pool.CountRequests(boottime.Now(), t.ID, 1)
 		s.verifiedEpoch = doc.Epoch
 	}
 	return conn, position, nil
@@ -322,6 +330,9 @@
 		}
 	}
 	commands := c.commandsFor(sess, &command)
+	s.mu.Lock()
+	s.countCommands(sentAt, c, len(commands))
+	s.mu.Unlock()
 	c.lastSentAt = sentAt
 	replies, sent, err := c.conn.Run(deadline, commands)
 	if err != nil {
@@ -552,8 +563,10 @@
 	s.refreshPoolTargets(now)
 	s.applyActions(s.pool.Tick(now))
 	if t, registered := s.targets[s.doc.Primary]; registered && s.primaryUnreachableLocked(now) &&
-		now.Sub(s.primaryProbedAt) >= primaryProbeInterval && s.server.evacuations().MayReach(now, t.DataCentre) {
+		now.Sub(s.primaryProbedAt) >= primaryProbeInterval && s.server.evacuations().MayReach(now, t.DataCentre) &&
+		s.pool.MayTakeRequest(now, t.ID) {
 		s.primaryProbedAt = now
+		s.pool.CountRequests(now, t.ID, 1)
 		go s.probePrimary(t, s.lastWorkspace)
 	}
 }
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,7 +50,9 @@
 }
 
 // waitUntil sleeps until a time after the acknowledgement.
-func waitUntil(acknowledged time.Time, after time.Duration) { time.Sleep(time.Until(acknowledged.Add(after))) }
+func waitUntil(acknowledged time.Time, after time.Duration) {
+	time.Sleep(time.Until(acknowledged.Add(after)))
+}
 
 // Guards against requests that reach targets of an evacuated data centre, against commits that its evacuation loses, against a
 // primary there that is not replaced, and against targets that are not used again after the withdrawal.
@@ -282,3 +286,83 @@
 		})
 	}
 }
+
+// mostRequests returns the largest number of requests that a member has received in one second since a time.
+func mostRequests(m *lines.Member, since time.Time) int {
+	most, first := 0, 0
+	times := m.RequestTimes()
+	for last, at := range times {
+		for at.Sub(times[first]) >= time.Second || times[first].Before(since) && first < last {
+			first++
+		}
+		if !at.Before(since) {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
+// Guards against more requests to a cold target than its bound allows, in calm conditions, when an evacuation moves the load to
+// it, and when it becomes usable at the end of an evacuation; and against reads that wait for it while others can run them.
+func TestColdTargetsKeepToBound(t *testing.T) {
+	const perSecond, bound = 10, 20 // 1.5 perSecond + 5
+	fleet := newTestFleetWith(t, "evacuation_ms = 5000\n", func(g *lines.Group) {
+		g.Member(1).SetDataCentre("z2")
+		g.Member(2).SetDataCentre("z2")
+		g.Member(1).SetColdRemaining(time.Minute)
+	})
+	config := lines.NewConfig(3, "workshop-key")
+	config.SetColdPerSecond(perSecond)
+	fleet.store.PutConfig(config)
+	time.Sleep(watchTime)
+	started := time.Now()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var failed, answered atomic.Int32
+	for i := range 12 {
+		c := fleet.mustConnect(i%3, []string{"view", "plans"}[i%2], "workshop-key")
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if r := c.Query(fmt.Sprintf("c%d-%d", i, n), "READ item"); r.Code == "" {
+					answered.Add(1)
+				} else {
+					failed.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	writers := fleet.runWriters(func() {
+		time.Sleep(time.Second)
+		acknowledged := fleet.evacuate("z1")
+		fleet.waitFor("a warm target is the primary", 3*time.Second, func() bool {
+			return fleet.group.Primary() == fleet.group.Member(2)
+		})
+		waitUntil(acknowledged, evacuationBound)
+		fleet.checkUnreached(acknowledged, 0)
+		fleet.group.Member(0).SetColdRemaining(time.Minute)
+		fleet.store.WithdrawEvacuation("z1")
+		time.Sleep(2 * time.Second)
+		if most := mostRequests(fleet.group.Member(0), acknowledged.Add(evacuationBound)); most == 0 || most > bound {
+			t.Errorf("%d requests in a second to a target that is cold at the end of its evacuation", most)
+		}
+	})
+	close(stop)
+	wg.Wait()
+	if most := mostRequests(fleet.group.Member(1), started); most == 0 || most > bound {
+		t.Errorf("%d requests in a second to a cold target", most)
+	}
+	if failed.Load() > answered.Load()/20 {
+		t.Errorf("%d of %d reads failed", failed.Load(), answered.Load()+failed.Load())
+	}
+	for i, w := range writers {
+		if time.Since(w.lastAck) > time.Second {
+			t.Errorf("writer %d: last success %s ago", i, time.Since(w.lastAck))
+		}
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/waxwingspindle/waxwingspindle/coldstart"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -60,6 +61,9 @@
 	// Evacuated targets accept no new work either, also if they are the primary. A request that no other target can run is
 	// refused at once.
 	Evacuated bool
+	// ColdUntil is the time until which the target is cold and gets no more requests than ColdRate, the share of this host.
+	ColdUntil time.Time
+	ColdRate  coldstart.Rate
 }
 
 // acceptsWork reports whether the target may start statements.
@@ -152,6 +156,19 @@
 	lag           time.Duration // upper bound of the replication lag
 	lagObservedAt time.Time
 	backoffUntil  time.Time // no connections are opened before this time
+	coldRequests  coldstart.Bucket
+}
+
+// mayTakeRequest reports whether a request may be sent to the target: it is not cold, or this host's share allows it.
+func (t *target) mayTakeRequest(now time.Time) bool {
+	return !now.Before(t.ColdUntil) || t.coldRequests.Allows(now, t.ColdRate)
+}
+
+// countRequests counts requests that are sent to the target.
+func (t *target) countRequests(now time.Time, n int) {
+	if now.Before(t.ColdUntil) {
+		t.coldRequests.Take(now, t.ColdRate, n)
+	}
 }
 
 // Pool holds the connections and queued requests of one service on one host. It is not safe for concurrent use.
@@ -291,6 +308,20 @@
 	}
 }
 
+// CountRequests counts requests to a target other than the first statement of a grant and the opening of a connection, which the
+// pool counts itself.
+func (p *Pool) CountRequests(now time.Time, id model.TargetID, n int) {
+	if t := p.targets[id]; t != nil {
+		t.countRequests(now, n)
+	}
+}
+
+// MayTakeRequest reports whether a request may be sent to a target, which may be cold.
+func (p *Pool) MayTakeRequest(now time.Time, id model.TargetID) bool {
+	t := p.targets[id]
+	return t == nil || t.mayTakeRequest(now)
+}
+
 // Tick refuses requests whose deadline has passed, closes connections that exceeded the idle timeout, and opens connections
 // to targets whose backoff has ended.
 func (p *Pool) Tick(now time.Time) []Action {
@@ -456,6 +487,7 @@
 	openTarget, openCost := p.cheapestOpening(now, r, candidates)
 	if best != nil && (openTarget == nil || bestCost <= openCost) {
 		best.state = busy
+		p.targets[best.target].countRequests(now, 1)
 		return true, []Action{Grant{r.ID, best.id, best.target}}
 	}
 	for _, t := range candidates {
@@ -483,6 +515,7 @@
 	p.conns = append(p.conns, &conn{id: p.lastConnID, target: openTarget.ID, workspace: r.Workspace, state: opening,
 		lastUsed: now})
 	claimed[p.lastConnID] = true
+	openTarget.countRequests(now, 1)
 	return false, append(actions, Open{p.lastConnID, openTarget.ID, r.Workspace})
 }
 
@@ -502,13 +535,13 @@
 	primary := p.targets[p.primary]
 	if !r.PrimaryOnly && !r.AsOf.IsZero() {
 		for id, t := range p.targets {
-			if id != p.primary && t.acceptsWork() && t.mayHaveData(now, r.AsOf) {
+			if id != p.primary && t.acceptsWork() && t.mayTakeRequest(now) && t.mayHaveData(now, r.AsOf) {
 				list = append(list, t)
 			}
 		}
 		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	if primary != nil && !p.closed && !primary.Evacuated {
+	if primary != nil && !p.closed && !primary.Evacuated && primary.mayTakeRequest(now) {
 		list = append(list, primary)
 	}
 	return list
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/waxwingspindle/waxwingspindle/coldstart"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -210,6 +211,44 @@
 	}
 }
 
+// A cold target must get no more requests than this host's share, also counting the opening of connections; what doesn't fit must
+// go to other targets, or wait.
+func TestColdTargetGetsItsShare(t *testing.T) {
+	cold := Target{ID: "c", DataCentre: "east", Limit: 10, ColdUntil: start.Add(10 * time.Second),
+		ColdRate: coldstart.Rate{PerSecond: 2, Burst: 3}}
+	f := newFixture(t, Target{ID: "p", DataCentre: "west", Limit: 10}, cold)
+	for id := range RequestID(6) {
+		f.enqueue(readRequest(id+1, "w", start.Add(-time.Second)))
+	}
+	counts := map[model.TargetID]int{}
+	for _, g := range f.granted {
+		counts[g.Target]++
+	}
+	if len(f.granted) != 6 || counts["c"] < 1 || counts["c"]+openedTo(f, "c") > 3 {
+		t.Errorf("granted %v, %d connections opened to the cold target", counts, openedTo(f, "c"))
+	}
+	f.pool.CountRequests(f.now, "c", 4)
+	f.apply(f.pool.SetPrimary(f.now, "c", true))
+	f.enqueue(writeRequest(10, "w"))
+	f.advance(500 * time.Millisecond)
+	if _, granted := f.granted[10]; granted || len(f.refused) > 0 {
+		t.Error("a request was granted although others are owed")
+	}
+	if f.pool.MayTakeRequest(f.now, "c") || !f.pool.MayTakeRequest(cold.ColdUntil, "c") {
+		t.Error("the share has to end with the cold time")
+	}
+}
+
+func openedTo(f *fixture, id model.TargetID) int {
+	count := 0
+	for _, o := range f.opened {
+		if o.Target == id {
+			count++
+		}
+	}
+	return count
+}
+
 // Requests must be refused at their deadline, not held until the caller has timed out.
 func TestRefusesAtDeadline(t *testing.T) {
 	f := newFixture(t, Target{ID: "a", DataCentre: "east", Limit: 1})
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -182,6 +182,7 @@
 	DataCentre model.DataCentre
 	Draining   bool
 	Evacuated  bool // in an evacuated data centre
+	Cold       bool // slow because it has just started
 	IsPrimary  bool
 	Term       uint64
 	Received   model.Position
@@ -274,7 +275,7 @@
 		return c.ID == g.OldPrimary && c.StartedAt == g.OldStartedAt
 	})
 	slices.SortFunc(replicas, func(a, b Candidate) int {
-		return cmp.Or(compareReceived(b, a), cmp.Compare(a.leaving(), b.leaving()), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(compareReceived(b, a), cmp.Compare(a.leaving(), b.leaving()), compareCold(a, b), cmp.Compare(a.ID, b.ID))
 	})
 	return replicas
 }
@@ -324,6 +325,23 @@
 	return 0
 }
 
+// compareCold orders cold targets after the others.
+func compareCold(a, b Candidate) int {
+	switch {
+	case a.Cold == b.Cold:
+		return 0
+	case a.Cold:
+		return 1
+	}
+	return -1
+}
+
+// WarmBehind reports whether a cold candidate is about to be chosen for use although one that is not cold stays and only has to
+// receive the last commits.
+func (g Group) WarmBehind(chosen Candidate) bool {
+	return chosen.Cold && slices.ContainsFunc(g.replicas(), func(c Candidate) bool { return !c.Cold && !c.leaves() })
+}
+
 // WaitsForCatchUp reports whether a replacement should wait until the next primary has received everything that the
 // old one has. That applies to the causes where the leader still reaches the old primary.
 func (c Cause) WaitsForCatchUp() bool {
--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -133,6 +133,16 @@
 			t.Errorf("%s (-want +got):\n%s", test.name, diff)
 		}
 	}
+	cold := equal
+	cold.ID, cold.Cold = "b", true
+	group := Group{OldPrimary: "a", OldStartedAt: 7, OldTerm: 3, Cause: CauseEvacuated, Candidates: []Candidate{old, cold, equal}}
+	if got := Choose(group).Target.ID; got != "c" {
+		t.Errorf("the cold target %s was chosen", got)
+	}
+	group.Candidates = []Candidate{old, cold, behind}
+	if chosen := Choose(group).Target; !group.WarmBehind(chosen) || group.WarmBehind(behind) {
+		t.Error("the choice does not wait for a target that is not cold")
+	}
 	if !CauseEvacuated.WaitsForCatchUp() || !CauseEvacuated.Planned() {
 		t.Error("the replacement of an evacuated primary loses commits or transactions")
 	}
--- a/standin/lines/configuration.go
+++ b/standin/lines/configuration.go
@@ -23,6 +23,11 @@
 	c["services"].([]any)[0].(map[string]any)["syncReplicas"] = n
 }
 
+// SetColdPerSecond sets the rate from which the bound of requests to cold targets is derived.
+func (c Config) SetColdPerSecond(perSecond float64) {
+	c["services"].([]any)[0].(map[string]any)["coldPerS"] = perSecond
+}
+
 // NewConfig returns a configuration for a service called stock: the databases orders (primary), view (bounded staleness)
 // and plans (read your writes), the workspace workshop with the given keys, and the workspace school with the key
 // school-key.
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -80,9 +80,10 @@
 	replicationBlocked bool // the replica receives no commits
 	state              string
 	dataCentre         string
-	lastRequestAt      time.Time // time at which the member last received a line, also of the hosts' own statements
-	advertisedAddress  string    // address in the store entry; differs from Address behind a proxy
-	incarnation        int64     // "born" in the store entry; incremented by a restart without data
+	requestTimes       []time.Time // of the lines received, also of the hosts' own statements
+	coldRemaining      time.Duration
+	advertisedAddress  string // address in the store entry; differs from Address behind a proxy
+	incarnation        int64  // "born" in the store entry; incremented by a restart without data
 	term               uint64
 	log                []*Commit
 	applied            int // number of log entries visible to reads
@@ -210,18 +211,36 @@
 	m.publishEntry()
 }
 
-// LastRequest returns the time at which the member last received a line: a statement of any kind, or the start of a session.
+// SetColdRemaining sets the time in the member's store entry for which it stays cold.
+func (m *Member) SetColdRemaining(d time.Duration) {
+	m.group.mu.Lock()
+	m.coldRemaining = d
+	m.group.mu.Unlock()
+	m.publishEntry()
+}
+
+// RequestTimes returns the times at which the member received a line: a statement of any kind, or the start of a session.
+func (m *Member) RequestTimes() []time.Time {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return slices.Clone(m.requestTimes)
+}
+
+// LastRequest returns the last of RequestTimes, or the zero time if there is none.
 func (m *Member) LastRequest() time.Time {
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
-	return m.lastRequestAt
+	if len(m.requestTimes) == 0 {
+		return time.Time{}
+	}
+	return m.requestTimes[len(m.requestTimes)-1]
 }
 
 // recordRequest records that the member has received a line.
 func (m *Member) recordRequest() {
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
-	m.lastRequestAt = time.Now()
+	m.requestTimes = append(m.requestTimes, time.Now())
 }
 
 // SetAdvertisedAddress replaces the address in the member's store entry, for example by that of a proxy.
@@ -274,7 +293,8 @@
 		role = "primary"
 	}
 	entry := map[string]any{"service": g.Service, "address": m.advertisedAddress, "zone": m.dataCentre, "slots": 3,
-		"state": state, "dbRole": role, "sequence": 1, "born": m.incarnation}
+		"state": state, "dbRole": role, "sequence": 1, "born": m.incarnation,
+		"coldRemainingMs": m.coldRemaining.Milliseconds()}
 	g.mu.Unlock()
 	if state == "gone" {
 		g.store.Remove("servers/" + m.ID)
