Allowed regions of routes and workspaces

Cause: statements whose route or workspace names regions ran anywhere. Change: the pure package region turns the setting regions and the lists of the configuration into constraints; the pool gives connections in these data centres only and refuses at once what none there can run; statements are forwarded only to hosts there or in the caller's region. A replica that seems to lag is tried when the primary may not run the read: the first trial of TestStatementsKeepToRegions had one read refused after 400 ms at the pool's estimate of 3 s lag on an idle connection.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -56,6 +56,10 @@
 	Limits          map[model.Workspace]Limit
 	TxnIdleTimeout  time.Duration // after which an idle transaction may be rolled back
 	MaxMessageBytes int           // maximum size of a caller's message
+	// RouteRegions and WorkspaceRegions hold the regions in which statements may run, by database name and by workspace. Without
+	// an entry they may run in all of them. They are not part of Route, which is sent to other hosts.
+	RouteRegions     map[string][]string
+	WorkspaceRegions map[model.Workspace][]string
 }
 
 // Authenticate returns the workspace of a key and whether the route accepts the key. A public route accepts any key;
--- a/coldstart/coldstart.go
+++ b/coldstart/coldstart.go
@@ -1,9 +1,9 @@
-// Package coldstart limits the requests to targets that have just started and are slow until their caches are filled. A cold
-// target may get a few requests a second from all hosts together, so each host keeps to a share without asking the others. The
-// package performs no I/O and reads no clock.
+// Package coldstart limits the requests to targets that have just started and are slow until their caches are filled. A
+// cold target may get a few requests a second from all hosts together, so each host keeps to a share without asking the
+// others. The package performs no I/O and reads no clock.
 //
-// It is designed for full load on many hosts at the moment when targets start, or become usable at the end of an evacuation: the
-// first requests of all hosts together must stay within the bound.
+// It is designed for full load on many hosts at the moment when targets start, or become usable at the end of an
+// evacuation: the first requests of all hosts together must stay within the bound.
 package coldstart
 
 import (
@@ -13,9 +13,9 @@
 	"time"
 )
 
-// A cold target of a service with a rate of c requests a second may get 1.5 c + 5 requests in any second. Hosts send at most c +
-// burstFraction c + baseBurst; the rest is for the leader, which sends at most three requests in a second (ProbeInterval), and for
-// hosts that divide the rate differently for a moment because they know of different hosts.
+// A cold target of a service with a rate of c requests a second may get 1.5 c + 5 requests in any second. Hosts send at
+// most c + burstFraction c + baseBurst; the rest is for the leader, which sends at most three requests in a second
+// (ProbeInterval), and for hosts that divide the rate differently for a moment because they know of different hosts.
 const (
 	burstFraction = 0.4
 	baseBurst     = 2.0
@@ -27,9 +27,10 @@
 // Rate is the share of a host: PerSecond requests a second in the long run and Burst at once.
 type Rate struct{ PerSecond, Burst float64 }
 
-// Share returns the share of the host own of a rate perSecond for each cold target. weights holds the weight of each host that may
-// connect to the target, for example its number of connections, in an order that is the same on all hosts. A request needs a whole
-// token, so only as many hosts as the common burst has tokens get a share: those of the highest weight.
+// Share returns the share of the host own of a rate perSecond for each cold target. weights holds the weight of each host
+// that may connect to the target, for example its number of connections, in an order that is the same on all hosts. A
+// request needs a whole token, so only as many hosts as the common burst has tokens get a share: those of the highest
+// weight.
 func Share(perSecond float64, weights []float64, own int) Rate {
 	order := make([]int, 0, len(weights))
 	for i, w := range weights {
@@ -51,8 +52,8 @@
 	return Rate{PerSecond: perSecond * fraction, Burst: 1 + (burst-float64(len(order)))*fraction}
 }
 
-// Bucket counts the requests of a host to a cold target. Its zero value is full. Requests that cannot be held back, such as those of
-// open transactions, may leave a debt.
+// Bucket counts the requests of a host to a cold target. Its zero value is full. Requests that cannot be held back, such
+// as those of open transactions, may leave a debt.
 type Bucket struct {
 	tokens float64
 	at     time.Time // zero before the first use
--- a/coldstart/coldstart_test.go
+++ b/coldstart/coldstart_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Guards against more requests to a cold target than 1.5 times the rate plus 5 in any second, over all hosts and with the leader's
-// probes, and against a target that gets none although the rate allows some.
+// Guards against more requests to a cold target than 1.5 times the rate plus 5 in any second, over all hosts and with the
+// leader's probes, and against a target that gets none although the rate allows some.
 func TestHostsKeepToBound(t *testing.T) {
 	for _, perSecond := range []float64{0.5, 1, 5, 10, 25, 100} {
 		for _, hosts := range []int{1, 3, 16, 75} {
@@ -50,7 +50,8 @@
 	}
 }
 
-// Guards against a host that gets a share although it may not connect to the target, or although there are more hosts than tokens.
+// Guards against a host that gets a share although it may not connect to the target, or although there are more hosts
+// than tokens.
 func TestShareOfFewHosts(t *testing.T) {
 	weights := make([]float64, 40)
 	for i := range weights {
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -1,9 +1,9 @@
-// Package evacuation decides what a host may still send to the targets of an evacuated data centre. An operator requests the
-// evacuation; after a bounded time no request may reach a target there. Every host enforces this by itself, because the leader
-// that replaces primaries may be gone. The package performs no I/O and reads no clock.
+// Package evacuation decides what a host may still send to the targets of an evacuated data centre. An operator requests
+// the evacuation; after a bounded time no request may reach a target there. Every host enforces this by itself, because
+// the leader that replaces primaries may be gone. The package performs no I/O and reads no clock.
 //
-// It is designed for full load at the time of the request: reads move to other targets at once, a primary serves until its
-// planned replacement, and open transactions get a time in which most of them end.
+// It is designed for full load at the time of the request: reads move to other targets at once, a primary serves until
+// its planned replacement, and open transactions get a time in which most of them end.
 package evacuation
 
 import (
@@ -64,9 +64,9 @@
 // NewState returns a state without evacuated data centres.
 func NewState(limits Limits) State { return State{limits: limits} }
 
-// With returns the state with a data centre whose evacuation this host has learned of at the boot time now. absentAt is the
-// latest boot time at which the request is known not to have existed, or zero if that is not known; then the bound may have
-// passed already. A data centre that is evacuated already keeps its times.
+// With returns the state with a data centre whose evacuation this host has learned of at the boot time now. absentAt is
+// the latest boot time at which the request is known not to have existed, or zero if that is not known; then the bound
+// may have passed already. A data centre that is evacuated already keeps its times.
 func (s State) With(dc model.DataCentre, now, absentAt time.Time) State {
 	if s.Evacuated(dc) {
 		return s
@@ -117,8 +117,8 @@
 	return !evacuated || now.Before(earlier(r.learnedAt.Add(s.limits.Transactions), r.endsAt.Add(-rollbackTime)))
 }
 
-// MayStart reports whether a new statement or transaction may start on a target. Targets of an evacuated data centre start
-// none, except for a primary that can be replaced, which starts some until its replacement.
+// MayStart reports whether a new statement or transaction may start on a target. Targets of an evacuated data centre
+// start none, except for a primary that can be replaced, which starts some until its replacement.
 func (s State) MayStart(now time.Time, t catalog.Target, primary model.TargetID, targets []catalog.Target) bool {
 	if !s.Evacuated(t.DataCentre) {
 		return true
@@ -126,8 +126,8 @@
 	return t.ID == primary && s.MayReach(now, t.DataCentre) && s.Replaceable(primary, targets)
 }
 
-// Replaceable reports whether the targets of a service include one that can be promoted instead of the primary: it is in a
-// data centre that is not evacuated and does not drain.
+// Replaceable reports whether the targets of a service include one that can be promoted instead of the primary: it is in
+// a data centre that is not evacuated and does not drain.
 func (s State) Replaceable(primary model.TargetID, targets []catalog.Target) bool {
 	return slices.ContainsFunc(targets, func(t catalog.Target) bool {
 		return t.ID != primary && t.State != catalog.Draining && !s.Evacuated(t.DataCentre)
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -11,7 +11,8 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
-// setColdUntil sets the time until which the target of a new entry is cold. An entry that is read again does not prolong it.
+// setColdUntil sets the time until which the target of a new entry is cold. An entry that is read again does not prolong
+// it.
 func (c *control) setColdUntil(t *catalog.Target, known catalog.Target, now time.Time) {
 	switch {
 	case t.ColdFor == 0:
@@ -22,8 +23,8 @@
 	}
 }
 
-// setColdRate tells the server this host's share of the requests to the cold targets of a service. Hosts share them by the
-// connections that they may hold to each target.
+// setColdRate tells the server this host's share of the requests to the cold targets of a service. Hosts share them by
+// the connections that they may hold to each target.
 func (a *Agent) setColdRate(v *clusterView, service model.Service) {
 	perSecond := v.catalog.Services[service].ColdPerSecond
 	if perSecond <= 0 {
--- a/fleet/evacuate.go
+++ b/fleet/evacuate.go
@@ -31,8 +31,8 @@
 	return a.Decoders.ConfigurationKey
 }
 
-// applyOperatorKeys applies changes of the evacuation requests and of the configuration, the former first: a host that starts
-// serves as soon as it has a configuration.
+// applyOperatorKeys applies changes of the evacuation requests and of the configuration, the former first: a host that
+// starts serves as soon as it has a configuration.
 func (c *control) applyOperatorKeys(change prefixChange) {
 	if c.agent.evacuates() {
 		c.applyEvacuations(change)
@@ -93,8 +93,8 @@
 	}
 }
 
-// operatorKeysAge remembers until when the operator's keys were known, as of the last two ticks of the control goroutine. The
-// value of the last tick may come from a reply whose changes have not been applied yet.
+// operatorKeysAge remembers until when the operator's keys were known, as of the last two ticks of the control goroutine.
+// The value of the last tick may come from a reply whose changes have not been applied yet.
 type operatorKeysAge struct{ previous, last time.Time }
 
 // knownAt returns a boot time at which no requests existed other than those applied, or zero if there is none.
--- a/fleet/evacuate_test.go
+++ b/fleet/evacuate_test.go
@@ -121,8 +121,8 @@
 	c.runEvents()
 }
 
-// Guards against probes of targets that may not be reached, and against a primary that counts as unreachable because it is not
-// probed.
+// Guards against probes of targets that may not be reached, and against a primary that counts as unreachable because it
+// is not probed.
 func TestEvacuatedTargetsAreNotProbed(t *testing.T) {
 	s := newTestSupervisor(t, newMemoryStore())
 	s.agent.Prober = silentProber{statuses: map[model.TargetID]primacy.Status{"a": {Primary: true, Term: 3}, "b": {Term: 3}}}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -76,7 +76,7 @@
 			}
 			return id
 		}
-		if slices.Contains(excluded.Remote, id) {
+		if slices.Contains(excluded.Remote, id) || !excluded.Region.Allows(v.hosts[id].DataCentre) {
 			continue
 		}
 		if _, registered := v.hosts[id]; !registered || now.Before(a.homes.avoidUntil[id]) ||
--- a/frontend/evacuation.go
+++ b/frontend/evacuation.go
@@ -81,8 +81,8 @@
 	return c != nil && !s.server.evacuations().MayContinue(now, c.target.DataCentre)
 }
 
-// mayBeginOn reports whether the session may use the connection for its operation: a transaction does not begin when it would
-// have to end at once.
+// mayBeginOn reports whether the session may use the connection for its operation: a transaction does not begin when it
+// would have to end at once.
 func (s *session) mayBeginOn(c *targetConn) bool {
 	return s.txn == nil || s.server.evacuations().MayContinue(boottime.Now(), c.target.DataCentre)
 }
@@ -96,7 +96,8 @@
 	return errorAnswer(Malformed, "the transaction has failed")
 }
 
-// SetColdRate sets this host's share of the requests to each cold target of a service. It takes effect with the next SetTargets.
+// SetColdRate sets this host's share of the requests to each cold target of a service. It takes effect with the next
+// SetTargets.
 func (s *Server) SetColdRate(name model.Service, limited bool, rate coldstart.Rate) {
 	svc := s.service(name)
 	svc.mu.Lock()
@@ -104,8 +105,8 @@
 	svc.limitsCold, svc.coldRate = limited, rate
 }
 
-// countCommands counts the commands that are about to be sent on a connection, except for one that the pool has counted with the
-// grant. The caller holds s.mu.
+// countCommands counts the commands that are about to be sent on a connection, except for one that the pool has counted
+// with the grant. The caller holds s.mu.
 func (s *service) countCommands(now time.Time, c *targetConn, commands int) {
 	if c.granted {
 		commands--
@@ -170,8 +171,8 @@
 	suppressed int // since the last line
 }
 
-// recordEvacuationRefusal counts and logs a statement that only targets of evacuated data centres could run. The caller holds
-// s.mu.
+// recordEvacuationRefusal counts and logs a statement that only targets of evacuated data centres could run. The caller
+// holds s.mu.
 func (s *service) recordEvacuationRefusal(now time.Time) {
 	s.server.metrics.evacuationRefusals.Inc()
 	l := &s.evacuationRefusals
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -9,6 +9,7 @@
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/region"
 )
 
 const (
@@ -34,8 +35,9 @@
 
 // ExcludedHosts lists the hosts that cannot run a statement.
 type ExcludedHosts struct {
-	Local  bool           // this host is excluded because it does not reach the primary
-	Remote []model.HostID // hosts that rejected or did not answer the statement
+	Local  bool              // this host is excluded because it does not reach the primary
+	Remote []model.HostID    // hosts that rejected or did not answer the statement
+	Region region.Constraint // data centres of the hosts that the statement may be forwarded to
 }
 
 // Forwarder forwards statements to the hosts that hold connections for their workspaces.
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -15,6 +15,7 @@
 	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/region"
 	"github.com/waxwingspindle/waxwingspindle/share"
 )
 
@@ -40,6 +41,7 @@
 
 	activeCatalog       atomic.Pointer[catalog.Catalog]
 	activeEvacuations   atomic.Pointer[evacuation.State]
+	regions             region.Map                // of data centres; empty if they are not known
 	stopTimes           atomic.Pointer[StopTimes] // nil unless a planned stop was announced
 	closing             atomic.Bool               // sessions end as soon as they have no open transaction
 	primaryAllowedUntil atomic.Int64              // boot time in nanoseconds until which primaries may be used
@@ -116,6 +118,7 @@
 func (s *Server) SetCatalog(c *catalog.Catalog, hosts int) {
 	if c.Version > s.catalog().Version {
 		s.activeCatalog.Store(c)
+		s.checkRegions(c)
 		s.log.Info("configuration: applied", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)))
 	}
 	s.limitMu.Lock()
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -279,7 +279,8 @@
 	defer s.refund(charged)
 	op := operation{route: route, workspace: charged.workspace, service: svc, arrived: now,
 		deadline: s.server.statementDeadline(now, route.StatementTimeout-answerMargin), isWrite: s.isWrite(st)}
-	excluded := ExcludedHosts{Local: svc.cannotRun(now, op.needsPrimary(), route.MaxStaleness)}
+	excluded := ExcludedHosts{Local: svc.cannotRun(now, op.needsPrimary(), route.MaxStaleness),
+		Region: s.server.hostRegions(route.Database, op.workspace)}
 	for range maxForwardAttempts {
 		host, local := s.server.selectHost(route.Service, op.workspace, excluded)
 		if local {
@@ -340,7 +341,10 @@
 func (s *session) prepareRetry(op *operation, reply Reply) bool {
 	switch reply.Code {
 	case Lagging:
-		op.forcePrimary = true
+		op.forcePrimary = op.service.primaryAvailable(s.server.targetRegions(op.route.Database, op.workspace))
+		if !op.forcePrimary {
+			time.Sleep(retryPause) // the replica may have caught up by then
+		}
 	case Busy, ReadOnly:
 		time.Sleep(retryPause)
 	case Failed:
@@ -396,6 +400,7 @@
 		}
 	}
 	request.Deadline = s.queueDeadline(*op)
+	request.Region = s.server.targetRegions(op.route.Database, op.workspace)
 	g := op.service.acquire(request)
 	if g.conn == nil {
 		return nil, 0, minPosition, errorAnswer(Busy, "no connection: "+g.refusal.String())
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -112,7 +112,8 @@
 	t := s.txn
 	op.isWrite = s.isWrite(st)
 	needsPrimary := !t.readOnly || op.route.Consistency == catalog.Primary
-	excluded := ExcludedHosts{Local: t.service.cannotRun(op.arrived, needsPrimary, op.route.MaxStaleness)}
+	excluded := ExcludedHosts{Local: t.service.cannotRun(op.arrived, needsPrimary, op.route.MaxStaleness),
+		Region: s.server.hostRegions(op.route.Database, op.workspace)}
 	for range maxForwardAttempts {
 		if t.conn == nil && t.peer == "" && s.forwardedFor == nil {
 			if host, local := s.server.selectHost(op.route.Service, op.workspace, excluded); !local {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 	registry := prometheus.NewRegistry()
 	server := frontend.New(model.DataCentre(settings.DataCentre), platform.TargetDialer{}, log,
 		frontend.NewMetrics(registry))
+	server.SetRegions(settings.RegionMap())
 	self := fleet.Host{ID: model.HostID(settings.Host), Incarnation: incarnation, Address: settings.AdvertisedAddress(),
 		DataCentre: model.DataCentre(settings.DataCentre), LinkMbps: settings.LinkMbps, Cores: settings.Cores}
 	agent := fleet.New(fleet.Config{Self: self, Store: metastore.Measure(platform.NewStore(settings.Store), registry),
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -14,6 +14,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
+	"github.com/waxwingspindle/waxwingspindle/region"
 )
 
 // Fractions of DrainSeconds at which the phases of a graceful stop end at the latest. The rest of DrainSeconds is left for the
@@ -54,6 +55,17 @@
 	// EvacuationMs is the time in milliseconds after the request to evacuate a data centre from which no statement may reach a
 	// target there. Hosts ignore such requests if it is empty.
 	EvacuationMs string `ini:"evacuation_ms"`
+	// Regions lists data centres with their regions, as "north:eu,south:us". Hosts ignore allowed regions if it is empty.
+	Regions string `ini:"regions"`
+}
+
+// RegionMap returns Regions as a map, which is empty if they are invalid.
+func (s Settings) RegionMap() region.Map {
+	m, err := region.ParseMap(s.Regions)
+	if err != nil {
+		return nil // validate reports the error
+	}
+	return m
 }
 
 // EvacuationBound returns EvacuationMs as a duration, or 0 if it is empty or invalid.
@@ -137,6 +149,9 @@
 		problems = append(problems, fmt.Sprintf("evacuation_ms: %q is not a number of milliseconds of at least %d",
 			s.EvacuationMs, evacuation.MinBound.Milliseconds()))
 	}
+	if _, err := region.ParseMap(s.Regions); err != nil {
+		problems = append(problems, "regions: "+err.Error())
+	}
 	if s.DrainSeconds < 0 {
 		problems = append(problems, "drain_seconds is negative")
 	}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -73,6 +73,7 @@
 		{"drain_seconds = 6", "drain_seconds = -1", "drain_seconds"},
 		{"drain_seconds = 6", "drain_seconds = 6\nevacuation_ms = 2999", "evacuation_ms"},
 		{"drain_seconds = 6", "drain_seconds = 6\nevacuation_ms = soon", "evacuation_ms"},
+		{"drain_seconds = 6", "drain_seconds = 6\nregions = north", "regions"},
 		{"memory_mb = 200", "memory_mb = much", "memory_mb"},
 	}
 	for _, test := range tests {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -1,5 +1,5 @@
-// Package pool implements the connection pool of a host for one service. A connection belongs to one workspace, occupies a
-// slot of its target while it is opened, and the number of connections of a host to a target is limited to a few. The
+// Package pool implements the connection pool of a host for one service. A connection belongs to one workspace, occupies
+// a slot of its target while it is opened, and the number of connections of a host to a target is limited to a few. The
 // package is a pure state machine without I/O: the caller reports events and executes the returned actions.
 //
 // It is designed for more statements than connections, for workspaces that alternate on the same connection, and for
@@ -14,6 +14,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/coldstart"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/region"
 )
 
 const (
@@ -77,8 +78,9 @@
 	// AsOf, or only on the primary if AsOf is zero.
 	PrimaryOnly bool
 	AsOf        time.Time
-	Priority    int       // 0 is the highest
-	Deadline    time.Time // time at which the request is refused if it has no connection yet
+	Priority    int               // 0 is the highest
+	Deadline    time.Time         // time at which the request is refused if it has no connection yet
+	Region      region.Constraint // data centres of the targets that may run the request
 
 	enqueuedAt time.Time
 }
@@ -95,11 +97,13 @@
 	RefusedNoTarget
 	// RefusedEvacuated means that only targets of evacuated data centres can run the request.
 	RefusedEvacuated
+	// RefusedRegion means that there is no usable target in the regions of the request.
+	RefusedRegion
 )
 
 // String returns the reason as it appears in logs.
 func (r RefusalReason) String() string {
-	return [...]string{"none", "queue_full", "queue_timeout", "no_target", "evacuated"}[r]
+	return [...]string{"none", "queue_full", "queue_timeout", "no_target", "evacuated", "region"}[r]
 }
 
 // Action is an instruction to the caller of the pool: Grant, Open, Close or Refuse.
@@ -187,8 +191,8 @@
 	return &Pool{dataCentre: dataCentre, targets: map[model.TargetID]*target{}}
 }
 
-// SetTargets replaces the targets. Connections to removed, draining or evacuated targets are closed; busy ones when they are
-// released.
+// SetTargets replaces the targets. Connections to removed, draining or evacuated targets are closed; busy ones when they
+// are released.
 func (p *Pool) SetTargets(now time.Time, list []Target) []Action {
 	registered := make(map[model.TargetID]*target, len(list))
 	for _, t := range list {
@@ -308,8 +312,8 @@
 	}
 }
 
-// CountRequests counts requests to a target other than the first statement of a grant and the opening of a connection, which the
-// pool counts itself.
+// CountRequests counts requests to a target other than the first statement of a grant and the opening of a connection,
+// which the pool counts itself.
 func (p *Pool) CountRequests(now time.Time, id model.TargetID, n int) {
 	if t := p.targets[id]; t != nil {
 		t.countRequests(now, n)
@@ -322,8 +326,8 @@
 	return t == nil || t.mayTakeRequest(now)
 }
 
-// Tick refuses requests whose deadline has passed, closes connections that exceeded the idle timeout, and opens connections
-// to targets whose backoff has ended.
+// Tick refuses requests whose deadline has passed, closes connections that exceeded the idle timeout, and opens
+// connections to targets whose backoff has ended.
 func (p *Pool) Tick(now time.Time) []Action {
 	var actions []Action
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
@@ -415,8 +419,8 @@
 	return p.closeLeastRecentlyUsed(func(t *target, _ *conn, count int) bool { return count > t.Limit })
 }
 
-// closeLeastRecentlyUsed closes idle connections of each target, least recently used first, while surplus returns true for
-// the connection and the number of connections to the target.
+// closeLeastRecentlyUsed closes idle connections of each target, least recently used first, while surplus returns true
+// for the connection and the number of connections to the target.
 func (p *Pool) closeLeastRecentlyUsed(surplus func(t *target, c *conn, count int) bool) []Action {
 	var actions []Action
 	for id, t := range p.targets {
@@ -434,7 +438,7 @@
 
 // schedule assigns connections to queued requests in order and opens connections for requests that found none.
 func (p *Pool) schedule(now time.Time) []Action {
-	actions := p.refuseEvacuated()
+	actions := p.refuseImpossible()
 	claimed := map[ConnID]bool{} // connections being opened that an earlier request waits for
 	for i := 0; i < len(p.queue); {
 		granted, more := p.assign(now, p.queue[i], claimed)
@@ -448,30 +452,45 @@
 	return actions
 }
 
-// refuseEvacuated refuses the queued requests that only targets of evacuated data centres can run. A request that needs the
-// primary waits while it is being replaced, unless the next one would be in an evacuated data centre too.
-func (p *Pool) refuseEvacuated() []Action {
+// refuseImpossible refuses the queued requests that no target can run because of an evacuation or of their regions. A
+// request that needs the primary waits while it is being replaced, unless no target may become the next one.
+func (p *Pool) refuseImpossible() []Action {
 	var evacuated, usable bool // there are targets that are evacuated, and others that accept work
 	for _, t := range p.targets {
 		evacuated, usable = evacuated || t.Evacuated, usable || t.acceptsWork()
 	}
-	if !evacuated {
-		return nil
-	}
 	var actions []Action
-	primary := p.targets[p.primary]
-	primaryEvacuated := primary != nil && !p.closed && primary.Evacuated
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
-		needsPrimary := r.PrimaryOnly || r.AsOf.IsZero()
-		if usable && !(needsPrimary && primaryEvacuated) {
+		switch {
+		case evacuated && (!usable || p.needsPrimaryWhere(r, func(t *target) bool { return t.Evacuated })):
+			actions = append(actions, Refuse{r.ID, RefusedEvacuated})
+		case r.Region.Limited && (!p.usableIn(r.Region) ||
+			p.needsPrimaryWhere(r, func(t *target) bool { return !r.Region.Allows(t.DataCentre) })):
+			actions = append(actions, Refuse{r.ID, RefusedRegion})
+		default:
 			return false
 		}
-		actions = append(actions, Refuse{r.ID, RefusedEvacuated})
 		return true
 	})
 	return actions
 }
 
+// needsPrimaryWhere reports whether the request needs the primary, and that is in use and meets the condition.
+func (p *Pool) needsPrimaryWhere(r Request, condition func(*target) bool) bool {
+	primary := p.targets[p.primary]
+	return (r.PrimaryOnly || r.AsOf.IsZero()) && primary != nil && !p.closed && condition(primary)
+}
+
+// usableIn reports whether a target in the data centres of a constraint accepts work.
+func (p *Pool) usableIn(c region.Constraint) bool {
+	for _, t := range p.targets {
+		if t.acceptsWork() && c.Allows(t.DataCentre) {
+			return true
+		}
+	}
+	return false
+}
+
 // assign finds a connection for one request and reports whether it was granted. Otherwise the request waits for a
 // connection that is being opened or becomes free.
 func (p *Pool) assign(now time.Time, r Request, claimed map[ConnID]bool) (bool, []Action) {
@@ -519,7 +538,8 @@
 	return false, append(actions, Open{p.lastConnID, openTarget.ID, r.Workspace})
 }
 
-// hasWaiter reports whether a queued request of at least the priority of r can use an idle connection without reopening it.
+// hasWaiter reports whether a queued request of at least the priority of r can use an idle connection without reopening
+// it.
 func (p *Pool) hasWaiter(c *conn, r Request) bool {
 	for _, other := range p.queue {
 		if other.Workspace == c.workspace && other.Priority <= r.Priority && (!other.PrimaryOnly || c.target == p.primary) {
@@ -533,22 +553,25 @@
 func (p *Pool) candidates(now time.Time, r Request) []*target {
 	var list []*target
 	primary := p.targets[p.primary]
+	// Without the primary, a replica that seems to lag may still have the data, and no other target has it.
+	withoutPrimary := primary != nil && (primary.Evacuated || !r.Region.Allows(primary.DataCentre))
 	if !r.PrimaryOnly && !r.AsOf.IsZero() {
 		for id, t := range p.targets {
-			if id != p.primary && t.acceptsWork() && t.mayTakeRequest(now) && t.mayHaveData(now, r.AsOf) {
+			if id != p.primary && t.acceptsWork() && r.Region.Allows(t.DataCentre) && t.mayTakeRequest(now) &&
+				(withoutPrimary || t.mayHaveData(now, r.AsOf)) {
 				list = append(list, t)
 			}
 		}
 		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	if primary != nil && !p.closed && !primary.Evacuated && primary.mayTakeRequest(now) {
+	if primary != nil && !p.closed && !withoutPrimary && primary.mayTakeRequest(now) {
 		list = append(list, primary)
 	}
 	return list
 }
 
-// mayHaveData reports whether a replica probably has all commits up to the given time. The target verifies it when it runs
-// the statement.
+// mayHaveData reports whether a replica probably has all commits up to the given time. The target verifies it when it
+// runs the statement.
 func (t *target) mayHaveData(now time.Time, asOf time.Time) bool {
 	return now.Sub(t.lagObservedAt) > lagTTL || now.Sub(asOf) >= t.lag
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/coldstart"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/region"
 )
 
 var start = time.Unix(1000, 0)
@@ -239,6 +240,38 @@
 	}
 }
 
+// A request with regions must run in these regions only, and must be refused at once if no target there can run it.
+func TestRequestsKeepToRegions(t *testing.T) {
+	f := newFixture(t, Target{ID: "p", DataCentre: "east", Limit: 9}, Target{ID: "r", DataCentre: "west", Limit: 9})
+	in := func(r Request, allowed ...model.DataCentre) Request {
+		r.Region = region.Constraint{Limited: true, Allowed: map[model.DataCentre]bool{}}
+		for _, dc := range allowed {
+			r.Region.Allowed[dc] = true
+		}
+		return r
+	}
+	for id := range RequestID(6) {
+		f.enqueue(in(readRequest(id+1, "w", start.Add(-time.Second)), "east"))
+		if got := f.granted[id+1].Target; got != "p" {
+			t.Errorf("read %d ran on %q", id+1, got)
+		}
+	}
+	f.enqueue(in(writeRequest(10, "w"), "west"))
+	f.enqueue(in(readRequest(11, "w", start.Add(-time.Second)), "north"))
+	f.enqueue(in(readRequest(12, "w", start.Add(-time.Second))))
+	f.enqueue(in(readRequest(13, "w", time.Time{}), "west"))
+	want := map[RequestID]RefusalReason{10: RefusedRegion, 11: RefusedRegion, 12: RefusedRegion, 13: RefusedRegion}
+	if diff := cmp.Diff(want, f.refused); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+	f.apply(f.pool.SetPrimary(f.now, "p", false))
+	f.enqueue(in(writeRequest(20, "w"), "west"))
+	f.apply(f.pool.SetPrimary(f.now, "r", true))
+	if got := f.granted[20].Target; got != "r" {
+		t.Errorf("after the promotion of a target in its region the write ran on %q", got)
+	}
+}
+
 func openedTo(f *fixture, id model.TargetID) int {
 	count := 0
 	for _, o := range f.opened {
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -210,10 +210,11 @@
 type Choice struct {
 	Target         Candidate
 	AlreadyPrimary bool // the target is the primary already, so no promotion is needed
-	// HandsOver means that the target drains or is evacuated, and has commits that no other target has. It has to be promoted, so that the
-	// others receive them, but must not be opened for use.
+	// HandsOver means that the target drains or is evacuated, and has commits that no other target has. It has to be
+	// promoted, so that the others receive them, but must not be opened for use.
 	HandsOver bool
-	// AwaitsCatchUp means that the target is about to receive the commits of a draining or evacuated one that was promoted to hand them over.
+	// AwaitsCatchUp means that the target is about to receive the commits of a draining or evacuated one that was promoted
+	// to hand them over.
 	AwaitsCatchUp bool
 	Found         bool // false if no target can be promoted without losing acknowledged commits, or not yet
 }
@@ -222,8 +223,8 @@
 // primary if it was only unreachable and answers again, because it has all commits. Otherwise the replica with the most
 // advanced position is chosen. With synchronous replicas, enough replicas must reply that one of them has every
 // acknowledged commit. A draining target is chosen for use only if no other one replies: it hands its commits over to one that
-// stays. So does an evacuated one, which is never promoted for use. When no target can be promoted instead of an evacuated primary
-// and the evacuation has been withdrawn, the old primary is chosen as it is.
+// stays. So does an evacuated one, which is never promoted for use. When no target can be promoted instead of an evacuated
+// primary and the evacuation has been withdrawn, the old primary is chosen as it is.
 func Choose(g Group) Choice {
 	candidates := slices.Clone(g.Candidates)
 	slices.SortFunc(candidates, func(a, b Candidate) int {
--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -94,8 +94,8 @@
 
 func position(term, offset uint64) model.Position { return model.Position{Term: term, Offset: offset} }
 
-// Guards against the promotion of a target in an evacuated data centre for use, and against a service that stays without a primary
-// after the request was withdrawn.
+// Guards against the promotion of a target in an evacuated data centre for use, and against a service that stays without
+// a primary after the request was withdrawn.
 func TestChooseDuringEvacuation(t *testing.T) {
 	old := Candidate{ID: "a", StartedAt: 7, IsPrimary: true, Term: 3, Received: position(3, 90), Evacuated: true}
 	returned := old
--- a/standin/lines/configuration.go
+++ b/standin/lines/configuration.go
@@ -28,6 +28,24 @@
 	c["services"].([]any)[0].(map[string]any)["coldPerS"] = perSecond
 }
 
+// SetRouteRegions sets the regions in which statements of a database name may run.
+func (c Config) SetRouteRegions(database string, regions ...string) {
+	for _, entry := range c["routes"].([]any) {
+		if route := entry.(map[string]any); route["database"] == database {
+			route["allowedRegions"] = regions
+		}
+	}
+}
+
+// SetWorkspaceRegions sets the regions in which statements of a workspace may run.
+func (c Config) SetWorkspaceRegions(workspace string, regions ...string) {
+	for _, entry := range c["tenants"].([]any) {
+		if w := entry.(map[string]any); w["name"] == workspace {
+			w["allowedRegions"] = regions
+		}
+	}
+}
+
 // NewConfig returns a configuration for a service called stock: the databases orders (primary), view (bounded staleness)
 // and plans (read your writes), the workspace workshop with the given keys, and the workspace school with the key
 // school-key.
