--- a/fleet/balance.go
+++ b/fleet/balance.go
@@ -70,7 +70,8 @@
 func (a *Agent) rankTargets(v *clusterView, r frontend.SelectRequest) []model.TargetID {
 	var candidates []balance.Candidate
 	for _, t := range v.targets {
-		if t.Service != r.Service || t.State == catalog.Draining {
+		if t.Service != r.Service || t.State == catalog.Draining || v.evacuations.Evacuated(t.DataCentre) ||
+			!r.TargetRegion.Allows(t.DataCentre) {
 			continue
 		}
 		c := balance.Candidate{Target: t.ID, Primary: t.ID == r.Primary}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/guard"
 	"github.com/waxwingspindle/waxwingspindle/heartbeat"
@@ -70,9 +71,14 @@
 // Decoders decode the configuration and the target entries that the platform keeps in the store.
 type Decoders struct {
 	ConfigurationKey string
-	TargetPrefix     string
-	Configuration    func(value []byte) (*catalog.Catalog, error)
-	Target           func(id string, value []byte) (catalog.Target, error)
+	// OperatorPrefix precedes all keys of the operator, including ConfigurationKey. It is used only with an evacuation bound.
+	OperatorPrefix string
+	TargetPrefix   string
+	// Evacuation returns the data centre whose evacuation a key under OperatorPrefix requests. It returns false for other keys
+	// and an error for a key without a valid name.
+	Evacuation    func(key string) (dc model.DataCentre, isRequest bool, err error)
+	Configuration func(value []byte) (*catalog.Catalog, error)
+	Target        func(id string, value []byte) (catalog.Target, error)
 }
 
 // Prober queries and demotes targets. The context carries a deadline.
@@ -100,7 +106,9 @@
 	// LoadControl is set if the deployment asks for decisions under load. They are also used where statements are assigned by
 	// target, unless NoLoadControl is set.
 	LoadControl, NoLoadControl bool
-	Log                        *zap.Logger
+	// Evacuation holds the limits of evacuations; with a bound of zero this host does not follow requests for them.
+	Evacuation evacuation.Limits
+	Log        *zap.Logger
 }
 
 // Agent runs the control plane of one host.
@@ -162,6 +170,7 @@
 
 	plansStale   bool      // the plans do not reflect the current inputs
 	nextPlanTime time.Time // earliest time of the next computation
+	operatorKeys operatorKeysAge
 }
 
 // departure is a host whose registration has disappeared.
@@ -196,9 +205,9 @@
 		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
 		unconfirmed: map[model.Service]uint64{}}
-	a.view.Store(newClusterView())
+	a.view.Store(a.newClusterView())
 	a.leaderUnreachable.Store(true)
-	a.follower(a.Decoders.ConfigurationKey, (*control).applyConfiguration)
+	a.follower(a.configurationPrefix(), (*control).applyOperatorKeys)
 	a.follower(a.Decoders.TargetPrefix, (*control).applyTargets)
 	a.follower(controlPrefix, (*control).applyControlKeys)
 	c.Server.SetTokenSource(a.takeTokens, a.brokerChanging)
@@ -207,10 +216,16 @@
 }
 
 func newControl(a *Agent) *control {
-	return &control{agent: a, view: newClusterView(), removed: map[model.TargetID]time.Time{},
+	return &control{agent: a, view: a.newClusterView(), removed: map[model.TargetID]time.Time{},
 		departed: map[model.HostID]departure{}}
 }
 
+func (a *Agent) newClusterView() *clusterView {
+	v := newClusterView()
+	v.evacuations = evacuation.NewState(a.Evacuation)
+	return v
+}
+
 func newClusterView() *clusterView {
 	return &clusterView{catalog: &catalog.Catalog{}, targets: map[model.TargetID]catalog.Target{},
 		drainingSince: map[model.TargetID]time.Time{},
@@ -226,7 +241,7 @@
 	a.startTime = boottime.Now().UnixNano()
 	a.lastBrokerReply.Store(a.startTime)
 	a.lastRelay.Store(a.startTime) // a leader usually relays the state before a starting host has to watch the store
-	go a.follow(ctx, a.Decoders.ConfigurationKey, (*control).applyConfiguration)
+	go a.follow(ctx, a.configurationPrefix(), (*control).applyOperatorKeys)
 	go a.follow(ctx, a.Decoders.TargetPrefix, (*control).applyTargets)
 	go a.follow(ctx, controlPrefix, (*control).applyControlKeys)
 	go a.syncWithSeeds(ctx)
@@ -246,6 +261,7 @@
 		case <-c.pending.due:
 			c.publish()
 		case <-ticker.C:
+			c.trackOperatorKeys()
 			c.removeExpired()
 			c.expireDepartures()
 			if !a.isLeading() { // a leader keeps its connections, so that it can fence hosts at once
@@ -343,7 +359,9 @@
 		}
 		listed[id] = true
 		delete(c.removed, id)
-		if known, ok := c.view.targets[id]; !ok || known != t {
+		known, ok := c.view.targets[id]
+		c.setColdUntil(&t, known, now)
+		if !ok || known != t {
 			c.agent.Log.Info("targets: entry applied", zap.String("target", name), zap.Uint64("revision", e.Revision),
 				zap.String("service", string(t.Service)), zap.Bool("draining", t.State == catalog.Draining),
 				zap.Bool("says_primary", t.ReportsPrimary), zap.Int64("born", t.StartedAt))
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -92,7 +92,7 @@
 // while is available only if acceptSuspected is set.
 func (a *Agent) canRunOn(v *clusterView, host model.HostID, target model.TargetID, r frontend.SelectRequest,
 	excluded frontend.ExcludedHosts, acceptSuspected bool) bool {
-	if excluded.Contains(host, target) {
+	if excluded.Contains(host, target) || !excluded.Region.Allows(v.hosts[host].DataCentre) {
 		return false
 	}
 	if host == a.Self.ID {
@@ -119,7 +119,7 @@
 			}
 			return id
 		}
-		if excluded.Contains(id, "") {
+		if excluded.Contains(id, "") || !excluded.Region.Allows(v.hosts[id].DataCentre) {
 			continue
 		}
 		if _, registered := v.hosts[id]; !registered || now.Before(a.homes.avoidUntil[id]) ||
--- a/fleet/publish.go
+++ b/fleet/publish.go
@@ -78,6 +78,9 @@
 	if v.routing.ByTarget && !a.NoLoadControl {
 		a.Server.SetLoadControl(true)
 	}
+	if a.evacuates() {
+		a.Server.SetEvacuations(v.evacuations, v.dataCentres())
+	}
 	newCatalog := v.catalog != c.passedOn.catalog
 	if hosts := v.sharingHosts(a.Self); newCatalog || hosts != c.passedOn.hosts {
 		c.passedOn.catalog, c.passedOn.hosts = v.catalog, hosts
@@ -93,6 +96,7 @@
 func (c *control) passTargets(v *clusterView) {
 	byService := v.targetsByService()
 	for service := range v.catalog.Services {
+		c.agent.setColdRate(v, service)
 		limits := v.connectionLimits(service, c.agent.Self.ID)
 		next := serviceTargets{list: byService[service]}
 		for _, t := range next.list {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
@@ -76,6 +77,7 @@
 	routing       RoutingDocument
 	targetPlan    placement.TargetPlan // empty unless statements are assigned by target
 	ordered       *hostOrder           // of a published view; nil in that of the control goroutine
+	evacuations   evacuation.State     // evacuated data centres; immutable
 }
 
 func (v *clusterView) clone() *clusterView {
@@ -173,6 +175,19 @@
 	return plans
 }
 
+// connectionWeight returns the number of connections to targets of a service that a host may hold, as its weight among the hosts.
+func (v *clusterView) connectionWeight(service model.Service, host model.HostID) float64 {
+	if !v.routing.ByTarget {
+		plan := v.plans[service]
+		return float64(plan.ConnectionLimit(host))
+	}
+	sum := 0
+	for _, t := range v.targetsOf(service) {
+		sum += v.targetPlan.ConnectionLimit(t.ID, host)
+	}
+	return float64(sum)
+}
+
 // connectionLimits returns the connections that a host may hold to a target of a service.
 func (v *clusterView) connectionLimits(service model.Service, host model.HostID) func(model.TargetID) frontend.ConnectionLimits {
 	if !v.routing.ByTarget {
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -12,6 +12,7 @@
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/region"
 )
 
 const (
@@ -37,8 +38,9 @@
 
 // ExcludedHosts lists the hosts that cannot run a statement.
 type ExcludedHosts struct {
-	Local  bool        // this host is excluded because it does not reach the primary
-	Remote []Selection // hosts that rejected or did not answer the statement
+	Local  bool              // this host is excluded because it does not reach the primary
+	Remote []Selection       // hosts that rejected or did not answer the statement
+	Region region.Constraint // data centres of the hosts that the statement may be forwarded to
 }
 
 // Contains reports whether a host cannot run the statement on a target, or not at all.
@@ -63,6 +65,7 @@
 	NeedsPrimary  bool
 	Primary       model.TargetID // of the current decision
 	LatencyTarget time.Duration
+	TargetRegion  region.Constraint // data centres of the targets that may run it
 }
 
 // Forwarder forwards statements to the hosts that hold connections for their workspaces.
@@ -383,5 +386,6 @@
 	}
 	_, primary, _ := op.service.currentPrimary()
 	return s.forwarder.SelectHost(SelectRequest{Service: op.route.Service, Workspace: op.workspace,
-		NeedsPrimary: needsPrimary, Primary: primary, LatencyTarget: op.route.LatencyTarget}, excluded)
+		NeedsPrimary: needsPrimary, Primary: primary, LatencyTarget: op.route.LatencyTarget,
+		TargetRegion: s.targetRegions(op.route.Database, op.workspace)}, excluded)
 }
--- a/frontend/select.go
+++ b/frontend/select.go
@@ -139,6 +139,7 @@
 		return Selection{}, epoch, errorAnswer(Busy, "the primary is being replaced")
 	}
 	excluded.Local = op.service.primaryUnreachable(boottime.Now())
+	excluded.Region = s.server.hostRegions(op.route.Database, op.workspace)
 	return s.server.selectHost(op, needsPrimary, *excluded), epoch, Answer{}
 }
 
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -12,8 +12,10 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/region"
 	"github.com/waxwingspindle/waxwingspindle/share"
 	"github.com/waxwingspindle/waxwingspindle/turns"
 )
@@ -41,6 +43,8 @@
 	activeCatalog       atomic.Pointer[catalog.Catalog]
 	loadControl         atomic.Bool // statements wait in the queues of targets
 	queues              *turns.Shared
+	activeEvacuations   atomic.Pointer[evacuation.State]
+	regions             region.Map                // of data centres; empty if they are not known
 	stopTimes           atomic.Pointer[StopTimes] // nil unless a planned stop was announced
 	closing             atomic.Bool               // sessions end as soon as they have no open transaction
 	primaryAllowedUntil atomic.Int64              // boot time in nanoseconds until which primaries may be used
@@ -67,6 +71,7 @@
 		forwardedTxns: map[txnKey]*session{}, limiter: share.NewLimiter(),
 		queues: turns.NewShared(boottime.Now(), metrics.queues)}
 	s.activeCatalog.Store(&catalog.Catalog{})
+	s.activeEvacuations.Store(&evacuation.State{})
 	return s
 }
 
@@ -83,6 +88,7 @@
 				svc.tick()
 			}
 			s.queues.ReportSuppressed(boottime.Now(), s.log)
+			s.endEvacuatedTransactions(boottime.Now())
 		}
 	}
 }
@@ -117,6 +123,7 @@
 func (s *Server) SetCatalog(c *catalog.Catalog, hosts int) {
 	if c.Version > s.catalog().Version {
 		s.activeCatalog.Store(c)
+		s.checkRegions(c)
 		s.log.Info("configuration: applied", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)))
 	}
 	s.limitMu.Lock()
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/coldstart"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/pool"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
@@ -89,6 +90,10 @@
 	positionFetch       positionFetch // of the position of a primary that another host uses
 	queues              map[model.TargetID]*turns.Queue
 	retries             *retry.Budget // nil before the first statement and without load control
+	poolTargets         []pool.Target // as last passed to the pool
+	evacuationRefusals  refusalLog
+	limitsCold          bool           // requests to cold targets are limited
+	coldRate            coldstart.Rate // share of this host
 }
 
 // primaryState is what statements need to know about the decision about the primary.
@@ -107,6 +112,7 @@
 	prepared   map[string]bool
 	lastSentAt time.Time   // time of the last command
 	turn       *turns.Turn // of the statement that uses the connection; nil between statements and without load control
+	granted    bool        // nothing has been sent since the connection was granted
 }
 
 // grant is the result of a request for a connection: either conn or refusal is set.
@@ -129,15 +135,16 @@
 		switch a := action.(type) {
 		case pool.Grant:
 			s.reportIdle(s.conns[a.Conn])
+			if c := s.conns[a.Conn]; c != nil {
+				c.granted = true
+			}
 			s.deliverResult(a.RequestID, grant{conn: s.conns[a.Conn]})
 		case pool.Refuse:
 			if a.Reason == pool.RefusedNoConnection {
 				s.deliverResult(a.RequestID, grant{refusal: a.Reason})
 				continue // the statement waits for another turn
 			}
-			s.log.Info("pool: request refused", zap.Stringer("reason", a.Reason), zap.Int("waiting", s.pool.QueueLength()),
-				zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open),
-				zap.Any("targets", s.pool.Load()))
+			s.logRefusal(a.Reason)
 			s.deliverResult(a.RequestID, grant{refusal: a.Reason})
 		case pool.Open:
 			s.startOpening(a, s.targets[a.Target])
@@ -202,6 +209,7 @@
 		return nil, position, err
 	}
 	if verify {
+		s.pool.CountRequests(boottime.Now(), t.ID, 1)
 		s.verifiedEpoch = doc.Epoch
 	}
 	return conn, position, nil
@@ -348,6 +356,9 @@
 func (s *service) run(c *targetConn, sess *sessionState, command Command, epoch uint64, deadline time.Time) (Reply, bool,
 	error) {
 	sentAt := boottime.Now()
+	if !s.server.evacuations().MayReach(sentAt, c.target.DataCentre) {
+		return Reply{}, false, errEvacuated
+	}
 	if epoch != 0 {
 		s.mu.Lock()
 		allowed := s.primaryUsable() && s.doc.Epoch == epoch && c.target.StartedAt == s.doc.Born && s.conns[c.id] == c &&
@@ -358,6 +369,9 @@
 		}
 	}
 	commands := c.commandsFor(sess, &command)
+	s.mu.Lock()
+	s.countCommands(sentAt, c, len(commands))
+	s.mu.Unlock()
 	c.lastSentAt = sentAt
 	c.turn.Sent(sentAt)
 	replies, sent, err := c.conn.Run(deadline, commands)
@@ -447,23 +461,11 @@
 	}
 	s.targets, s.connectionLimits = registered, limits
 	s.updateQueues(now)
-	s.applyActions(s.pool.SetTargets(now, s.poolTargets()))
+	s.poolTargets = s.currentPoolTargets(now)
+	s.applyActions(s.pool.SetTargets(now, s.poolTargets))
 	s.updatePoolPrimary(now)
 }
 
-// poolTargets returns the registered targets for the pool. The caller holds s.mu.
-func (s *service) poolTargets() []pool.Target {
-	list := make([]pool.Target, 0, len(s.targets))
-	for _, t := range s.targets {
-		// A draining primary accepts work until another target has been promoted.
-		draining := t.State == catalog.Draining && t.ID != s.doc.Primary
-		l := s.connectionLimits(t.ID)
-		list = append(list, pool.Target{ID: t.ID, DataCentre: t.DataCentre, Limit: l.Max, Retained: l.Retained,
-			Draining: draining, AdaptLimit: l.Adaptive})
-	}
-	return list
-}
-
 // primaryUsable reports whether the current decision is open and its target has not started again since. A target that has
 // started again under the same id has no data. The caller holds s.mu.
 func (s *service) primaryUsable() bool {
@@ -479,6 +481,7 @@
 			zap.Uint64("epoch", s.doc.Epoch), zap.Int64("born", s.targets[s.doc.Primary].StartedAt),
 			zap.Int64("expected_born", s.doc.Born))
 	}
+	s.refreshPoolTargets(now)
 	s.applyActions(s.pool.SetPrimary(now, s.doc.Primary, usable))
 	if current := (primaryState{s.doc.Epoch, usable}); current != s.primaryState {
 		s.primaryState = current
@@ -530,7 +533,8 @@
 			s.closeConnections(now, old.Primary)
 		}
 		s.fencedEpoch = doc.Epoch
-		s.applyActions(s.pool.SetTargets(now, s.poolTargets())) // a draining primary gets no work once it is replaced
+		s.poolTargets = s.currentPoolTargets(now) // a draining primary gets no work once it is replaced
+		s.applyActions(s.pool.SetTargets(now, s.poolTargets))
 		s.updatePoolPrimary(now)
 		return true
 	}
@@ -606,10 +610,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
+	s.refreshPoolTargets(now)
 	s.applyActions(s.pool.Tick(now))
 	if t, registered := s.targets[s.doc.Primary]; registered && s.primaryUnreachableLocked(now) &&
-		now.Sub(s.primaryProbedAt) >= primaryProbeInterval {
+		now.Sub(s.primaryProbedAt) >= primaryProbeInterval && s.server.evacuations().MayReach(now, t.DataCentre) &&
+		s.pool.MayTakeRequest(now, t.ID) {
 		s.primaryProbedAt = now
+		s.pool.CountRequests(now, t.ID, 1)
 		go s.probePrimary(t, s.lastWorkspace)
 	}
 }
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -187,7 +187,7 @@
 		s.txn.stopIdleTimer()
 		defer s.startIdleTimer()
 		if s.txn.failed && st.Kind != Commit && st.Kind != Rollback {
-			return errorAnswer(Malformed, "the transaction has failed")
+			return s.txn.failedAnswer()
 		}
 	}
 	switch st.Kind {
@@ -291,7 +291,8 @@
 	if s.server.selectsTargets() {
 		return s.runOnSelectedTarget(op, st)
 	}
-	excluded := ExcludedHosts{Local: svc.cannotRun(now, op.needsPrimary(), route.MaxStaleness)}
+	excluded := ExcludedHosts{Local: svc.cannotRun(now, op.needsPrimary(), route.MaxStaleness),
+		Region: s.server.hostRegions(route.Database, op.workspace)}
 	for range maxForwardAttempts {
 		selected := s.server.selectHost(op, op.needsPrimary(), excluded)
 		if selected.Local {
@@ -361,7 +362,10 @@
 func (s *session) prepareRetry(op *operation, reply Reply) bool {
 	switch reply.Code {
 	case Lagging:
-		op.forcePrimary = true
+		op.forcePrimary = op.service.primaryAvailable(s.server.targetRegions(op.route.Database, op.workspace))
+		if !op.forcePrimary {
+			time.Sleep(retryPause) // the replica may have caught up by then
+		}
 	case Busy, ReadOnly:
 		s.pauseBeforeRetry(op, reply.Code)
 	case Failed:
@@ -425,6 +429,7 @@
 		return nil, 0, minPosition, errorAnswer(Busy, "the statement has to run on the primary")
 	}
 	request.Deadline = s.queueDeadline(*op)
+	request.Region = s.server.targetRegions(op.route.Database, op.workspace)
 	g, refusal := s.acquireInTurn(op, request)
 	if g.conn == nil {
 		if op.target != "" && g.refusal == pool.RefusedNoTarget {
@@ -435,6 +440,10 @@
 		}
 		return nil, 0, minPosition, refusal
 	}
+	if !s.mayBeginOn(g.conn) {
+		op.service.release(g.conn, false)
+		return nil, 0, minPosition, errorAnswer(Busy, "no connection: "+pool.RefusedEvacuated.String())
+	}
 	epoch, id, open := op.service.currentPrimary()
 	if g.conn.target.ID == id && open {
 		return g.conn, epoch, model.Position{}, Answer{}
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -19,6 +19,7 @@
 	epoch     uint64 // epoch of the primary document in use, 0 on a replica
 	wrote     bool
 	failed    bool
+	evacuated bool // it was rolled back because of an evacuation, which no answer has told the caller yet
 	idleTimer *time.Timer
 	workspace model.Workspace // of the caller when the transaction began; empty for transactions of other hosts
 	needsKey  bool            // the route was not public when the transaction began
@@ -119,7 +120,8 @@
 		return s.beginOnSelectedTarget(op, st)
 	}
 	needsPrimary := !t.readOnly || op.route.Consistency == catalog.Primary
-	excluded := ExcludedHosts{Local: t.service.cannotRun(op.arrived, needsPrimary, op.route.MaxStaleness)}
+	excluded := ExcludedHosts{Local: t.service.cannotRun(op.arrived, needsPrimary, op.route.MaxStaleness),
+		Region: s.server.hostRegions(op.route.Database, op.workspace)}
 	for range maxForwardAttempts {
 		if t.conn == nil && t.peer == "" && s.forwardedFor == nil {
 			if selected := s.server.selectHost(op, needsPrimary, excluded); !selected.Local {
@@ -146,6 +148,9 @@
 	if s.server.transactionsEnded(now) {
 		return op, errorAnswer(Aborted, "the host is stopping")
 	}
+	if s.evacuationEndsTxn(now) {
+		return op, errorAnswer(Aborted, evacuatedDetail)
+	}
 	op = operation{service: t.service, arrived: now}
 	allowed := false
 	if s.forwardedFor != nil {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -25,14 +25,15 @@
 
 // testFleet is a platform with three hosts, which run inside the test process, and one service with three targets.
 type testFleet struct {
-	t            *testing.T
-	store        *lines.Store
-	group        *lines.Group
-	promotionAPI *httptest.Server
-	hosts        []*hostProcess
-	seeds        []string // addresses at which the hosts reach each other
-	log          *zap.Logger
-	settings     string // further lines of the hosts' settings
+	t             *testing.T
+	store         *lines.Store
+	group         *lines.Group
+	promotionAPI  *httptest.Server
+	platformStore *httptest.Server
+	hosts         []*hostProcess
+	seeds         []string // addresses at which the hosts reach each other
+	settings      string   // additional lines of the settings files
+	log           *zap.Logger
 }
 
 // hostProcess is a running gateway with its addresses.
@@ -57,11 +58,12 @@
 // newTestFleet starts the platform and the hosts, and waits until all hosts are ready and the primary accepts writes.
 func newTestFleet(t *testing.T) *testFleet {
 	t.Helper()
-	return newTestFleetWith(t, "")
+	return newTestFleetWith(t, "", func(*lines.Group) {})
 }
 
-// newTestFleetWith is newTestFleet with further lines of the hosts' settings.
-func newTestFleetWith(t *testing.T, settings string) *testFleet {
+// newTestFleetWith is newTestFleet with additional lines of the settings files, and a function that changes the targets before
+// the hosts start.
+func newTestFleetWith(t *testing.T, settings string, prepare func(*lines.Group)) *testFleet {
 	t.Helper()
 	fleet := &testFleet{t: t, store: lines.NewStore(), log: zap.NewNop(), settings: settings}
 	if os.Getenv("E2E_LOGS") != "" {
@@ -76,12 +78,14 @@
 		t.Fatal(err)
 	}
 	fleet.group = group
+	prepare(group)
 	fleet.store.PutConfig(lines.NewConfig(1, "workshop-key"))
 	if assignByTarget {
 		fleet.store.Put("waxwingspindle/routing", map[string]any{"ByTarget": true})
 	}
 	platformStore, promotionAPI := httptest.NewServer(fleet.store), httptest.NewServer(group)
 	fleet.promotionAPI = promotionAPI
+	fleet.platformStore = platformStore
 	for i := range 3 {
 		fleet.hosts = append(fleet.hosts, fleet.startHost(fmt.Sprintf("host-%d", i), platformStore, promotionAPI))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,14 +64,17 @@
 	server := frontend.New(model.DataCentre(settings.DataCentre), platform.TargetDialer{}, log,
 		frontend.NewMetrics(registry))
 	server.SetLoadControl(settings.LoadControlEnabled())
+	server.SetRegions(settings.RegionMap())
 	self := fleet.Host{ID: model.HostID(settings.Host), Incarnation: incarnation, Address: settings.AdvertisedAddress(),
 		DataCentre: model.DataCentre(settings.DataCentre), LinkMbps: settings.LinkMbps, Cores: settings.Cores}
 	agent := fleet.New(fleet.Config{Self: self, Store: metastore.Measure(platform.NewStore(settings.Store), registry),
 		Decoders: fleet.Decoders{ConfigurationKey: platform.ConfigurationKey, TargetPrefix: platform.TargetPrefix,
+			OperatorPrefix: platform.OperatorPrefix, Evacuation: platform.ParseEvacuation,
 			Configuration: platform.ParseConfiguration, Target: platform.ParseTarget},
 		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.PromotionAPI, self.ID), Server: server,
 		Log: log, Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed(),
-		LoadControl: settings.LoadControlEnabled(), NoLoadControl: settings.LoadControl == "off"})
+		LoadControl: settings.LoadControlEnabled(), NoLoadControl: settings.LoadControl == "off",
+		Evacuation: settings.EvacuationLimits()})
 
 	listeners, err := listen(settings)
 	if err != nil {
--- a/gateway/load_control_test.go
+++ b/gateway/load_control_test.go
@@ -6,12 +6,14 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/standin/lines"
 )
 
 // Guards against load control that refuses without load, that refuses what has run, or whose refusals don't name the time to
 // come back, with real hosts that forward statements to each other.
 func TestLoadControl(t *testing.T) {
-	fleet := newTestFleetWith(t, "contracts = pressure\n")
+	fleet := newTestFleetWith(t, "contracts = pressure\n", func(*lines.Group) {})
 	const statementTime = 300 * time.Millisecond // most of the latency target, so that few statements can wait
 	fleet.group.SetStatementTime(statementTime)
 	c := fleet.mustConnect(0, "orders", "workshop-key")
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,14 +5,17 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 	"gopkg.in/ini.v1"
 
+	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/platform"
+	"github.com/waxwingspindle/waxwingspindle/region"
 )
 
 // Fractions of DrainSeconds at which the phases of a graceful stop end at the latest. The rest of DrainSeconds is left for the
@@ -52,6 +55,37 @@
 
 	Contracts   string `ini:"contracts"`    // list of the deployment's contracts, decoded by package platform
 	LoadControl string `ini:"load_control"` // on or off; if empty, Contracts decides
+	// EvacuationMs is the time in milliseconds after the request to evacuate a data centre from which no statement may reach a
+	// target there. Hosts ignore such requests if it is empty.
+	EvacuationMs string `ini:"evacuation_ms"`
+	// Regions lists data centres with their regions, as "north:eu,south:us". Hosts ignore allowed regions if it is empty.
+	Regions string `ini:"regions"`
+}
+
+// RegionMap returns Regions as a map, which is empty if they are invalid.
+func (s Settings) RegionMap() region.Map {
+	m, err := region.ParseMap(s.Regions)
+	if err != nil {
+		return nil // validate reports the error
+	}
+	return m
+}
+
+// EvacuationBound returns EvacuationMs as a duration, or 0 if it is empty or invalid.
+func (s Settings) EvacuationBound() time.Duration {
+	ms, err := strconv.ParseInt(s.EvacuationMs, 10, 32)
+	if err != nil {
+		return 0 // validate reports an invalid value
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// EvacuationLimits returns the limits that follow from EvacuationMs, which are zero if it is empty.
+func (s Settings) EvacuationLimits() evacuation.Limits {
+	if s.EvacuationMs == "" {
+		return evacuation.Limits{}
+	}
+	return evacuation.NewLimits(s.EvacuationBound())
 }
 
 // AdvertisedAddress returns the address at which other hosts reach this one.
@@ -122,6 +156,13 @@
 			problems = append(problems, fmt.Sprintf("%s: %q is not an IP address with a port", a.name, a.value))
 		}
 	}
+	if s.EvacuationMs != "" && s.EvacuationBound() < evacuation.MinBound {
+		problems = append(problems, fmt.Sprintf("evacuation_ms: %q is not a number of milliseconds of at least %d",
+			s.EvacuationMs, evacuation.MinBound.Milliseconds()))
+	}
+	if _, err := region.ParseMap(s.Regions); err != nil {
+		problems = append(problems, "regions: "+err.Error())
+	}
 	if s.DrainSeconds < 0 {
 		problems = append(problems, "drain_seconds is negative")
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -1,5 +1,5 @@
-// Package pool implements the connection pool of a host for one service. A connection belongs to one workspace, occupies a
-// slot of its target while it is opened, and the number of connections of a host to a target is limited to a few. The
+// Package pool implements the connection pool of a host for one service. A connection belongs to one workspace, occupies
+// a slot of its target while it is opened, and the number of connections of a host to a target is limited to a few. The
 // package is a pure state machine without I/O: the caller reports events and executes the returned actions.
 //
 // It is designed for more statements than connections, for workspaces that alternate on the same connection, and for
@@ -12,7 +12,9 @@
 	"slices"
 	"time"
 
+	"github.com/waxwingspindle/waxwingspindle/coldstart"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/region"
 )
 
 const (
@@ -60,8 +62,17 @@
 	Draining   bool // accepts no new work
 	// AdaptLimit lowers Limit for a while when the target refuses a connection because it has too many.
 	AdaptLimit bool
+	// Evacuated targets accept no new work either, also if they are the primary. A request that no other target can run is
+	// refused at once.
+	Evacuated bool
+	// ColdUntil is the time until which the target is cold and gets no more requests than ColdRate, the share of this host.
+	ColdUntil time.Time
+	ColdRate  coldstart.Rate
 }
 
+// acceptsWork reports whether the target may start statements.
+func (t Target) acceptsWork() bool { return !t.Draining && !t.Evacuated }
+
 // Request asks for a connection to run one statement or transaction.
 type Request struct {
 	ID        RequestID
@@ -73,9 +84,10 @@
 	// AsOf, or only on the primary if AsOf is zero.
 	PrimaryOnly bool
 	AsOf        time.Time
-	GiveUp      bool      // refused with RefusedNoConnection as soon as no connection is idle, opening or can be opened
-	Priority    int       // 0 is the highest
-	Deadline    time.Time // time at which the request is refused if it has no connection yet
+	GiveUp      bool              // refused with RefusedNoConnection as soon as no connection is idle, opening or can be opened
+	Priority    int               // 0 is the highest
+	Deadline    time.Time         // time at which the request is refused if it has no connection yet
+	Region      region.Constraint // data centres of the targets that may run the request
 
 	enqueuedAt time.Time
 }
@@ -92,11 +104,15 @@
 	RefusedNoTarget
 	// RefusedNoConnection means that a request with GiveUp would have to wait for more than the opening of a connection.
 	RefusedNoConnection
+	// RefusedEvacuated means that only targets of evacuated data centres can run the request.
+	RefusedEvacuated
+	// RefusedRegion means that there is no usable target in the regions of the request.
+	RefusedRegion
 )
 
 // String returns the reason as it appears in logs.
 func (r RefusalReason) String() string {
-	return [...]string{"none", "queue_full", "queue_timeout", "no_target", "no_connection"}[r]
+	return [...]string{"none", "queue_full", "queue_timeout", "no_target", "no_connection", "evacuated", "region"}[r]
 }
 
 // Action is an instruction to the caller of the pool: Grant, Open, Close or Refuse.
@@ -154,6 +170,19 @@
 	lagObservedAt time.Time
 	backoffUntil  time.Time // no connections are opened before this time
 	refusedLimit  refusedLimit
+	coldRequests  coldstart.Bucket
+}
+
+// mayTakeRequest reports whether a request may be sent to the target: it is not cold, or this host's share allows it.
+func (t *target) mayTakeRequest(now time.Time) bool {
+	return !now.Before(t.ColdUntil) || t.coldRequests.Allows(now, t.ColdRate)
+}
+
+// countRequests counts requests that are sent to the target.
+func (t *target) countRequests(now time.Time, n int) {
+	if now.Before(t.ColdUntil) {
+		t.coldRequests.Take(now, t.ColdRate, n)
+	}
 }
 
 // Pool holds the connections and queued requests of one service on one host. It is not safe for concurrent use.
@@ -172,7 +201,8 @@
 	return &Pool{dataCentre: dataCentre, targets: map[model.TargetID]*target{}}
 }
 
-// SetTargets replaces the targets. Connections to removed or draining targets are closed; busy ones when they are released.
+// SetTargets replaces the targets. Connections to removed, draining or evacuated targets are closed; busy ones when they
+// are released.
 func (p *Pool) SetTargets(now time.Time, list []Target) []Action {
 	registered := make(map[model.TargetID]*target, len(list))
 	for _, t := range list {
@@ -184,7 +214,9 @@
 		registered[t.ID] = state
 	}
 	p.targets = registered
-	actions := p.closeIdleWhere(func(c *conn) bool { return registered[c.target] == nil || registered[c.target].Draining })
+	actions := p.closeIdleWhere(func(c *conn) bool {
+		return registered[c.target] == nil || !registered[c.target].acceptsWork()
+	})
 	return append(append(actions, p.closeAboveLimits()...), p.schedule(now)...)
 }
 
@@ -260,7 +292,7 @@
 		}
 		return p.schedule(now)
 	}
-	if t == nil || t.Draining {
+	if t == nil || !t.acceptsWork() {
 		p.remove(id)
 		return append([]Action{Close{id}}, p.schedule(now)...)
 	}
@@ -270,15 +302,15 @@
 	return p.schedule(now)
 }
 
-// Release returns a granted connection to the pool. The pool closes it if the target was removed, is draining or has more
-// connections than its limit.
+// Release returns a granted connection to the pool. The pool closes it if the target was removed, is draining or
+// evacuated, or has more connections than its limit.
 func (p *Pool) Release(now time.Time, id ConnID) []Action {
 	c := p.conn(id)
 	if c == nil {
 		return nil
 	}
 	t := p.targets[c.target]
-	if t == nil || t.Draining {
+	if t == nil || !t.acceptsWork() {
 		p.remove(id)
 		return append([]Action{Close{id}}, p.schedule(now)...)
 	}
@@ -308,8 +340,22 @@
 	}
 }
 
-// Tick refuses requests whose deadline has passed, closes connections that exceeded the idle timeout, and opens connections
-// to targets whose backoff has ended.
+// CountRequests counts requests to a target other than the first statement of a grant and the opening of a connection,
+// which the pool counts itself.
+func (p *Pool) CountRequests(now time.Time, id model.TargetID, n int) {
+	if t := p.targets[id]; t != nil {
+		t.countRequests(now, n)
+	}
+}
+
+// MayTakeRequest reports whether a request may be sent to a target, which may be cold.
+func (p *Pool) MayTakeRequest(now time.Time, id model.TargetID) bool {
+	t := p.targets[id]
+	return t == nil || t.mayTakeRequest(now)
+}
+
+// Tick refuses requests whose deadline has passed, closes connections that exceeded the idle timeout, and opens
+// connections to targets whose backoff has ended.
 func (p *Pool) Tick(now time.Time) []Action {
 	var actions []Action
 	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
@@ -401,8 +447,8 @@
 	return p.closeLeastRecentlyUsed(func(t *target, _ *conn, count int) bool { return count > t.Limit })
 }
 
-// closeLeastRecentlyUsed closes idle connections of each target, least recently used first, while surplus returns true for
-// the connection and the number of connections to the target.
+// closeLeastRecentlyUsed closes idle connections of each target, least recently used first, while surplus returns true
+// for the connection and the number of connections to the target.
 func (p *Pool) closeLeastRecentlyUsed(surplus func(t *target, c *conn, count int) bool) []Action {
 	var actions []Action
 	for id, t := range p.targets {
@@ -420,7 +466,7 @@
 
 // schedule assigns connections to queued requests in order and opens connections for requests that found none.
 func (p *Pool) schedule(now time.Time) []Action {
-	var actions []Action
+	actions := p.refuseImpossible()
 	claimed := map[ConnID]bool{} // connections being opened that an earlier request waits for
 	for i := 0; i < len(p.queue); {
 		if r := p.queue[i]; !p.usable(now, r) {
@@ -439,6 +485,45 @@
 	return actions
 }
 
+// refuseImpossible refuses the queued requests that no target can run because of an evacuation or of their regions. A
+// request that needs the primary waits while it is being replaced, unless no target may become the next one.
+func (p *Pool) refuseImpossible() []Action {
+	var evacuated, usable bool // there are targets that are evacuated, and others that accept work
+	for _, t := range p.targets {
+		evacuated, usable = evacuated || t.Evacuated, usable || t.acceptsWork()
+	}
+	var actions []Action
+	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
+		switch {
+		case evacuated && (!usable || p.needsPrimaryWhere(r, func(t *target) bool { return t.Evacuated })):
+			actions = append(actions, Refuse{r.ID, RefusedEvacuated})
+		case r.Region.Limited && (!p.usableIn(r.Region) ||
+			p.needsPrimaryWhere(r, func(t *target) bool { return !r.Region.Allows(t.DataCentre) })):
+			actions = append(actions, Refuse{r.ID, RefusedRegion})
+		default:
+			return false
+		}
+		return true
+	})
+	return actions
+}
+
+// needsPrimaryWhere reports whether the request needs the primary, and that is in use and meets the condition.
+func (p *Pool) needsPrimaryWhere(r Request, condition func(*target) bool) bool {
+	primary := p.targets[p.primary]
+	return (r.PrimaryOnly || r.AsOf.IsZero()) && primary != nil && !p.closed && condition(primary)
+}
+
+// usableIn reports whether a target in the data centres of a constraint accepts work.
+func (p *Pool) usableIn(c region.Constraint) bool {
+	for _, t := range p.targets {
+		if t.acceptsWork() && c.Allows(t.DataCentre) {
+			return true
+		}
+	}
+	return false
+}
+
 // assign finds a connection for one request and reports whether it was granted or refused. Otherwise the request waits for a
 // connection that is being opened or becomes free.
 func (p *Pool) assign(now time.Time, r Request, claimed map[ConnID]bool) (bool, []Action) {
@@ -454,6 +539,7 @@
 	openTarget, openCost := p.cheapestOpening(now, r, candidates)
 	if best != nil && (openTarget == nil || bestCost <= openCost) {
 		best.state = busy
+		p.targets[best.target].countRequests(now, 1)
 		return true, []Action{Grant{r.ID, best.id, best.target}}
 	}
 	for _, t := range candidates {
@@ -484,10 +570,12 @@
 	p.conns = append(p.conns, &conn{id: p.lastConnID, target: openTarget.ID, workspace: r.Workspace, state: opening,
 		lastUsed: now})
 	claimed[p.lastConnID] = true
+	openTarget.countRequests(now, 1)
 	return false, append(actions, Open{p.lastConnID, openTarget.ID, r.Workspace})
 }
 
-// hasWaiter reports whether a queued request of at least the priority of r can use an idle connection without reopening it.
+// hasWaiter reports whether a queued request of at least the priority of r can use an idle connection without reopening
+// it.
 func (p *Pool) hasWaiter(c *conn, r Request) bool {
 	for _, other := range p.queue {
 		if other.Workspace == c.workspace && other.Priority <= r.Priority && (!other.PrimaryOnly || c.target == p.primary) &&
@@ -505,18 +593,21 @@
 	if r.Target != "" && r.Target != p.primary {
 		primary = nil
 	}
+	// Without the primary, a replica that seems to lag may still have the data, and no other target has it.
+	withoutPrimary := primary != nil && (primary.Evacuated || !r.Region.Allows(primary.DataCentre))
 	if !r.PrimaryOnly && !r.AsOf.IsZero() {
 		for id, t := range p.targets {
 			if r.Target != "" && r.Target != id {
 				continue
 			}
-			if id != p.primary && !t.Draining && t.mayHaveData(now, r.AsOf) {
+			if id != p.primary && t.acceptsWork() && r.Region.Allows(t.DataCentre) && t.mayTakeRequest(now) &&
+				(withoutPrimary || t.mayHaveData(now, r.AsOf)) {
 				list = append(list, t)
 			}
 		}
 		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	if primary != nil && !p.closed {
+	if primary != nil && !p.closed && !withoutPrimary && primary.mayTakeRequest(now) {
 		list = append(list, primary)
 	}
 	return list
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/waxwingspindle/waxwingspindle/coldstart"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/region"
 )
 
 var start = time.Unix(1000, 0)
@@ -167,6 +169,119 @@
 	}
 }
 
+// An evacuated target must get no new work, also if it is the primary. What only such targets can run must be refused at once,
+// also if it is queued already.
+func TestEvacuatedTargetsGetNoWork(t *testing.T) {
+	p, r := Target{ID: "p", DataCentre: "east", Limit: 1}, Target{ID: "r", DataCentre: "west", Limit: 1}
+	f := newFixture(t, p, r)
+	f.enqueue(writeRequest(1, "w"))
+	f.enqueue(writeRequest(2, "w"))
+	p.Evacuated = true
+	f.apply(f.pool.SetTargets(f.now, []Target{p, r}))
+	f.enqueue(writeRequest(3, "w"))
+	f.enqueue(readRequest(4, "w", time.Time{}))
+	f.enqueue(readRequest(5, "w", start.Add(-time.Second)))
+	want := map[RequestID]RefusalReason{2: RefusedEvacuated, 3: RefusedEvacuated, 4: RefusedEvacuated}
+	if diff := cmp.Diff(want, f.refused); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+	if got := f.granted[5].Target; got != "r" {
+		t.Errorf("the read ran on %q", got)
+	}
+	f.release(1)
+	if len(f.closed) != 1 {
+		t.Error("the connection to the evacuated target stays open")
+	}
+	f.apply(f.pool.SetPrimary(f.now, "p", false))
+	f.enqueue(writeRequest(6, "w"))
+	if len(f.refused) != len(want) {
+		t.Error("a write was refused although its primary is being replaced")
+	}
+	r.Evacuated = true
+	f.apply(f.pool.SetTargets(f.now, []Target{p, r}))
+	f.enqueue(readRequest(7, "w", start.Add(-time.Second)))
+	if f.refused[6] != RefusedEvacuated || f.refused[7] != RefusedEvacuated {
+		t.Errorf("all targets are evacuated, refused were %v", f.refused)
+	}
+	p.Evacuated, r.Evacuated = false, false
+	f.apply(f.pool.SetTargets(f.now, []Target{p, r}))
+	f.apply(f.pool.SetPrimary(f.now, "p", true))
+	f.enqueue(writeRequest(8, "w"))
+	if f.granted[8].Target != "p" {
+		t.Error("the primary is not used after the evacuation")
+	}
+}
+
+// A cold target must get no more requests than this host's share, also counting the opening of connections; what doesn't fit must
+// go to other targets, or wait.
+func TestColdTargetGetsItsShare(t *testing.T) {
+	cold := Target{ID: "c", DataCentre: "east", Limit: 10, ColdUntil: start.Add(10 * time.Second),
+		ColdRate: coldstart.Rate{PerSecond: 2, Burst: 3}}
+	f := newFixture(t, Target{ID: "p", DataCentre: "west", Limit: 10}, cold)
+	for id := range RequestID(6) {
+		f.enqueue(readRequest(id+1, "w", start.Add(-time.Second)))
+	}
+	counts := map[model.TargetID]int{}
+	for _, g := range f.granted {
+		counts[g.Target]++
+	}
+	if len(f.granted) != 6 || counts["c"] < 1 || counts["c"]+openedTo(f, "c") > 3 {
+		t.Errorf("granted %v, %d connections opened to the cold target", counts, openedTo(f, "c"))
+	}
+	f.pool.CountRequests(f.now, "c", 4)
+	f.apply(f.pool.SetPrimary(f.now, "c", true))
+	f.enqueue(writeRequest(10, "w"))
+	f.advance(500 * time.Millisecond)
+	if _, granted := f.granted[10]; granted || len(f.refused) > 0 {
+		t.Error("a request was granted although others are owed")
+	}
+	if f.pool.MayTakeRequest(f.now, "c") || !f.pool.MayTakeRequest(cold.ColdUntil, "c") {
+		t.Error("the share has to end with the cold time")
+	}
+}
+
+// A request with regions must run in these regions only, and must be refused at once if no target there can run it.
+func TestRequestsKeepToRegions(t *testing.T) {
+	f := newFixture(t, Target{ID: "p", DataCentre: "east", Limit: 9}, Target{ID: "r", DataCentre: "west", Limit: 9})
+	in := func(r Request, allowed ...model.DataCentre) Request {
+		r.Region = region.Constraint{Limited: true, Allowed: map[model.DataCentre]bool{}}
+		for _, dc := range allowed {
+			r.Region.Allowed[dc] = true
+		}
+		return r
+	}
+	for id := range RequestID(6) {
+		f.enqueue(in(readRequest(id+1, "w", start.Add(-time.Second)), "east"))
+		if got := f.granted[id+1].Target; got != "p" {
+			t.Errorf("read %d ran on %q", id+1, got)
+		}
+	}
+	f.enqueue(in(writeRequest(10, "w"), "west"))
+	f.enqueue(in(readRequest(11, "w", start.Add(-time.Second)), "north"))
+	f.enqueue(in(readRequest(12, "w", start.Add(-time.Second))))
+	f.enqueue(in(readRequest(13, "w", time.Time{}), "west"))
+	want := map[RequestID]RefusalReason{10: RefusedRegion, 11: RefusedRegion, 12: RefusedRegion, 13: RefusedRegion}
+	if diff := cmp.Diff(want, f.refused); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+	f.apply(f.pool.SetPrimary(f.now, "p", false))
+	f.enqueue(in(writeRequest(20, "w"), "west"))
+	f.apply(f.pool.SetPrimary(f.now, "r", true))
+	if got := f.granted[20].Target; got != "r" {
+		t.Errorf("after the promotion of a target in its region the write ran on %q", got)
+	}
+}
+
+func openedTo(f *fixture, id model.TargetID) int {
+	count := 0
+	for _, o := range f.opened {
+		if o.Target == id {
+			count++
+		}
+	}
+	return count
+}
+
 // Requests must be refused at their deadline, not held until the caller has timed out.
 func TestRefusesAtDeadline(t *testing.T) {
 	f := newFixture(t, Target{ID: "a", DataCentre: "east", Limit: 1})
