Positions of the primary come with earlier ones; shorter wait for rate tokens

Change: a response has up to eight positions of the last 0.8 s; the wait is a quarter of the latency target.

--- a/fleet/positions.go
+++ b/fleet/positions.go
@@ -9,6 +9,7 @@
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/routing"
 )
 
 // positionMethod is the RPC method that returns a position of a primary.
@@ -23,22 +24,35 @@
 // PositionRequest asks a host that uses the primary of a service for a position of it.
 type PositionRequest struct{ Service model.Service }
 
-// PositionReply is the reply to a PositionRequest. The primary had the position Age before the reply, or later.
+// PositionReply is the reply to a PositionRequest.
 type PositionReply struct {
-	Epoch    uint64 // of the decision under which the host uses the primary
+	Epoch     uint64 // of the decision under which the host uses the primary
+	Positions []AgedPosition
+}
+
+// AgedPosition is a position that the primary had Age before the reply, or later.
+type AgedPosition struct {
 	Position model.Position
 	Age      time.Duration
 }
 
-// Position returns a position of a service's primary.
-func (p *Peer) Position(r PositionRequest, reply *PositionReply) (err error) {
-	reply.Epoch, reply.Position, reply.Age, err = p.agent.Server.PrimaryPosition(r.Service)
-	return err
+// Position returns positions of a service's primary, oldest first.
+func (p *Peer) Position(r PositionRequest, reply *PositionReply) error {
+	epoch, samples, err := p.agent.Server.PrimaryPositions(r.Service)
+	if err != nil {
+		return err
+	}
+	now := boottime.Now()
+	reply.Epoch = epoch
+	for _, s := range samples {
+		reply.Positions = append(reply.Positions, AgedPosition{s.Position, now.Sub(s.At)})
+	}
+	return nil
 }
 
-// PrimaryPosition implements frontend.Forwarder. The position is dated back by its age from the time at which the request was
-// sent, which is before the request arrived at the other host. So it is never taken for younger than it is.
-func (a *Agent) PrimaryPosition(service model.Service, primary model.TargetID) (uint64, model.Position, time.Time, error) {
+// PrimaryPositions implements frontend.Forwarder. The positions are dated back by their ages from the time at which the request
+// was sent, which is before the request arrived at the other host. So none is taken for younger than it is.
+func (a *Agent) PrimaryPositions(service model.Service, primary model.TargetID) (uint64, []routing.Sample, error) {
 	v := a.view.Load()
 	err := errNoHostForTarget
 	for _, candidate := range v.targetPlan.Hosts(primary) {
@@ -54,10 +68,14 @@
 			_, err = a.statementClients.callKeepConn(h, positionMethod, PositionRequest{service}, &reply, positionCallTimeout)
 		}
 		if err == nil {
-			return reply.Epoch, reply.Position, sent.Add(-reply.Age), nil
+			samples := make([]routing.Sample, len(reply.Positions))
+			for i, p := range reply.Positions {
+				samples[i] = routing.Sample{At: sent.Add(-p.Age), Position: p.Position}
+			}
+			return reply.Epoch, samples, nil
 		}
 	}
-	return 0, model.Position{}, time.Time{}, err
+	return 0, nil, err
 }
 
 // RunOnRequest asks a host to run a statement on a target.
--- a/frontend/admission.go
+++ b/frontend/admission.go
@@ -16,8 +16,9 @@
 const maxAdmissionWait = 50 * time.Millisecond
 
 // admissionWaitFraction is the fraction of the latency target that an operation may wait for a token where statements are assigned
-// by target. Small workspaces get a token every few hundred milliseconds, and most statements take less than the other half.
-const admissionWaitFraction = 0.5
+// by target. Small workspaces get a token every few hundred milliseconds. With a longer wait, a workspace above its rate spends its
+// tokens on operations that miss their latency target.
+const admissionWaitFraction = 0.25
 
 // minAdmissionWait is the shortest pause between two requests of a waiting operation to the broker.
 const minAdmissionWait = 5 * time.Millisecond
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -13,6 +13,7 @@
 	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/region"
+	"github.com/waxwingspindle/waxwingspindle/routing"
 )
 
 const (
@@ -75,10 +76,9 @@
 	// SelectsTargets reports whether SelectHost selects the target as well, so that other hosts may be needed when the
 	// primary changes.
 	SelectsTargets() bool
-	// PrimaryPosition returns a position that the primary of a service had at the time at, by the clock of this host, and
-	// the epoch of the decision that the position belongs to. It asks the host that uses the primary.
-	PrimaryPosition(service model.Service, primary model.TargetID) (epoch uint64, position model.Position, at time.Time,
-		err error)
+	// PrimaryPositions returns recent positions of the primary of a service, oldest first, with times by the clock of this host,
+	// and the epoch of the decision that they belong to. It asks the host that uses the primary.
+	PrimaryPositions(service model.Service, primary model.TargetID) (epoch uint64, samples []routing.Sample, err error)
 	// TargetStarted and TargetFinished record a statement on a selected target, its outcome and the load of the target, whose
 	// Limit is 0 if it is not known.
 	TargetStarted(service model.Service, target model.TargetID)
--- a/frontend/select.go
+++ b/frontend/select.go
@@ -29,6 +29,12 @@
 	positionTimeout = 200 * time.Millisecond
 	// positionRetryPause is the pause after a request for a position has failed.
 	positionRetryPause = 100 * time.Millisecond
+	// positionHistory is the age up to which earlier positions are returned with the latest one, and positionGap the time between
+	// them. A replica that lags has reached the older ones only.
+	positionHistory = 800 * time.Millisecond
+	positionGap     = 90 * time.Millisecond
+	// maxPositions bounds the positions in one response.
+	maxPositions = 8
 )
 
 // runOnSelectedTarget runs a statement outside transactions on a target that is selected on this host. It runs on the host
@@ -231,7 +237,7 @@
 // fetchPosition fetches a position of the primary and adds it to the samples. A position proves that the primary had passed
 // everything acknowledged before the time of the sample only for the decision under which it was taken.
 func (s *service) fetchPosition(primary model.TargetID) {
-	epoch, position, at, err := s.server.forwarder.PrimaryPosition(s.name, primary)
+	epoch, samples, err := s.server.forwarder.PrimaryPositions(s.name, primary)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.positionFetch.done)
@@ -242,7 +248,9 @@
 		return
 	}
 	if epoch == s.doc.Epoch && s.doc.Open {
-		s.addSample(at, position)
+		for _, sample := range samples {
+			s.addSample(sample.At, sample.Position)
+		}
 	}
 }
 
@@ -255,27 +263,37 @@
 	s.highestPosition = s.highestPosition.Max(position)
 }
 
-// PrimaryPosition returns a recent position of a service's primary, its age, and the epoch of the decision under which this host
-// uses the primary. It returns ErrPrimaryUnreachable if this host may not use the primary or gets no reply from it.
-func (s *Server) PrimaryPosition(name model.Service) (epoch uint64, position model.Position, age time.Duration, err error) {
+// PrimaryPositions returns recent positions of a service's primary, oldest first, and the epoch of the decision under which this
+// host uses the primary. It returns ErrPrimaryUnreachable if this host may not use the primary or gets no reply from it.
+func (s *Server) PrimaryPositions(name model.Service) (epoch uint64, samples []routing.Sample, err error) {
 	svc := s.service(name)
 	for attempt := range 2 {
-		svc.mu.Lock()
-		now := boottime.Now()
-		at, position, found := svc.samples.Latest()
-		current := found && svc.samplesEpoch == svc.doc.Epoch && now.Sub(at) <= maxPositionAge
-		usable, epoch := svc.primaryUsable() && s.primaryAllowed(now), svc.doc.Epoch
-		svc.mu.Unlock()
+		epoch, samples, usable := svc.recentPositions()
 		switch {
 		case !usable:
-			return 0, position, 0, ErrPrimaryUnreachable
-		case current:
-			return epoch, position, now.Sub(at), nil
+			return 0, nil, ErrPrimaryUnreachable
+		case len(samples) > 0:
+			return epoch, samples, nil
 		case attempt == 0 && !svc.queryPrimary():
-			return 0, position, 0, ErrPrimaryUnreachable
+			return 0, nil, ErrPrimaryUnreachable
 		}
 	}
-	return 0, position, 0, ErrPrimaryUnreachable
+	return 0, nil, ErrPrimaryUnreachable
+}
+
+// recentPositions returns the known positions of the primary if the latest one is recent enough, and whether this host may use
+// the primary.
+func (s *service) recentPositions() (epoch uint64, samples []routing.Sample, usable bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	if !s.primaryUsable() || !s.server.primaryAllowed(now) {
+		return 0, nil, false
+	}
+	if s.samplesEpoch == s.doc.Epoch && now.Sub(s.samples.LatestTime()) <= maxPositionAge {
+		samples = s.samples.Recent(now.Add(-positionHistory), positionGap, maxPositions)
+	}
+	return s.doc.Epoch, samples, true
 }
 
 // queryPrimary asks the primary for its status, whose reply adds a sample, and reports whether it replied.
--- a/frontend/select_test.go
+++ b/frontend/select_test.go
@@ -10,6 +10,7 @@
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/routing"
 )
 
 // localForwarder selects a target of this host for every statement.
@@ -26,8 +27,8 @@
 func (localForwarder) TargetFinished(model.Service, model.TargetID, concurrency.Outcome, balance.Load, time.Duration) {
 }
 
-func (localForwarder) PrimaryPosition(model.Service, model.TargetID) (uint64, model.Position, time.Time, error) {
-	return 0, model.Position{}, time.Time{}, ErrPrimaryUnreachable
+func (localForwarder) PrimaryPositions(model.Service, model.TargetID) (uint64, []routing.Sample, error) {
+	return 0, nil, ErrPrimaryUnreachable
 }
 
 func (localForwarder) Forward(model.HostID, ForwardRequest, time.Duration) (ForwardReply, bool, error) {
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -166,8 +166,8 @@
 func (*recordingForwarder) TargetFinished(model.Service, model.TargetID, concurrency.Outcome, balance.Load, time.Duration) {
 }
 
-func (*recordingForwarder) PrimaryPosition(model.Service, model.TargetID) (uint64, model.Position, time.Time, error) {
-	return 0, model.Position{}, time.Time{}, ErrPrimaryUnreachable
+func (*recordingForwarder) PrimaryPositions(model.Service, model.TargetID) (uint64, []routing.Sample, error) {
+	return 0, nil, ErrPrimaryUnreachable
 }
 
 func (o *recordingForwarder) Forward(model.HostID, ForwardRequest, time.Duration) (ForwardReply, bool, error) {
--- a/routing/samples.go
+++ b/routing/samples.go
@@ -72,13 +72,26 @@
 	return time.Time{}, model.Position{}, false
 }
 
-// Latest returns the latest sample.
-func (s *PositionSamples) Latest() (at time.Time, position model.Position, found bool) {
-	if len(s.entries) == 0 {
-		return time.Time{}, model.Position{}, false
+// Sample is a position of the primary and a time at which the primary had not yet passed it.
+type Sample struct {
+	At       time.Time
+	Position model.Position
+}
+
+// Recent returns samples taken at or after since, oldest first, at most n of them. They are at least gap apart, except that the
+// latest sample is always included.
+func (s *PositionSamples) Recent(since time.Time, gap time.Duration, n int) []Sample {
+	var recent []Sample
+	for _, e := range slices.Backward(s.entries) {
+		if e.sentAt.Before(since) || len(recent) >= n {
+			break
+		}
+		if len(recent) == 0 || recent[len(recent)-1].At.Sub(e.sentAt) >= gap {
+			recent = append(recent, Sample{e.sentAt, e.position})
+		}
 	}
-	last := s.entries[len(s.entries)-1]
-	return last.sentAt, last.position, true
+	slices.Reverse(recent)
+	return recent
 }
 
 // LatestTime returns the time of the latest sample, or the zero time if there is none.
