Reads of a lagging replica go to another target at once; a changed cold rate takes effect

Cause: where the host of a replica gets positions now and then, the age of the last covered position was taken for the replica's lag, and a read refused for its lag counted as a failure of the target.

--- a/frontend/evacuation.go
+++ b/frontend/evacuation.go
@@ -96,13 +96,18 @@
 	return errorAnswer(Malformed, "the transaction has failed")
 }
 
-// SetColdRate sets this host's share of the requests to each cold target of a service. It takes effect with the next
-// SetTargets.
+// SetColdRate sets this host's share of the requests to each cold target of a service.
 func (s *Server) SetColdRate(name model.Service, limited bool, rate coldstart.Rate) {
 	svc := s.service(name)
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
+	if svc.limitsCold == limited && svc.coldRate == rate {
+		return
+	}
 	svc.limitsCold, svc.coldRate = limited, rate
+	now := boottime.Now()
+	svc.poolTargets = svc.currentPoolTargets(now)
+	svc.applyActions(svc.pool.SetTargets(now, svc.poolTargets))
 }
 
 // countCommands counts the commands that are about to be sent on a connection, except for one that the pool has counted
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -44,17 +44,17 @@
 	Region region.Constraint // data centres of the hosts that the statement may be forwarded to
 }
 
-// Contains reports whether a host cannot run the statement on a target, or not at all.
+// Contains reports whether a host cannot run the statement on a target, or not at all, or none can on this target.
 func (e ExcludedHosts) Contains(host model.HostID, target model.TargetID) bool {
 	return slices.ContainsFunc(e.Remote, func(s Selection) bool {
-		return s.Host == host && (s.Target == "" || s.Target == target)
+		return (s.Host == host || s.Host == "") && (s.Target == "" || s.Target == target)
 	})
 }
 
 // Selection is the host that should run a statement.
 type Selection struct {
-	Host  model.HostID
-	Local bool // the host is this one, or no host is available
+	Host  model.HostID // in ExcludedHosts, an empty host stands for all hosts
+	Local bool         // the host is this one, or no host is available
 	// Target is the only target that may run the statement. If it is empty, the host chooses the target.
 	Target model.TargetID
 }
@@ -145,10 +145,17 @@
 	Here Elsewhere = iota
 	// OnPrimary means that the statement has to run on the primary, because no replica is known to be recent enough.
 	OnPrimary
+	// OnOtherTarget means that the target lags too much for the read.
+	OnOtherTarget
 	// OnOtherHost means that the host cannot use the target, or that the target gave no answer.
 	OnOtherHost
 )
 
+// String returns the name as it appears in logs.
+func (e Elsewhere) String() string {
+	return [...]string{"here", "on_primary", "on_other_target", "on_other_host"}[e]
+}
+
 // txnKey identifies a transaction of a session of another host.
 type txnKey struct {
 	origin      model.HostID
--- a/frontend/select.go
+++ b/frontend/select.go
@@ -89,7 +89,7 @@
 	switch {
 	case s.elsewhere == OnOtherHost && s.targetLoad.Limit > 0:
 		return concurrency.NoAnswer // the host that uses the target gets no connection to it, or no answer
-	case s.elsewhere == OnPrimary || !s.mayHaveRun:
+	case s.elsewhere == OnPrimary || s.elsewhere == OnOtherTarget || !s.mayHaveRun:
 		return concurrency.Done
 	case answer.Code == Failed || answer.Code == OtherError:
 		return concurrency.Failed
@@ -154,10 +154,13 @@
 func (s *session) excludeSelection(op *operation, needsPrimary bool, selected Selection, epoch uint64,
 	excluded *ExcludedHosts) {
 	s.log.Info("selection: to be run elsewhere", zap.String("target", string(selected.Target)),
-		zap.String("host", string(selected.Host)), zap.Bool("needs_primary", s.elsewhere == OnPrimary))
-	if s.elsewhere == OnPrimary && !needsPrimary {
+		zap.String("on", string(selected.Host)), zap.Stringer("reason", s.elsewhere))
+	switch {
+	case s.elsewhere == OnPrimary && !needsPrimary:
 		op.forcePrimary = true
 		return
+	case s.elsewhere == OnOtherTarget:
+		selected.Host = ""
 	}
 	if current, _, _ := op.service.currentPrimary(); current == epoch {
 		excluded.Remote = append(excluded.Remote, selected)
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -289,13 +289,27 @@
 		}
 		return
 	}
-	lag := unknownLag
-	if at, proven := s.samples.LatestCovered(position.Term, position); proven {
-		lag = now.Sub(at)
-	} else if s.samples.LatestTime().IsZero() {
+	if s.samples.LatestTime().IsZero() {
 		return
 	}
-	s.pool.ObserveLag(now, id, lag)
+	s.pool.ObserveLag(now, id, s.estimateLag(now, position))
+}
+
+// estimateLag estimates the lag of a replica that is at the given position. The caller holds s.mu.
+func (s *service) estimateLag(now time.Time, position model.Position) time.Duration {
+	if s.server.selectsTargets() {
+		// The positions come from another host now and then, so that even a replica which has everything covers only an old one.
+		behind, lags := s.samples.FirstUncovered(position)
+		if !lags {
+			return 0
+		}
+		return now.Sub(behind)
+	}
+	at, proven := s.samples.LatestCovered(position.Term, position)
+	if !proven {
+		return unknownLag
+	}
+	return now.Sub(at)
 }
 
 // recordFailure records that the target did not reply to a command that was sent at sentAt. The caller holds s.mu.
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -345,7 +345,7 @@
 		case !s.prepareRetry(&op, reply):
 			return reply.Answer
 		case op.target != "" && reply.Code == Lagging:
-			s.elsewhere = OnPrimary
+			s.elsewhere = OnOtherTarget
 			return errorAnswer(Busy, reply.Code.String())
 		default:
 			lastAnswer = reply.Answer
@@ -432,8 +432,12 @@
 	request.Region = s.server.targetRegions(op.route.Database, op.workspace)
 	g, refusal := s.acquireInTurn(op, request)
 	if g.conn == nil {
-		if op.target != "" && g.refusal == pool.RefusedNoTarget {
+		switch {
+		case op.target == "":
+		case g.refusal == pool.RefusedNoTarget:
 			s.elsewhere = OnOtherHost
+		case g.refusal == pool.RefusedLagging:
+			s.elsewhere = OnOtherTarget
 		}
 		if refusal.Code == Success {
 			refusal = errorAnswer(Busy, "no connection: "+g.refusal.String())
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -48,6 +48,9 @@
 // assignByTarget makes test fleets assign statements to hosts by target.
 var assignByTarget bool
 
+// dataCentreOf returns the data centre of a host of a test fleet.
+var dataCentreOf = func(string) string { return "z1" }
+
 // TestMain runs all tests with both ways of assigning statements to hosts.
 func TestMain(m *testing.M) {
 	code := m.Run()
@@ -122,9 +125,9 @@
 
 func (fleet *testFleet) startHost(name string, platformStore, promotionAPI *httptest.Server) *hostProcess {
 	callerPort, peerPort := newPortPair(), newPortPair()
-	settings := fmt.Sprintf("[host]\nname = %s\ndata_centre = z1\ncallers = %s:%d\nhealth = %s:%d\n"+
+	settings := fmt.Sprintf("[host]\nname = %s\ndata_centre = %s\ncallers = %s:%d\nhealth = %s:%d\n"+
 		"peers = %s:%d\nseeds = %s\nmetrics = %s:%d\nstore = %s\nduties = %s\ndrain_seconds = 6\nfuture_key = 1\n",
-		name, processAddress, callerPort, processAddress, callerPort+1, processAddress, peerPort,
+		name, dataCentreOf(name), processAddress, callerPort, processAddress, callerPort+1, processAddress, peerPort,
 		strings.Join(fleet.seeds, ","), processAddress, peerPort+1, addressOf(platformStore), addressOf(promotionAPI))
 
 	relay, err := loopback.NewRelay(fmt.Sprintf("%s:%d", processAddress, newPortPair()),
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -102,6 +102,8 @@
 	RefusedQueueTimeout
 	// RefusedNoTarget means that there is no target that this host may connect to.
 	RefusedNoTarget
+	// RefusedLagging means that the target which the request names lags too much for it.
+	RefusedLagging
 	// RefusedNoConnection means that a request with GiveUp would have to wait for more than the opening of a connection.
 	RefusedNoConnection
 	// RefusedEvacuated means that only targets of evacuated data centres can run the request.
@@ -112,7 +114,7 @@
 
 // String returns the reason as it appears in logs.
 func (r RefusalReason) String() string {
-	return [...]string{"none", "queue_full", "queue_timeout", "no_target", "no_connection", "evacuated", "region"}[r]
+	return [...]string{"none", "queue_full", "queue_timeout", "no_target", "lagging", "no_connection", "evacuated", "region"}[r]
 }
 
 // Action is an instruction to the caller of the pool: Grant, Open, Close or Refuse.
@@ -241,9 +243,12 @@
 // Enqueue adds a request. It is granted or refused by an action that this call or a later one returns.
 func (p *Pool) Enqueue(now time.Time, r Request) []Action {
 	r.enqueuedAt = now
-	if !p.CanConnect() || !p.usable(now, r) {
+	if !p.CanConnect() {
 		return []Action{Refuse{r.ID, RefusedNoTarget}}
 	}
+	if reason := p.unusable(now, r); reason != 0 {
+		return []Action{Refuse{r.ID, reason}}
+	}
 	if len(p.queue) >= p.queueLimit() {
 		last := p.queue[len(p.queue)-1]
 		if last.Priority <= r.Priority {
@@ -259,15 +264,23 @@
 	return p.schedule(now)
 }
 
-// usable reports whether this host can use the target that the request names. It cannot while connections to it fail and none
-// is open.
-func (p *Pool) usable(now time.Time, r Request) bool {
+// unusable returns why this host cannot use the target that the request names, or 0 if it can. It cannot while connections to the
+// target fail and none is open.
+func (p *Pool) unusable(now time.Time, r Request) RefusalReason {
 	if r.Target == "" || r.GiveUp {
-		return true
+		return 0
 	}
-	return slices.ContainsFunc(p.candidates(now, r), func(t *target) bool {
-		return t.Limit > 0 && (!now.Before(t.backoffUntil) || p.connCount(t.ID) > 0)
-	})
+	t := p.targets[r.Target]
+	if t == nil || t.Limit == 0 || now.Before(t.backoffUntil) && p.connCount(t.ID) == 0 {
+		return RefusedNoTarget
+	}
+	if len(p.candidates(now, r)) > 0 {
+		return 0
+	}
+	if r.Target != p.primary && t.acceptsWork() && !r.PrimaryOnly && !t.mayHaveData(now, r.AsOf) {
+		return RefusedLagging
+	}
+	return RefusedNoTarget
 }
 
 // Cancel removes a request from the queue.
@@ -469,8 +482,8 @@
 	actions := p.refuseImpossible()
 	claimed := map[ConnID]bool{} // connections being opened that an earlier request waits for
 	for i := 0; i < len(p.queue); {
-		if r := p.queue[i]; !p.usable(now, r) {
-			actions = append(actions, Refuse{r.ID, RefusedNoTarget})
+		if reason := p.unusable(now, p.queue[i]); reason != 0 {
+			actions = append(actions, Refuse{p.queue[i].ID, reason})
 			p.queue = slices.Delete(p.queue, i, i+1)
 			continue
 		}
--- a/routing/samples.go
+++ b/routing/samples.go
@@ -61,6 +61,17 @@
 	return time.Time{}, false
 }
 
+// FirstUncovered returns the time of the oldest sample that a replica at p has not reached, as far as its position tells: it says
+// nothing about samples of another term. The result is false if p covers all samples.
+func (s *PositionSamples) FirstUncovered(p model.Position) (time.Time, bool) {
+	for _, sample := range s.entries {
+		if sample.position.Term != p.Term || !p.Covers(sample.position) {
+			return sample.sentAt, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // OldestSince returns the oldest sample taken at or after since. A target that has reached its position has
 // everything that the primary had acknowledged at the returned time. Replicas reach the oldest sample first.
 func (s *PositionSamples) OldestSince(since time.Time) (at time.Time, position model.Position, found bool) {
