--- a/fleet/scale_test.go
+++ b/fleet/scale_test.go
@@ -505,3 +505,66 @@
 		t.Errorf("%d hosts, the last host has seen revision %d", len(got), since[n-1][controlPrefix])
 	}
 }
+
+// sync syncs a simulated host with a seed and returns the bytes of the replies.
+func (h *simulatedHost) sync(tb testing.TB, seed *controlHost) (received int) {
+	request := ExchangeRequest{ReportRequest{Host: h.ID, Standalone: true, Revisions: h.since}, true}
+	var reply ExchangeReply
+	if err := (&Peer{seed.Agent}).Exchange(request, &reply); err != nil {
+		tb.Fatal(err)
+	}
+	received = encodedBytes(tb, reply)
+	for _, prefix := range reply.Changes.Large {
+		var encoded []byte
+		if err := (&Peer{seed.Agent}).FetchDelta(FetchDeltaRequest{prefix, h.since[prefix]}, &encoded); err != nil {
+			tb.Fatal(err)
+		}
+		received += len(encoded)
+	}
+	if reply.Changes.Deltas != nil || reply.Changes.Large != nil {
+		h.since[controlPrefix] = seed.followers[controlPrefix].relayed
+	}
+	return received
+}
+
+// BenchmarkStartAtSeed measures what a seed computes and sends while the hosts of its fleet register within 0.3 s and sync
+// their control keys with it every 100 ms, until there is a leader after 0.5 s.
+func BenchmarkStartAtSeed(b *testing.B) {
+	for _, n := range fleetSizes {
+		s := newScaledFleet(n)
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			var heap peakHeap
+			bytes := 0
+			for b.Loop() {
+				b.StopTimer()
+				heap.sample()
+				seed := newControlHost(scaledHost(0))
+				seed.list(b, s, firstHostRevision+uint64(n/20))
+				hosts := make([]simulatedHost, n)
+				for i := range hosts {
+					hosts[i] = simulatedHost{Host: scaledHost(i), since: map[string]uint64{controlPrefix: uint64(firstHostRevision + i%(n/10))}}
+				}
+				b.StartTimer()
+				for round := range 10 { // of 50 ms
+					if round%2 == 0 { // the delay of relayed registrations has passed
+						seed.followers[controlPrefix].relayedAt = time.Time{}
+					}
+					if from, to := max(n/20+1, n*round/6), min(n, n*(round+1)/6); from < to {
+						seed.register(b, s.registrations[from:to])
+						seed.control.flush()
+					}
+					for i := round % 2; i < n; i += 2 {
+						bytes += hosts[i].sync(b, seed)
+					}
+				}
+				b.StopTimer()
+				heap.sample()
+				runtime.KeepAlive(seed)
+				b.StartTimer()
+			}
+			b.ReportMetric(heap.megabytes(), "MB-live")
+			b.ReportMetric(float64(bytes)/float64(b.N)/1024, "KB-sent")
+		})
+	}
+}
