Changes of large values are sent as patches

A changed configuration went to each host as a whole: of 948 KB at 300 hosts, 500 KB compressed, together 150 MB from the leader, which takes 6 s on its link of 200 Mbit/s (computed), and a configuration has to be in force within 3 s. Now the changes of values above 4 KB are edits to the version that the host has, found by a rolling hash. A host with another version than the leader's previous one, or whose result has another checksum, fetches the complete state.

--- a/fleet/delta.go
+++ b/fleet/delta.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -36,6 +37,25 @@
 	f.relayUrgent = f.relayUrgent || !strings.HasPrefix(key, hostPrefix)
 }
 
+// keepPrevious keeps the known version of a large item that is about to be replaced by another one. The caller holds followMu.
+func (f *prefixFollower) keepPrevious(next metastore.Item) {
+	known, exists := f.items[next.Key]
+	if !exists || known.Revision >= next.Revision || len(known.Value) < relay.MinPatchedBytes {
+		return
+	}
+	if f.previous == nil {
+		f.previous = map[string]metastore.Item{}
+	}
+	f.previous[next.Key] = known
+}
+
+// patchable returns the version of an item that a host which has seen a revision knows, if other hosts can get a patch from it. The
+// caller holds followMu.
+func (f *prefixFollower) patchable(item metastore.Item, since uint64) (known metastore.Item, ok bool) {
+	known, ok = f.previous[item.Key]
+	return known, ok && len(item.Value) >= relay.MinPatchedBytes && since >= known.Revision && since < item.Revision
+}
+
 // lastChangeBefore returns a revision that stands for the given one: no change that is recorded lies between them, so
 // that the changes since both are the same. The caller holds followMu.
 func (f *prefixFollower) lastChangeBefore(revision uint64) uint64 {
@@ -51,6 +71,11 @@
 			last = max(last, item.Revision)
 		}
 	}
+	for _, item := range f.previous {
+		if item.Revision <= revision {
+			last = max(last, item.Revision)
+		}
+	}
 	for _, at := range f.removed {
 		if at <= revision {
 			last = max(last, at)
@@ -59,13 +84,28 @@
 	return last
 }
 
-// delta returns the changes up to a revision. The caller holds followMu.
+// delta returns the changes up to a revision.
 func (f *prefixFollower) delta(kind relay.Kind, until uint64) relay.Delta {
+	d, patched := f.deltaWithoutPatches(kind, until)
+	for _, versions := range patched { // takes milliseconds, so not with the lock held
+		d.Patches = append(d.Patches, relay.NewPatch(versions[0], versions[1]))
+	}
+	return d
+}
+
+// deltaWithoutPatches returns the changes up to a revision, and the versions of the items for which patches have to be added.
+func (f *prefixFollower) deltaWithoutPatches(kind relay.Kind, until uint64) (d relay.Delta, patched [][2]metastore.Item) {
+	f.agent.followMu.Lock()
+	defer f.agent.followMu.Unlock()
 	since := kind.Since
-	d := relay.Delta{Since: since, Revision: until, AllKeys: kind.AllKeys}
+	d = relay.Delta{Since: since, Revision: until, AllKeys: kind.AllKeys}
 	for key, item := range f.items {
 		if item.Revision > since && (item.Revision <= until || !strings.HasPrefix(key, hostPrefix)) {
-			d.Items = append(d.Items, item)
+			if known, ok := f.patchable(item, since); ok {
+				patched = append(patched, [2]metastore.Item{known, item})
+			} else {
+				d.Items = append(d.Items, item)
+			}
 		}
 		if d.AllKeys {
 			d.Keys = append(d.Keys, key)
@@ -76,43 +116,62 @@
 			d.Removed = append(d.Removed, key)
 		}
 	}
-	return d
+	return d, patched
 }
 
 // applyDelta applies the changes relayed by another host. It reports false, and applies nothing, if they start after the
-// known revision or contain nothing newer.
-func (f *prefixFollower) applyDelta(ctx context.Context, d relay.Delta) bool {
+// known revision or contain nothing newer. It fails if a patch does not fit, so that the complete state is needed.
+func (f *prefixFollower) applyDelta(ctx context.Context, d relay.Delta) (applied bool, err error) {
 	if d.Since == 0 {
-		return f.replaceState(ctx, PrefixState{Revision: d.Revision, Items: d.Items}, false)
+		return f.replaceState(ctx, PrefixState{Revision: d.Revision, Items: d.Items}, false), nil
 	}
-	removed := d.Removed
 	f.agent.followMu.Lock()
 	known := f.revision
-	if d.AllKeys {
-		exists := make(map[string]bool, len(d.Keys))
-		for _, key := range d.Keys {
-			exists[key] = true
-		}
-		for key, item := range f.items {
-			if !exists[key] && item.Revision <= d.Revision {
-				removed = append(removed, key)
-			}
-		}
+	removed := append(slices.Clone(d.Removed), f.missingKeys(d)...)
+	patchedItems := make([]metastore.Item, len(d.Patches))
+	for i, p := range d.Patches {
+		patchedItems[i] = f.items[p.Item.Key]
 	}
 	f.agent.followMu.Unlock()
 	if known < d.Since || known >= d.Revision {
-		return false
+		return false, nil
 	}
-	events := make([]metastore.Event, 0, len(d.Items)+len(removed))
+	events := make([]metastore.Event, 0, len(d.Items)+len(d.Patches)+len(removed))
 	for _, item := range d.Items {
 		events = append(events, metastore.Event{Item: item})
 	}
+	for i, p := range d.Patches {
+		item := patchedItems[i]
+		if item.Revision < p.Item.Revision { // otherwise this host has it already
+			if item, err = p.Apply(item); err != nil {
+				return false, err
+			}
+			events = append(events, metastore.Event{Item: item})
+		}
+	}
 	for _, key := range removed {
 		events = append(events, metastore.Event{Item: metastore.Item{Key: key, Revision: d.Revision}, Removed: true})
 	}
 	f.applyEvents(ctx, events, d.Revision)
 	f.advance(d.Revision)
-	return true
+	return true, nil
+}
+
+// missingKeys returns the known keys that changes with all keys do not contain. The caller holds followMu.
+func (f *prefixFollower) missingKeys(d relay.Delta) (missing []string) {
+	if !d.AllKeys {
+		return nil
+	}
+	exists := make(map[string]bool, len(d.Keys))
+	for _, key := range d.Keys {
+		exists[key] = true
+	}
+	for key, item := range f.items {
+		if !exists[key] && item.Revision <= d.Revision {
+			missing = append(missing, key)
+		}
+	}
+	return missing
 }
 
 // advance records that the state up to a revision is known, also if it contains no change that was new.
@@ -159,7 +218,7 @@
 	kind := relay.Kind{Since: f.lastChangeBefore(since), AllKeys: since > 0 && f.lacksRemovalsSince(since)}
 	size := 0
 	for _, item := range f.items {
-		if item.Revision > since {
+		if _, patched := f.patchable(item, since); item.Revision > since && !patched {
 			size += len(item.Value)
 		}
 	}
@@ -167,11 +226,7 @@
 	if size > maxBytes {
 		return nil, true, nil
 	}
-	encoded, err = f.deltas.Get(kind, until, func() relay.Delta {
-		a.followMu.Lock()
-		defer a.followMu.Unlock()
-		return f.delta(kind, until)
-	})
+	encoded, err = f.deltas.Get(kind, until, func() relay.Delta { return f.delta(kind, until) })
 	return encoded, false, err
 }
 
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -11,7 +11,6 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/heartbeat"
-	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/relay"
 )
 
@@ -158,25 +157,35 @@
 		a.lastRelay.Store(sent.UnixNano())
 	}
 	for prefix, encoded := range changes.Deltas {
-		a.applyEncodedDelta(ctx, from.ID, prefix, encoded)
+		a.applyEncodedDelta(ctx, from, prefix, encoded)
 	}
 	if len(changes.Large) > 0 {
 		go a.fetchDeltas(ctx, from, changes.Large, since)
 	}
 }
 
-func (a *Agent) applyEncodedDelta(ctx context.Context, from model.HostID, prefix string, encoded []byte) {
+func (a *Agent) applyEncodedDelta(ctx context.Context, from Host, prefix string, encoded []byte) {
 	d, err := relay.Decode(encoded)
 	if err != nil {
-		a.Log.Warn("store: relayed changes cannot be decoded", zap.String("from", string(from)), zap.String("prefix", prefix),
-			zap.Error(err))
+		a.Log.Warn("store: relayed changes cannot be decoded", zap.String("from", string(from.ID)),
+			zap.String("prefix", prefix), zap.Error(err))
 		return
 	}
 	a.followMu.Lock()
 	f := a.followers[prefix]
 	a.followMu.Unlock()
-	if f != nil && f.applyDelta(ctx, d) {
-		a.Log.Info("store: relayed changes applied", zap.String("from", string(from)), zap.String("prefix", prefix),
+	if f == nil {
+		return
+	}
+	applied, err := f.applyDelta(ctx, d)
+	if err != nil {
+		a.Log.Warn("store: relayed changes do not fit, fetching the complete state", zap.String("from", string(from.ID)),
+			zap.String("prefix", prefix), zap.Uint64("since", d.Since), zap.Uint64("revision", d.Revision), zap.Error(err))
+		go a.fetchDeltas(ctx, from, []string{prefix}, nil)
+		return
+	}
+	if applied {
+		a.Log.Info("store: relayed changes applied", zap.String("from", string(from.ID)), zap.String("prefix", prefix),
 			zap.Uint64("revision", d.Revision))
 	}
 }
@@ -195,6 +204,6 @@
 				zap.Error(err))
 			return
 		}
-		a.applyEncodedDelta(ctx, h.ID, prefix, encoded)
+		a.applyEncodedDelta(ctx, h, prefix, encoded)
 	}
 }
--- a/fleet/exchange_test.go
+++ b/fleet/exchange_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -27,7 +29,18 @@
 		if err != nil {
 			tb.Fatal(err)
 		}
-		host.applyDelta(ctx, d)
+		if _, err = host.applyDelta(ctx, d); err == nil {
+			continue
+		}
+		if encoded, _, err = leader.encodedDelta(host.prefix, 0, math.MaxInt); err == nil {
+			d, err = relay.Decode(encoded)
+		}
+		if err != nil {
+			tb.Fatal(err)
+		}
+		if _, err := host.applyDelta(ctx, d); err != nil || d.Since != 0 {
+			tb.Fatal("the complete state does not apply", err)
+		}
 	}
 	return len(changes.Large) == 0
 }
@@ -35,6 +48,7 @@
 // Guards against a host that misses a change or a removal, or keeps a key that was removed, for any state that it may have
 // listed before and any order of changes, lists and reports.
 func TestDeltasLeadToStateOfLeader(t *testing.T) {
+	const largeKey = controlPrefix + "large" // changes are sent as patches
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
 		newFollower := func() (*Agent, *prefixFollower) {
@@ -59,8 +73,11 @@
 			case 0, 1, 2, 3, 4:
 				revision++
 				key := rapid.SampledFrom([]string{hostPrefix + "a", hostPrefix + "b", hostPrefix + "c", leaderKey,
-					primaryPrefix + "s"}).Draw(t, "key")
+					primaryPrefix + "s", largeKey}).Draw(t, "key")
 				changed := item(key, revision)
+				if key == largeKey {
+					changed.Value = fmt.Appendf(bytes.Repeat([]byte("unchanged"), relay.MinPatchedBytes/8), "%d", revision)
+				}
 				if _, exists := store[key]; exists && rapid.Bool().Draw(t, "remove") {
 					delete(store, key)
 					history = append(history, metastore.Event{Item: metastore.Item{Key: key, Revision: revision}, Removed: true})
@@ -95,6 +112,9 @@
 		if diff := cmp.Diff(itemRevisions(leading), itemRevisions(follower)); diff != "" || follower.revision != revision {
 			t.Fatalf("at revision %d of %d (-leader +host):\n%s", follower.revision, revision, diff)
 		}
+		if !bytes.Equal(leading.items[largeKey].Value, follower.items[largeKey].Value) {
+			t.Fatal("a large value differs")
+		}
 	})
 }
 
@@ -298,3 +318,42 @@
 		t.Errorf("version %d, %d hosts, %d targets", v.catalog.Version, len(v.hosts), len(v.targets))
 	}
 }
+
+// Guards against a configuration of a megabyte that is sent whole to every host for each change (300 hosts: 150 MB, 6 s on the
+// leader's link), and against one that a host cannot assemble and never gets.
+func TestConfigurationIsPatched(t *testing.T) {
+	leader, h := startLeader(t)
+	s := newScaledFleet(300)
+	leader.list(t, s, firstHostRevision)
+	a := newControlHost(Host{ID: "host"})
+	a.list(t, s, firstHostRevision)
+	value := bytes.Replace(s.configuration.Value, []byte(`"workspace-0123"`), []byte(`"workspace-0123b"`), 1)
+	value = bytes.Replace(value, []byte(`"version":1}`), []byte(`"version":2}`), 1)
+	next := metastore.Item{Key: s.configuration.Key, Value: value, Revision: firstHostRevision + 10}
+	leader.change(t, next.Key, metastore.Event{Item: next})
+	changes := leader.relayedChanges(a.Agent.knownRevisions())
+	if size := len(changes.Deltas[next.Key]); len(changes.Large) > 0 || size == 0 || size > 500 {
+		t.Errorf("%d bytes are sent, fetched are %v", size, changes.Large)
+	}
+	a.applySyncResult(t.Context(), h, boottime.Now(), nil, syncResult{changes: changes})
+	a.drain()
+	if got := a.followers[next.Key].items[next.Key]; !bytes.Equal(got.Value, value) || a.view.Load().catalog.Version != 2 {
+		t.Errorf("the host has version %d", a.view.Load().catalog.Version)
+	}
+
+	other := newControlHost(Host{ID: "other"})
+	other.list(t, s, firstHostRevision)
+	f := other.followers[next.Key]
+	known := f.items[next.Key]
+	known.Revision--
+	f.items[next.Key] = known // a version that the leader has not seen
+	other.applySyncResult(t.Context(), h, boottime.Now(), nil, syncResult{changes: changes})
+	deadline := time.Now().Add(5 * time.Second)
+	for other.Agent.knownRevisions()[next.Key] != next.Revision && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	other.drain()
+	if v := other.view.Load(); v.catalog.Version != 2 {
+		t.Errorf("a host with another version has version %d", v.catalog.Version)
+	}
+}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -71,11 +71,12 @@
 	apply  func(*control, prefixChange)
 
 	items             map[string]metastore.Item
-	removed           map[string]uint64 // keys with the revision at which their removal was observed
-	compactedRevision uint64            // removals before this revision are not recorded
-	gaps              []revisionGap     // between states that were listed; keys that existed only within are not known
-	revision          uint64            // revision of the last observed change
-	lastStoreReply    time.Time         // time of the last reply of the store to a call for this prefix
+	previous          map[string]metastore.Item // last versions of large items, from which other hosts get patches
+	removed           map[string]uint64         // keys with the revision at which their removal was observed
+	compactedRevision uint64                    // removals before this revision are not recorded
+	gaps              []revisionGap             // between states that were listed; keys that existed only within are not known
+	revision          uint64                    // revision of the last observed change
+	lastStoreReply    time.Time                 // time of the last reply of the store to a call for this prefix
 
 	relayed     uint64    // revision up to which changes are relayed
 	relayedAt   time.Time // when it was set
@@ -244,6 +245,7 @@
 		f.removed[e.Key] = e.Revision
 		return
 	}
+	f.keepPrevious(e.Item)
 	f.items[e.Key] = e.Item
 	delete(f.removed, e.Key)
 }
@@ -261,6 +263,9 @@
 	} else if f.revision+1 < state.Revision {
 		f.gaps = append(f.gaps, revisionGap{f.revision, state.Revision})
 	}
+	for _, item := range state.Items {
+		f.keepPrevious(item)
+	}
 	old := f.items
 	f.items = make(map[string]metastore.Item, len(state.Items))
 	events := make([]metastore.Event, 0, len(state.Items))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,6 +45,7 @@
 	// which a configuration may have a megabyte, are not sent again.
 	Keys    []string
 	AllKeys bool // Keys is set
+	Patches []Patch
 }
 
 // Kind tells the changes up to one revision apart.
