--- a/fleet/reach_test.go
+++ b/fleet/reach_test.go
@@ -7,8 +7,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/internal/loopback"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/placement"
+	"github.com/waxwingspindle/waxwingspindle/region"
 )
 
 // startRelay starts a relay in front of a host.
@@ -63,3 +66,25 @@
 		t.Errorf("a statement after the partition ended with %v", err)
 	}
 }
+
+// Guards against a statement with regions that is forwarded to a host outside them.
+func TestForwardingKeepsToRegions(t *testing.T) {
+	a := newProbingAgent(Host{ID: "far", DataCentre: "north"})
+	v := a.view.Load().clone()
+	v.hosts["near"] = Host{ID: "near", DataCentre: "south"}
+	v.plans = map[model.Service]placement.Plan{"stock": {Hosts: []model.HostID{"far", "near"}, ConnectionsPerHost: 1}}
+	a.view.Store(v)
+	a.homes = homeSelector{outstanding: map[model.HostID]int{"near": 9}, avoidUntil: map[model.HostID]time.Time{}}
+	excluded := frontend.ExcludedHosts{}
+	if host, _ := a.SelectHost("stock", "w", excluded); host != "far" {
+		t.Errorf("without regions the statement goes to %q", host)
+	}
+	excluded.Region = region.Constraint{Limited: true, Allowed: map[model.DataCentre]bool{"south": true}}
+	if host, _ := a.SelectHost("stock", "w", excluded); host != "near" {
+		t.Errorf("the statement goes to %q", host)
+	}
+	excluded.Region.Allowed = nil
+	if host, local := a.SelectHost("stock", "w", excluded); !local {
+		t.Errorf("the statement goes to %q although no host is allowed", host)
+	}
+}
