--- a/gateway/load_control_test.go
+++ b/gateway/load_control_test.go
@@ -58,3 +58,33 @@
 		}
 	}
 }
+
+// Guards against load control that refuses statements in calm conditions: a statement whose turn is on a replica that lags must
+// run elsewhere, and slow first statements must not lead to refusals of the next ones.
+func TestLoadControlRefusesNothingInCalmConditions(t *testing.T) {
+	fleet := newTestFleetWith(t, "load_control = on\n")
+	fleet.group.SetReplicationLag(60 * time.Millisecond)
+	var wg sync.WaitGroup
+	for host := range 3 {
+		wg.Go(func() {
+			for _, database := range []string{"plans", "view"} {
+				c, err := fleet.connect(host, database, "school-key")
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				for n := range 50 {
+					item := fmt.Sprintf("%s-%d-%d", database, host, n)
+					if a := c.Query("w-"+item, "WRITE "+item+" x"); a.Code != "" {
+						t.Errorf("write %s: %+v", item, a)
+					}
+					if a := c.Query("r-"+item, "READ "+item); a.Code != "" {
+						t.Errorf("read %s: %+v", item, a)
+					}
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
