--- a/fleet/reach_test.go
+++ b/fleet/reach_test.go
@@ -76,15 +76,16 @@
 	a.view.Store(v)
 	a.homes = homeSelector{outstanding: map[model.HostID]int{"near": 9}, avoidUntil: map[model.HostID]time.Time{}}
 	excluded := frontend.ExcludedHosts{}
-	if host, _ := a.SelectHost("stock", "w", excluded); host != "far" {
-		t.Errorf("without regions the statement goes to %q", host)
+	request := frontend.SelectRequest{Service: "stock", Workspace: "w"}
+	if selected := a.SelectHost(request, excluded); selected.Host != "far" {
+		t.Errorf("without regions the statement goes to %q", selected.Host)
 	}
 	excluded.Region = region.Constraint{Limited: true, Allowed: map[model.DataCentre]bool{"south": true}}
-	if host, _ := a.SelectHost("stock", "w", excluded); host != "near" {
-		t.Errorf("the statement goes to %q", host)
+	if selected := a.SelectHost(request, excluded); selected.Host != "near" {
+		t.Errorf("the statement goes to %q", selected.Host)
 	}
 	excluded.Region.Allowed = nil
-	if host, local := a.SelectHost("stock", "w", excluded); !local {
-		t.Errorf("the statement goes to %q although no host is allowed", host)
+	if selected := a.SelectHost(request, excluded); !selected.Local {
+		t.Errorf("the statement goes to %q although no host is allowed", selected.Host)
 	}
 }
