--- a/balance/balance.go
+++ b/balance/balance.go
@@ -173,10 +173,11 @@
 	local    bool
 }
 
-// Rank returns all candidates, best first, for a statement with the given latency target. The caller sends the statement to
-// the first one that can run it and calls Started with it. Targets that are taken out come last, except one that is due for
-// a probe.
-func (t *Tracker) Rank(now time.Time, rng *rand.Rand, candidates []Candidate, latencyTarget time.Duration) []model.TargetID {
+// Rank returns all candidates, best first, for a statement with the given latency target. The caller sends the statement
+// to the first one that can run it and calls Started with it. Targets that are taken out come last, except one that is due
+// for a probe.
+func (t *Tracker) Rank(now time.Time, rng *rand.Rand, candidates []Candidate,
+	latencyTarget time.Duration) []model.TargetID {
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -315,8 +316,8 @@
 	return false
 }
 
-// explore returns the index of a target that has had no statement of this host for a while, in a small share of the choices,
-// or 0.
+// explore returns the index of a target that has had no statement of this host for a while, in a small share of the
+// choices, or 0.
 func explore(now time.Time, rng *rand.Rand, list []scored, localOnly bool) int {
 	for i, s := range list {
 		if i == 0 || !s.local && localOnly || now.Sub(s.entry.startedAt) < exploreInterval {
@@ -355,8 +356,8 @@
 	return e
 }
 
-// prune forgets targets that have not been used for a long time. Those of a service that is not used any more stay, which is
-// bounded by maxTargets.
+// prune forgets targets that have not been used for a long time. Those of a service that is not used any more stay, which
+// is bounded by maxTargets.
 func (t *Tracker) prune(now time.Time) {
 	if now.Sub(t.prunedAt) < entryTTL {
 		return
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -28,8 +28,8 @@
 	return counts
 }
 
-// Guards against reads that cross to another data centre, where each costs bytes, although the local target answers in time,
-// and against reads that stay on a local target that does not.
+// Guards against reads that cross to another data centre, where each costs bytes, although the local target answers in
+// time, and against reads that stay on a local target that does not.
 func TestLocalFirst(t *testing.T) {
 	candidates := []Candidate{{Target: "local"}, {Target: "remote", Crossing: 5 * time.Millisecond}}
 	for _, test := range []struct {
--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -88,7 +88,8 @@
 }
 
 // recordProbe evaluates the outcome of a statement on a target that is taken out. Outcomes before the first probe change
-// nothing. A late answer to an earlier statement may be taken for that of the probe: it shows as well that the target serves.
+// nothing. A late answer to an earlier statement may be taken for that of the probe: it shows as well that the target
+// serves.
 func (j *ejection) recordProbe(now time.Time, failed, busy bool) Change {
 	if !j.probing {
 		return Unchanged
@@ -101,8 +102,8 @@
 	return Returned
 }
 
-// takeProbe reports whether the target is due for a probe, which is the statement that the caller is about to send. The next
-// one is due after the pause, also if the statement is not sent.
+// takeProbe reports whether the target is due for a probe, which is the statement that the caller is about to send. The
+// next one is due after the pause, also if the statement is not sent.
 func (j *ejection) takeProbe(now time.Time) bool {
 	if !j.out || now.Before(j.probeAt) {
 		return false
--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -39,11 +39,19 @@
 	// shrinkGradient is the logarithm of the ratio of times from which on the limit shrinks: 1.7. At this ratio each
 	// statement of a target with four slots gets less than 0.6 of a slot's work.
 	shrinkGradient = 0.53
-	// minGain is the logarithm of the ratio by which times must fall after a decrease: 1.2. Otherwise the slowness has
-	// nothing to do with the limit, and the decrease is withdrawn.
-	minGain = 0.18
+	// shrinkWindows is the number of windows in a row that must ask for a decrease. One in 20 windows of a healthy target
+	// does so by chance.
+	shrinkWindows = 2
+	// checkSamples is the number of times after a decrease that decide whether it stays.
+	checkSamples = 2 * windowSamples
+	// maxLoss is the logarithm of the ratio by which throughput may fall after a decrease: 1.1. If it falls more, the slowness
+	// has nothing to do with the limit, and the decrease is withdrawn.
+	maxLoss = 0.1
 	// maxDecrease is the smallest factor of a decrease by times.
-	maxDecrease = 0.5
+	maxDecrease = 0.6
+	// minHoldPause and maxHoldPause bound the time without another decrease after one that was withdrawn. The pause doubles
+	// with each that is withdrawn in a row.
+	minHoldPause, maxHoldPause = 2 * time.Second, 16 * time.Second
 	// busyDecrease is the factor of a decrease after BUSY.
 	busyDecrease = 0.7
 	// busyInterval is the minimum time between two decreases after BUSY: statements that were sent together are often
@@ -53,13 +61,14 @@
 	// each failure.
 	minRetryPause, maxRetryPause = time.Second, 16 * time.Second
 	// baseSamples is the number of times in the moving average of the base.
-	baseSamples = 12
-	// baseProbeAfter is the time without a base sample after which a saturated target is measured at half of its limit. A
-	// measurement takes about a tenth of a second, so it costs about 1% of the throughput.
-	baseProbeAfter = 5 * time.Second
+	baseSamples = 24
+	// firstProbeAfter and probeInterval are the times without a base sample after which a saturated target is measured at
+	// half of its limit, as long as the base is known from few samples, and later. A measurement takes 0.1 to 0.5 s, so it
+	// costs up to 3% of the throughput.
+	firstProbeAfter, probeInterval = time.Second, 8 * time.Second
 	// baseProbeSamples ends a measurement of the base, baseProbeTime at the latest.
-	baseProbeSamples = 8
-	baseProbeTime    = time.Second
+	baseProbeSamples = 16
+	baseProbeTime    = 500 * time.Millisecond
 )
 
 // Kind is the kind of a command, as far as its usual time is concerned.
@@ -117,15 +126,20 @@
 	baseCount int
 	baseAt    time.Time // last base sample
 
-	window     window
-	skip       int // samples to ignore after a change: the statements that were started under the earlier limit
-	decrease   *decrease
-	tooHigh    int // limit that was too high, 0 if none; retried at retryAt
-	retryAt    time.Time
-	retryPause time.Duration
-	busyAt     time.Time
-	probe      *baseProbe
-	coldUntil  time.Time
+	window      window
+	slowSum     float64 // sum of their mean logarithms
+	slowWindows int     // windows in a row that asked for a decrease
+	skip        int     // samples to ignore after a change: the statements that were started under the earlier limit
+	decrease    *decrease
+	tooHigh     int // limit that was too high, 0 if none; retried at retryAt
+	wasTooHigh  int // last such limit, until it is in use again
+	retryAt     time.Time
+	retryPause  time.Duration
+	holdUntil   time.Time     // no decrease by times before
+	holdPause   time.Duration // after the next decrease that is withdrawn
+	busyAt      time.Time
+	probe       *baseProbe
+	coldUntil   time.Time
 }
 
 // window accumulates times at the limit.
@@ -137,8 +151,11 @@
 
 // decrease is a decrease that was not confirmed yet by better times.
 type decrease struct {
-	from float64 // limit before
+	from int     // limit before
 	mean float64 // mean logarithm of the times before
+	// sum and count are those of the times since.
+	sum   float64
+	count int
 }
 
 // baseProbe is a measurement of the base under a reduced limit.
@@ -159,7 +176,7 @@
 		slots = DefaultSlots
 	}
 	return &Limiter{refs: r, target: id, slots: slots, limit: max(1, float64(slots/2)), starting: true, baseAt: now,
-		window: window{start: now}, retryPause: minRetryPause}
+		window: window{start: now}, retryPause: minRetryPause, holdPause: minHoldPause}
 }
 
 // SetSlots changes the number of slots. A number that is not positive changes nothing.
@@ -232,6 +249,9 @@
 	if running < limit {
 		return
 	}
+	if running > l.slots {
+		x -= math.Log(float64(running) / float64(l.slots)) // the wait for a slot
+	}
 	l.window.sum += x
 	l.window.count++
 	full := l.window.count >= windowSamples || l.starting && l.window.count >= limit
@@ -240,12 +260,20 @@
 		l.evaluate(now, l.window.sum/float64(l.window.count), l.window.count)
 		l.window = window{start: now}
 	}
-	if l.probe == nil && limit > 1 && now.Sub(l.baseAt) > baseProbeAfter {
+	if l.probe == nil && limit > 1 && now.Sub(l.baseAt) > l.probeAfter() {
 		l.probe = &baseProbe{until: now.Add(baseProbeTime), limit: max(1, limit/2)}
 		l.skip = max(0, l.running-l.probe.limit)
 	}
 }
 
+// probeAfter returns the time without a base sample after which the base is measured.
+func (l *Limiter) probeAfter() time.Duration {
+	if l.baseCount < baseSamples {
+		return firstProbeAfter
+	}
+	return probeInterval
+}
+
 // observeProbe adds a sample to the measurement of the base.
 func (l *Limiter) observeProbe(now time.Time, x float64, running int) {
 	p := l.probe
@@ -257,10 +285,11 @@
 		return
 	}
 	if p.count > 0 {
-		weight := float64(p.count) / float64(p.count+baseProbeSamples)
+		weight := float64(p.count) / float64(p.count+baseProbeSamples/4)
 		l.base += weight * (p.sum/float64(p.count) - l.base)
 	}
 	l.baseAt, l.probe = now, nil
+	l.baseCount = min(l.baseCount+p.count, baseSamples)
 	l.window = window{start: now}
 }
 
@@ -277,26 +306,43 @@
 		l.base, l.baseCount = mean, baseSamples/4 // the target has been saturated since the start; a later probe corrects this
 	}
 	if d := l.decrease; d != nil {
+		d.sum += mean * float64(count)
+		if d.count += count; d.count < checkSamples {
+			return
+		}
 		l.decrease = nil
-		if mean > d.mean-minGain {
+		mean = d.sum / float64(d.count)
+		if d.mean-mean < math.Log(float64(min(d.from, l.slots))/float64(l.Limit()))-maxLoss {
 			l.base, l.baseCount = mean, baseSamples
-			l.change(d.from)
 			l.tooHigh = 0
+			l.holdUntil, l.holdPause = now.Add(l.holdPause), min(2*l.holdPause, maxHoldPause)
+			l.change(float64(d.from))
 			return
 		}
+		l.holdPause = minHoldPause
 	}
 	gradient := mean - l.base
 	switch {
+	case gradient > shrinkGradient && now.Before(l.holdUntil):
 	case gradient > shrinkGradient && count >= windowSamples:
-		l.shrink(now, mean, gradient)
+		l.slowSum += mean
+		if l.slowWindows++; l.slowWindows >= shrinkWindows {
+			mean = l.slowSum / float64(l.slowWindows)
+			l.shrink(now, mean, mean-l.base)
+		}
+		return
+	case gradient > shrinkGradient:
+		l.starting = false
 	case gradient < growGradient && count >= min(minGrowthSamples, l.Limit()):
-		l.grow(now)
+		if l.Limit() >= l.wasTooHigh {
+			l.retryPause, l.wasTooHigh = minRetryPause, 0
+		}
 		if gradient < -growGradient {
 			l.base = mean // the target has recovered
 		}
-	case gradient > shrinkGradient:
-		l.starting = false
+		l.grow(now)
 	}
+	l.slowWindows, l.slowSum = 0, 0
 }
 
 // grow raises the limit by one, unless the higher one was too high recently.
@@ -316,15 +362,15 @@
 
 // shrink reduces the limit by the gradient: to one less if that one was raised because its times were good.
 func (l *Limiter) shrink(now time.Time, mean, gradient float64) {
-	l.starting = false
+	l.starting, l.slowWindows, l.slowSum = false, 0, 0
 	limit := l.Limit()
 	if limit == 1 {
 		l.base = mean // there is nothing to gain from a lower limit
 		return
 	}
-	l.decrease = &decrease{from: float64(limit), mean: mean}
+	l.decrease = &decrease{from: limit, mean: mean}
 	l.rememberTooHigh(now, limit)
-	l.change(max(1, math.Round(float64(limit)*max(maxDecrease, math.Exp(-gradient)))))
+	l.change(max(1, math.Round(float64(min(limit, l.slots))*max(maxDecrease, math.Exp(-gradient)))))
 }
 
 // busy reduces the limit after BUSY.
@@ -336,6 +382,9 @@
 	l.busyAt = now
 	limit := l.Limit()
 	l.decrease, l.probe = nil, nil
+	if limit == 1 {
+		return
+	}
 	l.rememberTooHigh(now, limit)
 	l.change(max(1, math.Floor(float64(limit)*busyDecrease)))
 	l.window = window{start: now}
@@ -343,10 +392,7 @@
 
 // rememberTooHigh keeps the limit from being reached again for a while.
 func (l *Limiter) rememberTooHigh(now time.Time, limit int) {
-	if now.Sub(l.retryAt) > maxRetryPause {
-		l.retryPause = minRetryPause
-	}
-	l.tooHigh, l.retryAt = limit, now.Add(l.retryPause)
+	l.tooHigh, l.wasTooHigh, l.retryAt = limit, limit, now.Add(l.retryPause)
 	l.retryPause = min(2*l.retryPause, maxRetryPause)
 }
 
--- a/concurrency/concurrency_test.go
+++ b/concurrency/concurrency_test.go
@@ -96,7 +96,8 @@
 func TestReferencesAreBounded(t *testing.T) {
 	refs := NewReferences()
 	for i := range 10_000 {
-		refs.Observe(epoch.Add(time.Duration(i)), model.TargetID(fmt.Sprint("t", i)), Class{fmt.Sprint("r", i%500), Read}, time.Second)
+		class := Class{fmt.Sprint("r", i%500), Read}
+		refs.Observe(epoch.Add(time.Duration(i)), model.TargetID(fmt.Sprint("t", i)), class, time.Second)
 	}
 	if len(refs.seenAt) > maxTargets || len(refs.classes) > maxClasses || len(refs.list) != len(refs.classes) {
 		t.Errorf("%d targets, %d classes, %d in the list", len(refs.seenAt), len(refs.classes), len(refs.list))
--- a/concurrency/references.go
+++ b/concurrency/references.go
@@ -28,8 +28,8 @@
 	maxTargets = 64
 )
 
-// References holds the usual times of the classes of statements on the targets of one service: those that this host measures
-// and those that other hosts report. Its memory is bounded by maxClasses and maxTargets.
+// References holds the usual times of the classes of statements on the targets of one service: those that this host
+// measures and those that other hosts report. Its memory is bounded by maxClasses and maxTargets.
 type References struct {
 	classes map[Class]*classTimes
 	list    []*classTimes // the same in the order of their first times, so that sums have a fixed order
@@ -90,7 +90,7 @@
 	c.mean += reportWeight * (x - c.mean)
 }
 
-// Typical returns the typical time of the class on the target, as the geometric mean of recent ones, or 0 if it is not known.
+// Typical returns the typical time of the class on the target, as the geometric mean of recent ones, or 0 if it is unknown.
 func (r *References) Typical(target model.TargetID, class Class) time.Duration {
 	if t := r.classes[class]; t != nil {
 		if c := t.cells[target]; c != nil && c.count > 0 {
--- a/internal/simtargets/simtargets.go
+++ b/internal/simtargets/simtargets.go
@@ -88,6 +88,8 @@
 	Classes  []Class
 	Targets  []Target
 	Limit    Limit
+	// FixedLimit replaces the number of slots as the limit under Slots if it is not 0.
+	FixedLimit int
 	// Timeout is the time after which a queued statement is refused. It applies to all attempts together.
 	Timeout time.Duration
 	// NewChooser returns the chooser of a host.
@@ -255,6 +257,9 @@
 func (s *simulation) limit(g *gateway) int {
 	switch s.params.Limit {
 	case Slots:
+		if s.params.FixedLimit > 0 {
+			return s.params.FixedLimit
+		}
 		return g.Slots
 	case Unlimited:
 		return math.MaxInt
@@ -342,7 +347,8 @@
 	class := s.params.Classes[st.class]
 	limit := min(s.limit(g), g.Slots+1)
 	wait := float64(max(0, len(g.queue)+g.passed+1-limit)) / float64(limit) * g.service
-	figures := Figures{Limit: limit, Running: g.passed, Waiting: len(g.queue), Wait: time.Duration(wait * float64(time.Second)),
+	figures := Figures{Limit: limit, Running: g.passed, Waiting: len(g.queue),
+		Wait:     time.Duration(wait * float64(time.Second)),
 		Slowdown: g.limiter.Slowdown(), Service: g.refs.Typical(g.ID, concurrency.Class{Route: class.Route})}
 	s.schedule(g.Crossing/2, event{kind: respond, target: target, statement: st, outcome: outcome, figures: figures})
 }
