Limits and speeds of targets are learned in frontend

A host had no figure of how many statements a target handles. Without the load control nothing is measured.

--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -259,7 +259,7 @@
 func (s *session) loadState(f ForwardRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state = sessionState{variables: f.SessionVariables, prepared: f.Prepared}
+	s.state = sessionState{route: f.Route.Database, variables: f.SessionVariables, prepared: f.Prepared}
 	s.mark = f.Mark
 	s.mark.CommittedAt = boottime.Now().Add(-f.MarkAge)
 }
--- a/frontend/metrics.go
+++ b/frontend/metrics.go
@@ -13,6 +13,8 @@
 	answers *prometheus.CounterVec
 	latency prometheus.Histogram
 	opens   *prometheus.CounterVec
+	// limits and slowdowns have values only while the load control is on.
+	limits, slowdowns *prometheus.GaugeVec
 }
 
 // NewMetrics creates the collectors and registers them with r.
@@ -24,8 +26,12 @@
 			Help: "Time from a caller's statement to its answer.", Buckets: prometheus.ExponentialBuckets(.002, 2, 12)}),
 		opens: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "waxwingspindle_target_connections_opened_total",
 			Help: "Attempts to open a connection to a target by result."}, []string{"service", "result"}),
+		limits: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "waxwingspindle_target_limit",
+			Help: "Statements that may run on a target at once, as learned."}, []string{"service", "target"}),
+		slowdowns: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "waxwingspindle_target_slowdown",
+			Help: "Time of a target relative to the best targets of the service."}, []string{"service", "target"}),
 	}
-	r.MustRegister(m.answers, m.latency, m.opens)
+	r.MustRegister(m.answers, m.latency, m.opens, m.limits, m.slowdowns)
 	return m
 }
 
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -39,6 +39,7 @@
 
 	activeCatalog       atomic.Pointer[catalog.Catalog]
 	stopTimes           atomic.Pointer[StopTimes] // nil unless a planned stop was announced
+	loadControl         atomic.Bool               // limits and speeds of targets are learned
 	closing             atomic.Bool               // sessions end as soon as they have no open transaction
 	primaryAllowedUntil atomic.Int64              // boot time in nanoseconds until which primaries may be used
 
@@ -220,7 +221,7 @@
 		return code
 	}
 	sess := &session{server: s, log: s.log, database: database, key: key,
-		state: sessionState{variables: map[string]string{}, prepared: map[string]PreparedStatement{}}}
+		state: sessionState{route: database, variables: map[string]string{}, prepared: map[string]PreparedStatement{}}}
 	if !s.addSession(sess, conn) {
 		return Busy
 	}
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -26,15 +26,6 @@
 	plannedReplacementGrace = 400 * time.Millisecond
 	// fencePollInterval is the interval between checks whether a primary that is being fenced is still in use.
 	fencePollInterval = 5 * time.Millisecond
-	// initialReadTime is the initial value of the average read time.
-	initialReadTime = 30 * time.Millisecond
-	// readTimeoutFactor is the timeout of a read as a multiple of the average read time, after which the read is retried.
-	// One read in a hundred takes five times the average.
-	readTimeoutFactor = 6
-	// minReadTimeout prevents needless retries of reads on an idle service.
-	minReadTimeout = 100 * time.Millisecond
-	// readTimeSmoothing is the weight of a new sample in the moving average of read times.
-	readTimeSmoothing = 0.05
 	// primaryUnreachableAfter is the time without a reply from the primary after which statements that need it are
 	// forwarded to other hosts. It is enough for two connection attempts to a live target.
 	primaryUnreachableAfter = 200 * time.Millisecond
@@ -78,6 +69,7 @@
 	primaryFailingSince time.Time                    // time of the first failure since that reply, or zero
 	primaryProbedAt     time.Time                    // last attempt to reach an unreachable primary
 	lastWorkspace       model.Workspace              // workspace of the last request
+	learned             learned
 }
 
 // targetConn is an open connection and the session state that is set up on it.
@@ -102,7 +94,8 @@
 		pool: pool.New(server.dataCentre), conns: map[pool.ConnID]*targetConn{},
 		waiters: map[pool.RequestID]chan<- grant{}, targets: map[model.TargetID]catalog.Target{},
 		samples:     &routing.PositionSamples{},
-		lastReplyAt: map[model.TargetID]time.Time{}, averageReadTime: initialReadTime}
+		lastReplyAt: map[model.TargetID]time.Time{}, averageReadTime: initialReadTime,
+		learned: newLearned()}
 }
 
 // applyActions executes actions of the pool. The caller holds s.mu.
@@ -192,7 +185,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	sentAt := boottime.Now()
-	conn, position, err := s.dial(ctx, t, a.Workspace)
+	conn, position, err := s.dialMeasured(ctx, t, a.Workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
@@ -317,9 +310,10 @@
 			return Reply{}, false, errPrimaryNotAllowed
 		}
 	}
+	class, known := classOf(sess, command)
 	commands := c.commandsFor(sess, &command)
 	c.lastSentAt = sentAt
-	replies, sent, err := c.conn.Run(deadline, commands)
+	replies, sent, err := s.runMeasured(c, class, known, deadline, commands)
 	if err != nil {
 		return Reply{}, sent, err
 	}
@@ -339,20 +333,6 @@
 	return reply, true, nil
 }
 
-// readTimeout returns the time after which a read without a reply is retried.
-func (s *service) readTimeout() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(minReadTimeout, readTimeoutFactor*s.averageReadTime)
-}
-
-// recordReadTime adds the duration of a read to the average. A read that timed out counts with the time until the timeout.
-func (s *service) recordReadTime(took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.averageReadTime += time.Duration(readTimeSmoothing * float64(took-s.averageReadTime))
-}
-
 // commandsFor returns command preceded by the commands that set up the variables and prepared statements of the session on
 // this connection. It replaces the name of a prepared statement by its name on targets.
 func (c *targetConn) commandsFor(sess *sessionState, command *Command) []Command {
@@ -408,6 +388,7 @@
 		}
 	}
 	s.targets = registered
+	s.updateLearned()
 	s.applyActions(s.pool.SetTargets(now, list))
 	s.updatePoolPrimary(now)
 }
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -57,6 +57,7 @@
 
 // sessionState holds the session variables and prepared statements of a session.
 type sessionState struct {
+	route     string // database that the caller connected to
 	variables map[string]string
 	prepared  map[string]PreparedStatement
 }
