--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -117,7 +117,6 @@
 	controlClients   *peerClients // for control calls
 	statementClients *peerClients // for statements; not closed when a control call times out
 	homes            homeSelector
-	balancer         *targetBalancer
 	reachability     reachability
 	bulkTransfer     bulkTransfer
 	exchange         heartbeat.Exchange
@@ -199,7 +198,6 @@
 		bulkTransfer:   bulkTransfer{clients: newPeerClients()},
 		homes:          homeSelector{outstanding: map[model.HostID]int{}, avoidUntil: map[model.HostID]time.Time{}},
 		events:         make(chan func(*control), eventQueueLength),
-		balancer:       newTargetBalancer(),
 		reachability:   reachability{timeout: pingTimeout, hosts: map[model.HostID]*hostProbe{}},
 		forwardCounter: rpccodec.CallCounter{Methods: []string{runMethod, runOnMethod}},
 		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
--- a/frontend/admission.go
+++ b/frontend/admission.go
@@ -15,10 +15,14 @@
 // refused caller can retry within its target.
 const maxAdmissionWait = 50 * time.Millisecond
 
-// admissionWaitFraction is the fraction of the latency target that an operation may wait for a token where statements are assigned
-// by target. Small workspaces get a token every few hundred milliseconds. With a longer wait, a workspace above its rate spends its
-// tokens on operations that miss their latency target.
-const admissionWaitFraction = 0.25
+// calmAdmissionFraction is the fraction of the latency target that an operation may wait for a token where statements are assigned
+// by target, as long as its workspace has had no refusal on this host for rateRefusalMemory. A small workspace inside its rate gets a
+// token every few hundred milliseconds. One that is above its rate would spend its tokens on operations that miss their latency
+// target, instead of those that arrive in time.
+const (
+	calmAdmissionFraction = 0.4
+	rateRefusalMemory     = time.Second
+)
 
 // minAdmissionWait is the shortest pause between two requests of a waiting operation to the broker.
 const minAdmissionWait = 5 * time.Millisecond
@@ -26,12 +30,29 @@
 // brokerPollInterval is the pause between attempts of an operation that waits for a change of the broker.
 const brokerPollInterval = 20 * time.Millisecond
 
-// admissionWait returns the longest time that an operation waits for a rate limit token if the broker expects one by then.
-func (s *Server) admissionWait(route catalog.Route) time.Duration {
-	if s.selectsTargets() {
-		return time.Duration(admissionWaitFraction * float64(route.LatencyTarget))
+// admissionWait returns the longest time that an operation of the workspace waits for a rate limit token if the broker expects one
+// by then.
+func (s *Server) admissionWait(workspace model.Workspace, route catalog.Route) time.Duration {
+	short := min(maxAdmissionWait, route.LatencyTarget/4)
+	if !s.selectsTargets() {
+		return short
+	}
+	s.limitMu.Lock()
+	defer s.limitMu.Unlock()
+	if refused, known := s.rateRefusals[workspace]; known && boottime.Now().Sub(refused) < rateRefusalMemory {
+		return short
+	}
+	return time.Duration(calmAdmissionFraction * float64(route.LatencyTarget))
+}
+
+// recordRateRefusal records that an operation of the workspace was refused for its rate.
+func (s *Server) recordRateRefusal(workspace model.Workspace) {
+	s.limitMu.Lock()
+	defer s.limitMu.Unlock()
+	if s.rateRefusals == nil {
+		s.rateRefusals = map[model.Workspace]time.Time{}
 	}
-	return min(maxAdmissionWait, route.LatencyTarget/4)
+	s.rateRefusals[workspace] = boottime.Now()
 }
 
 // charge is a rate limit token that an operation has taken, and the workspace whose limit it belongs to.
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -79,11 +79,6 @@
 	// PrimaryPositions returns recent positions of the primary of a service, oldest first, with times by the clock of this host,
 	// and the epoch of the decision that they belong to. It asks the host that uses the primary.
 	PrimaryPositions(service model.Service, primary model.TargetID) (epoch uint64, samples []routing.Sample, err error)
-	// TargetStarted and TargetFinished record a statement on a selected target, its outcome and the load of the target, whose
-	// Limit is 0 if it is not known.
-	TargetStarted(service model.Service, target model.TargetID)
-	TargetFinished(service model.Service, target model.TargetID, outcome concurrency.Outcome, load balance.Load,
-		took time.Duration)
 	// Forward runs a statement on another host. If it returns an error, sent reports whether the statement may have run.
 	Forward(host model.HostID, f ForwardRequest, timeout time.Duration) (reply ForwardReply, sent bool, err error)
 }
@@ -121,6 +116,14 @@
 	return !f.IsWrite
 }
 
+// kind returns the kind of the statement, as far as its time on the target is concerned.
+func (f ForwardRequest) kind() concurrency.Kind {
+	if f.IsWrite {
+		return concurrency.Write
+	}
+	return concurrency.Read
+}
+
 // needsPrimary reports whether the statement, or the transaction that it begins, must run on the primary.
 func (f ForwardRequest) needsPrimary() bool {
 	return f.IsWrite || f.BeginTxn && !f.ReadOnly || f.Route.Consistency == catalog.Primary
@@ -281,7 +284,7 @@
 		sess.logForwarded(f, answer, now)
 		reply := sess.forwardReply(answer)
 		if f.Target != "" {
-			reply.Load = s.TargetLoad(f.Route.Service, f.Target, f.Route.Priority)
+			reply.Load = s.TargetLoad(f.Route, f.Target, f.kind())
 		}
 		return reply, nil
 	}
@@ -307,15 +310,6 @@
 	return ForwardReply{Answer: answer, Mark: s.mark, MayHaveRun: s.mayHaveRun, Elsewhere: s.elsewhere}
 }
 
-// TargetLoad returns the load of a target for statements of the given priority. Its Limit is 0 if it is not known.
-func (s *Server) TargetLoad(service model.Service, target model.TargetID, priority int) balance.Load {
-	f, known := s.TargetFigures(service, target, priority)
-	if !known {
-		return balance.Load{}
-	}
-	return balance.Load{Limit: f.Limit, Running: f.Running, Waiting: f.Waiting, Wait: f.Wait}
-}
-
 // checkForward returns nil if this host can run a new statement or transaction of another host, or the reason why it
 // cannot.
 func (s *Server) checkForward(f ForwardRequest, now time.Time) error {
@@ -352,7 +346,7 @@
 func (s *session) loadState(f ForwardRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state = sessionState{variables: f.SessionVariables, prepared: f.Prepared}
+	s.state = sessionState{route: f.Route.Database, variables: f.SessionVariables, prepared: f.Prepared}
 	s.mark = f.Mark
 	s.mark.CommittedAt = boottime.Now().Add(-f.MarkAge)
 }
--- a/frontend/metrics.go
+++ b/frontend/metrics.go
@@ -18,6 +18,8 @@
 
 	evacuated          *prometheus.GaugeVec
 	evacuationRefusals prometheus.Counter
+	// limits and slowdowns have values only while the load control is on.
+	limits, slowdowns *prometheus.GaugeVec
 }
 
 // NewMetrics creates the collectors and registers them with r.
@@ -34,8 +36,12 @@
 		evacuationRefusals: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "waxwingspindle_evacuation_statements_refused_total",
 			Help: "Statements refused because only targets of evacuated data centres could run them."}),
+		limits: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "waxwingspindle_target_limit",
+			Help: "Statements that may run on a target at once, as learned."}, []string{"service", "target"}),
+		slowdowns: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "waxwingspindle_target_slowdown",
+			Help: "Time of a target relative to the best targets of the service."}, []string{"service", "target"}),
 	}
-	r.MustRegister(m.answers, m.latency, m.opens, m.evacuated, m.evacuationRefusals)
+	r.MustRegister(m.answers, m.latency, m.opens, m.evacuated, m.evacuationRefusals, m.limits, m.slowdowns)
 	return m
 }
 
--- a/frontend/queue.go
+++ b/frontend/queue.go
@@ -30,12 +30,18 @@
 	}
 	q := s.queues[id]
 	if t, registered := s.targets[id]; q == nil && registered {
-		q = s.server.queues.NewQueue(t, nil, s.log, boottime.Now())
+		q = s.server.queues.NewQueue(t, s.queueLimitOf(id), s.log, boottime.Now())
 		s.queues[id] = q
 	}
 	return q
 }
 
+// queueLimitOf returns the limit of the queue of a target, which starts with the learned one. The caller holds s.mu.
+func (s *service) queueLimitOf(id model.TargetID) turns.Limit {
+	s.limiter(id)
+	return s.queueLimit(id)
+}
+
 // updateQueues adopts changed registrations and removes the queues of targets that have left. The caller holds s.mu.
 func (s *service) updateQueues(now time.Time) {
 	for id, q := range s.queues {
@@ -351,9 +357,6 @@
 	c.turn = nil
 }
 
-// SetLoadControl switches the queues of targets on or off. Statements that run already keep their turns.
-func (s *Server) SetLoadControl(on bool) { s.loadControl.Store(on) }
-
 // TargetFigures returns the load of a target for a statement of the given priority. It returns false if this host has no
 // queue for the target, as without load control.
 func (s *Server) TargetFigures(name model.Service, target model.TargetID, priority int) (turns.Figures, bool) {
--- a/frontend/queue_test.go
+++ b/frontend/queue_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
 	"github.com/waxwingspindle/waxwingspindle/turns"
@@ -103,6 +104,10 @@
 	s.AllowPrimariesUntil(boottime.Now().Add(time.Hour))
 	s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock", Slots: 2, StartedAt: 1}}, maxConnections(20))
 	s.ApplyPrimaryDocument(primacy.Document{Service: "stock", Epoch: 2, Open: true, Primary: "a", Term: 1, Born: 1})
+	svc := s.service("stock")
+	svc.mu.Lock()
+	svc.queues["a"] = s.queues.NewQueue(svc.targets["a"], nil, s.log, boottime.Now()) // the limit is that of the slots, not learned
+	svc.mu.Unlock()
 	stop := make(chan struct{})
 	go s.Run(stop)
 	t.Cleanup(func() { close(stop) })
@@ -173,8 +178,8 @@
 		if (b.maxRunning <= 3) != on {
 			t.Errorf("load control %t: %d statements and openings at once", on, b.maxRunning)
 		}
-		if _, known := s.TargetFigures("stock", "a", 0); known != on {
-			t.Errorf("load control %t: figures of a queue: %t", on, known)
+		if load := s.TargetLoad(catalog.Route{Service: "stock"}, "a", concurrency.Write); (load.Limit > 0) != on {
+			t.Errorf("load control %t: reported load %+v", on, load)
 		}
 	}
 }
--- a/frontend/select.go
+++ b/frontend/select.go
@@ -66,20 +66,23 @@
 // runOnTarget runs a statement outside transactions at the selected host, and records what that tells about the target. s.elsewhere
 // is Here if the answer is final.
 func (s *session) runOnTarget(op operation, selected Selection, st Statement) (answer Answer) {
-	forwarder, started := s.server.forwarder, boottime.Now()
-	forwarder.TargetStarted(op.service.name, selected.Target)
+	started, kind := boottime.Now(), concurrency.Read
+	if op.isWrite {
+		kind = concurrency.Write
+	}
+	s.server.TargetStarted(op.service.name, selected.Target)
 	s.targetLoad = balance.Load{}
 	if selected.Local {
 		answer = s.runLocally(op, st)
-		s.targetLoad = s.server.TargetLoad(op.service.name, selected.Target, op.route.Priority)
+		s.targetLoad = s.server.TargetLoad(op.route, selected.Target, kind)
 	} else {
 		var done bool
 		if answer, done = s.forwardStatement(selected.Host, op, st); done {
 			s.elsewhere = Here
 		}
 	}
-	forwarder.TargetFinished(op.service.name, selected.Target, s.targetOutcome(answer), s.targetLoad,
-		boottime.Now().Sub(started))
+	s.server.ReportTargetLoad(op.service.name, selected.Target, op.route.Database, kind, s.targetLoad)
+	s.server.TargetFinished(op.service.name, selected.Target, s.targetOutcome(answer), boottime.Now().Sub(started))
 	return answer
 }
 
--- a/frontend/select_test.go
+++ b/frontend/select_test.go
@@ -5,10 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/waxwingspindle/waxwingspindle/balance"
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
-	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/routing"
 )
@@ -22,11 +20,6 @@
 
 func (localForwarder) SelectsTargets() bool { return true }
 
-func (localForwarder) TargetStarted(model.Service, model.TargetID) {}
-
-func (localForwarder) TargetFinished(model.Service, model.TargetID, concurrency.Outcome, balance.Load, time.Duration) {
-}
-
 func (localForwarder) PrimaryPositions(model.Service, model.TargetID) (uint64, []routing.Sample, error) {
 	return 0, nil, ErrPrimaryUnreachable
 }
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -41,11 +41,11 @@
 	metrics    *Metrics
 
 	activeCatalog       atomic.Pointer[catalog.Catalog]
-	loadControl         atomic.Bool // statements wait in the queues of targets
 	queues              *turns.Shared
 	activeEvacuations   atomic.Pointer[evacuation.State]
 	regions             region.Map                // of data centres; empty if they are not known
 	stopTimes           atomic.Pointer[StopTimes] // nil unless a planned stop was announced
+	loadControl         atomic.Bool               // statements wait in queues of targets, whose limits are learned
 	closing             atomic.Bool               // sessions end as soon as they have no open transaction
 	primaryAllowedUntil atomic.Int64              // boot time in nanoseconds until which primaries may be used
 
@@ -62,6 +62,7 @@
 	brokerChanging func(requestFailed bool) bool
 	limitMu        sync.Mutex
 	limiter        *share.Limiter
+	rateRefusals   map[model.Workspace]time.Time // last refusal of each workspace; guarded by limitMu
 }
 
 // New returns a server without a configuration. It refuses all sessions until SetCatalog is called.
@@ -241,7 +242,7 @@
 		return code
 	}
 	sess := &session{server: s, log: s.log, database: database, key: key,
-		state: sessionState{variables: map[string]string{}, prepared: map[string]PreparedStatement{}}}
+		state: sessionState{route: database, variables: map[string]string{}, prepared: map[string]PreparedStatement{}}}
 	if !s.addSession(sess, conn) {
 		return Busy
 	}
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -58,6 +58,7 @@
 
 // sessionState holds the session variables and prepared statements of a session.
 type sessionState struct {
+	route     string // database that the caller connected to
 	variables map[string]string
 	prepared  map[string]PreparedStatement
 }
@@ -229,8 +230,9 @@
 		return route, charge{}, nil, errorAnswer(Unauthenticated, "unknown key")
 	}
 	svc := s.server.service(route.Service)
-	token, admitted, wait := s.server.admit(workspace, s.server.admissionWait(route), route.LatencyTarget/2)
+	token, admitted, wait := s.server.admit(workspace, s.server.admissionWait(workspace, route), route.LatencyTarget/2)
 	if !admitted {
+		s.server.recordRateRefusal(workspace)
 		return route, charge{}, nil, errorAnswer(Busy, "the rate of the workspace is used up; retry after "+
 			wait.Round(time.Millisecond).String())
 	}
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -13,10 +13,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	"github.com/waxwingspindle/waxwingspindle/balance"
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
-	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
 	"github.com/waxwingspindle/waxwingspindle/routing"
@@ -161,11 +159,6 @@
 
 func (*recordingForwarder) SelectsTargets() bool { return false }
 
-func (*recordingForwarder) TargetStarted(model.Service, model.TargetID) {}
-
-func (*recordingForwarder) TargetFinished(model.Service, model.TargetID, concurrency.Outcome, balance.Load, time.Duration) {
-}
-
 func (*recordingForwarder) PrimaryPositions(model.Service, model.TargetID) (uint64, []routing.Sample, error) {
 	return 0, nil, ErrPrimaryUnreachable
 }
