Hosts of a data centre share the tokens that one of them takes

With the setting pool_tokens the largest host of a data centre takes tokens for all of its hosts, for the demand of the next 250 ms, and returns what is left. Tokens are granted by the leader, and passed on or returned once, so limits hold as before. Hosts take tokens from the leader themselves while that host does not answer, uses another broker, or is of an earlier version. Off by default.

--- a/fleet/broker.go
+++ b/fleet/broker.go
@@ -178,7 +178,13 @@
 		return 0, 0, errNoLeader
 	}
 	request := TokenRequest{Workspace: workspace, Tokens: n, Deputy: b.deputy}
-	reply, err := a.requestTokens(b.Host, request, a.Server.AddTokens)
+	var reply TokenReply
+	var err error
+	if a.poolsTokens() && !b.deputy {
+		reply, err = a.takePooled(b.Host, request)
+	} else {
+		reply, err = a.requestTokens(b.Host, request, a.Server.AddTokens)
+	}
 	a.dropBrokerIfEnded(*b, err)
 	return reply.Granted, reply.Wait, err
 }
--- a/fleet/delta.go
+++ b/fleet/delta.go
@@ -37,7 +37,8 @@
 	f.relayUrgent = f.relayUrgent || !strings.HasPrefix(key, hostPrefix)
 }
 
-// keepPrevious keeps the known version of a large item that is about to be replaced by another one. The caller holds followMu.
+// keepPrevious keeps the known version of a large item that is about to be replaced by another one. The caller holds
+// followMu.
 func (f *prefixFollower) keepPrevious(next metastore.Item) {
 	known, exists := f.items[next.Key]
 	if !exists || known.Revision >= next.Revision || len(known.Value) < relay.MinPatchedBytes {
@@ -49,8 +50,8 @@
 	f.previous[next.Key] = known
 }
 
-// patchable returns the version of an item that a host which has seen a revision knows, if other hosts can get a patch from it. The
-// caller holds followMu.
+// patchable returns the version of an item that a host which has seen a revision knows, if other hosts can get a patch
+// from it. The caller holds followMu.
 func (f *prefixFollower) patchable(item metastore.Item, since uint64) (known metastore.Item, ok bool) {
 	known, ok = f.previous[item.Key]
 	return known, ok && len(item.Value) >= relay.MinPatchedBytes && since >= known.Revision && since < item.Revision
@@ -93,7 +94,8 @@
 	return d
 }
 
-// deltaWithoutPatches returns the changes up to a revision, and the versions of the items for which patches have to be added.
+// deltaWithoutPatches returns the changes up to a revision, and the versions of the items for which patches have to be
+// added.
 func (f *prefixFollower) deltaWithoutPatches(kind relay.Kind, until uint64) (d relay.Delta, patched [][2]metastore.Item) {
 	f.agent.followMu.Lock()
 	defer f.agent.followMu.Unlock()
--- a/fleet/exchange_test.go
+++ b/fleet/exchange_test.go
@@ -319,8 +319,8 @@
 	}
 }
 
-// Guards against a configuration of a megabyte that is sent whole to every host for each change (300 hosts: 150 MB, 6 s on the
-// leader's link), and against one that a host cannot assemble and never gets.
+// Guards against a configuration of a megabyte that is sent whole to every host for each change (300 hosts: 150 MB, 6 s
+// on the leader's link), and against one that a host cannot assemble and never gets.
 func TestConfigurationIsPatched(t *testing.T) {
 	leader, h := startLeader(t)
 	s := newScaledFleet(300)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,6 +98,9 @@
 	Seeds    []string // addresses of the hosts to sync with at startup
 	IsSeed   bool     // this host is listed as a seed by other hosts
 	Log      *zap.Logger
+	// PoolTokens lets the hosts of a data centre take tokens of rate limits from one of them, which exchanges them with
+	// the leader for all together.
+	PoolTokens bool
 }
 
 // Agent runs the control plane of one host.
@@ -116,6 +119,7 @@
 
 	successions chan successionOffer // succession offers from a leader that resigns
 	membership  brokerMembership     // membership in the rate limit broker
+	tokenPool   tokenPool            // tokens for the hosts of this data centre
 	deputy      deputyBroker         // broker for hosts that cannot reach the leader
 
 	startTime int64       // boottime.Now when the agent started, in nanoseconds
@@ -225,6 +229,7 @@
 	go a.keepRegistered(ctx)
 	go a.reportLoop(ctx)
 	go a.deputyLoop(ctx)
+	go a.poolLoop(ctx)
 	ticker := time.NewTicker(retryInterval)
 	defer ticker.Stop()
 	for {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,7 @@
 		Decoders: fleet.Decoders{ConfigurationKey: platform.ConfigurationKey, TargetPrefix: platform.TargetPrefix,
 			Configuration: platform.ParseConfiguration, Target: platform.ParseTarget},
 		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.PromotionAPI, self.ID), Server: server,
-		Log: log, Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed()})
+		Log: log, PoolTokens: settings.PoolTokens == "on", Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed()})
 
 	listeners, err := listen(settings)
 	if err != nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -47,6 +47,9 @@
 	Store        string `ini:"store"`  // address of the metadata store
 	PromotionAPI string `ini:"duties"` // address of the platform's promotion API
 
+	// PoolTokens is "on" where the hosts of a data centre take tokens of rate limits from one of them. It saves most
+	// requests to the leader, whose bytes between data centres are expensive.
+	PoolTokens   string  `ini:"pool_tokens"`
 	DrainSeconds float64 `ini:"drain_seconds"` // time between the stop signal and the kill of the process
 }
 
@@ -113,6 +116,9 @@
 	if s.DrainSeconds < 0 {
 		problems = append(problems, "drain_seconds is negative")
 	}
+	if s.PoolTokens != "" && s.PoolTokens != "on" && s.PoolTokens != "off" {
+		problems = append(problems, fmt.Sprintf("pool_tokens: %q is neither on nor off", s.PoolTokens))
+	}
 	if len(problems) > 0 {
 		return trace.BadParameter("settings: %s", strings.Join(problems, "; "))
 	}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -58,6 +58,7 @@
 		{"seeds = 10.0.0.1:7560,", "seeds = front,", "seeds"},
 		{"metrics = 10.0.0.1:9464", "metrics = 10.0.0.1:99999", "metrics"},
 		{"drain_seconds = 6", "drain_seconds = -1", "drain_seconds"},
+		{"drain_seconds = 6", "pool_tokens = perhaps", "pool_tokens"},
 		{"memory_mb = 200", "memory_mb = much", "memory_mb"},
 	}
 	for _, test := range tests {
