--- a/relay/patch.go
+++ b/relay/patch.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// MinPatchedBytes is the size of values from which on changes are sent as a Patch. A change of a configuration usually concerns
-	// a few of its thousands of lines, and 300 hosts fetching a megabyte from one take more than the 3 s in which a configuration
-	// has to be in force.
+	// MinPatchedBytes is the size of values from which on changes are sent as a Patch. A change of a configuration
+	// usually concerns a few of its thousands of lines, and 300 hosts fetching a megabyte from one take more than the 3 s
+	// in which a configuration has to be in force.
 	MinPatchedBytes = 4 << 10
 	// blockBytes is the size of the blocks by which equal parts are found.
 	blockBytes = 32
@@ -53,9 +53,9 @@
 	return item, err
 }
 
-// diff returns edits that turn one value into another: for each, the number of new bytes, these bytes, and the offset and the
-// length of a part of the old value, all numbers as uvarints. Equal parts are found by a rolling hash of the new value over the
-// blocks of the old one, as in A. Tridgell, P. Mackerras, "The rsync algorithm", 1996.
+// diff returns edits that turn one value into another: for each, the number of new bytes, these bytes, and the offset and
+// the length of a part of the old value, all numbers as uvarints. Equal parts are found by a rolling hash of the new
+// value over the blocks of the old one, as in A. Tridgell, P. Mackerras, "The rsync algorithm", 1996.
 func diff(old, next []byte) []byte {
 	blocks := make(map[uint64]int, len(old)/blockBytes)
 	for at := 0; at+blockBytes <= len(old); at += blockBytes {
--- a/relay/patch_test.go
+++ b/relay/patch_test.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// Guards against a patch that is applied to another value than it was made from, and against malformed ones that end the process.
+// Guards against a patch that is applied to another value than it was made from, and against malformed ones that end the
+// process.
 func TestPatchThatDoesNotFit(t *testing.T) {
 	old := metastore.Item{Key: "k", Value: bytes.Repeat([]byte("0123456789"), 500), Revision: 3}
 	next := metastore.Item{Key: "k", Value: append([]byte("new "), old.Value...), Revision: 9}
