--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,7 +107,10 @@
 	LoadControl, NoLoadControl bool
 	// Evacuation holds the limits of evacuations; with a bound of zero this host does not follow requests for them.
 	Evacuation evacuation.Limits
-	Log        *zap.Logger
+	// PoolTokens lets the hosts of a data centre take tokens of rate limits from one of them, which exchanges them with
+	// the leader for all together. They also do so where statements are assigned by target, unless NoPoolTokens is set.
+	PoolTokens, NoPoolTokens bool
+	Log                      *zap.Logger
 }
 
 // Agent runs the control plane of one host.
@@ -126,6 +129,7 @@
 
 	successions chan successionOffer // succession offers from a leader that resigns
 	membership  brokerMembership     // membership in the rate limit broker
+	tokenPool   tokenPool            // tokens for the hosts of this data centre
 	deputy      deputyBroker         // broker for hosts that cannot reach the leader
 
 	startTime int64       // boottime.Now when the agent started, in nanoseconds
@@ -239,6 +243,7 @@
 	go a.keepRegistered(ctx)
 	go a.reportLoop(ctx)
 	go a.deputyLoop(ctx)
+	go a.poolLoop(ctx)
 	ticker := time.NewTicker(retryInterval)
 	defer ticker.Stop()
 	for {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.PromotionAPI, self.ID), Server: server,
 		Log: log, Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed(),
 		LoadControl: settings.LoadControlEnabled(), NoLoadControl: settings.LoadControl == "off",
+		PoolTokens: settings.PoolTokens == "on", NoPoolTokens: settings.PoolTokens == "off",
 		Evacuation: settings.EvacuationLimits()})
 
 	listeners, err := listen(settings)
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -74,6 +74,7 @@
 		{"drain_seconds = 6", "drain_seconds = 6\nevacuation_ms = 2999", "evacuation_ms"},
 		{"drain_seconds = 6", "drain_seconds = 6\nevacuation_ms = soon", "evacuation_ms"},
 		{"drain_seconds = 6", "drain_seconds = 6\nregions = north", "regions"},
+		{"drain_seconds = 6", "pool_tokens = perhaps", "pool_tokens"},
 		{"memory_mb = 200", "memory_mb = much", "memory_mb"},
 		{"drain_seconds = 6", "load_control = yes", "load_control"},
 	}
