--- a/frontend/queue.go
+++ b/frontend/queue.go
@@ -196,9 +196,13 @@
 		if q == nil {
 			break
 		}
-		t, refusal := s.awaitTurn(op, q)
-		if refusal.Code != Success {
-			return grant{}, refusal
+		t, refusal := s.awaitTurn(op, q, false)
+		switch {
+		case refusal == nil:
+		case refusal.Reason == runqueue.Closed:
+			continue // the target has left, another one may run the operation
+		default:
+			return grant{}, refusalAnswer(Busy, *refusal)
 		}
 		pinned := r
 		pinned.GiveUp = true
@@ -245,20 +249,18 @@
 	return a
 }
 
-// awaitTurn waits for a turn on a target. A retry waits until the target may get one again after a BUSY answer.
-func (s *session) awaitTurn(op *operation, q *turns.Queue) (*turns.Turn, Answer) {
+// awaitTurn waits for a turn on a target. Statements of open transactions go before all others and are refused only at their
+// deadline. A retry waits until the target may get one again after a BUSY answer.
+func (s *session) awaitTurn(op *operation, q *turns.Queue, inTxn bool) (*turns.Turn, *runqueue.Refuse) {
 	if op.isRetry {
 		time.Sleep(min(q.PauseAfterBusy(boottime.Now()), max(0, op.deadline.Sub(boottime.Now()))))
 	}
-	t, refusal := q.Await(s.runRequest(op), op.class())
-	if refusal != nil {
-		return nil, refusalAnswer(Busy, *refusal)
-	}
-	return t, Answer{}
+	r := s.runRequest(op)
+	r.InTxn = inTxn
+	return q.Await(r, op.class())
 }
 
-// enterOnConn waits for a turn on the target of a connection that the operation holds already. Statements of open
-// transactions go before all others and are refused only at their deadline.
+// enterOnConn waits for a turn on the target of a connection that the operation holds already.
 func (s *session) enterOnConn(op *operation, c *targetConn, inTxn bool) Answer {
 	op.service.mu.Lock()
 	q := op.service.queueOf(c.target.ID)
@@ -266,9 +268,7 @@
 	if q == nil {
 		return Answer{}
 	}
-	r := s.runRequest(op)
-	r.InTxn = inTxn
-	t, refusal := q.Await(r, op.class())
+	t, refusal := s.awaitTurn(op, q, inTxn)
 	switch {
 	case refusal == nil:
 		c.turn = t
--- a/frontend/queue_test.go
+++ b/frontend/queue_test.go
@@ -385,3 +385,26 @@
 		t.Errorf("afterwards: %v", a)
 	}
 }
+
+// Guards against a refusal of statements that wait for a target that leaves while another one can run them.
+func TestStatementsMoveFromLeavingTarget(t *testing.T) {
+	b := &busyTarget{statementTime: 300 * time.Millisecond}
+	s, _ := newQueueFixture(t, b)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	blockTarget(t, s, b, &wg)
+	answer := make(chan Answer, 1)
+	go func() { answer <- runWrite(queueSession(s, "w", 0), "moved", 5*time.Second) }()
+	waitUntil(t, "the statement waits", func() bool {
+		f, _ := s.TargetFigures("stock", "a", 0)
+		return f.Waiting == 1
+	})
+	s.SetTargets("stock", []catalog.Target{{ID: "b", Service: "stock", Slots: 2, StartedAt: 1}}, 20)
+	s.ApplyPrimaryDocument(primacy.Document{Service: "stock", Epoch: 3, Open: true, Primary: "b", Term: 1, Born: 1})
+	if a := <-answer; a.Code != Success {
+		t.Errorf("answer %v", a)
+	}
+	if f, _ := s.TargetFigures("stock", "b", 0); f.Limit != 3 {
+		t.Errorf("the other target has the figures %+v", f)
+	}
+}
