--- a/turns/queue_test.go
+++ b/turns/queue_test.go
@@ -136,3 +136,27 @@
 	none.Answered(sent, Done)
 	none.End()
 }
+
+// The cost of a statement while some 300 wait, with their goroutines, the log and the metrics.
+func BenchmarkStatement(b *testing.B) {
+	q, _ := newQueue(4, nil)
+	var wg sync.WaitGroup
+	work := make(chan struct{})
+	for range 300 {
+		wg.Go(func() {
+			for range work {
+				if turn, refusal := q.Await(newRequest(time.Hour), Class{"orders", Write}); refusal == nil {
+					turn.Sent(turn.startedAt)
+					turn.Answered(turn.startedAt, Done)
+					turn.End()
+				}
+			}
+		})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		work <- struct{}{}
+	}
+	close(work)
+	wg.Wait()
+}
