--- a/frontend/queue_test.go
+++ b/frontend/queue_test.go
@@ -404,7 +404,7 @@
 		f, _ := s.TargetFigures("stock", "a", 0)
 		return f.Waiting == 1
 	})
-	s.SetTargets("stock", []catalog.Target{{ID: "b", Service: "stock", Slots: 2, StartedAt: 1}}, 20)
+	s.SetTargets("stock", []catalog.Target{{ID: "b", Service: "stock", Slots: 2, StartedAt: 1}}, maxConnections(20))
 	s.ApplyPrimaryDocument(primacy.Document{Service: "stock", Epoch: 3, Open: true, Primary: "b", Term: 1, Born: 1})
 	if a := <-answer; a.Code != Success {
 		t.Errorf("answer %v", a)
