--- a/fleet/state.go
+++ b/fleet/state.go
@@ -175,6 +175,22 @@
 	return plans
 }
 
+// connectingHosts returns the hosts that may connect to targets of a service, in the same order on every host.
+func (v *clusterView) connectingHosts(service model.Service) []model.HostID {
+	if !v.routing.ByTarget {
+		plan := v.plans[service]
+		return slices.Concat(plan.Hosts, plan.Reserves)
+	}
+	var hosts []model.HostID
+	for _, t := range v.targetsOf(service) {
+		for _, h := range v.targetPlan.Hosts(t.ID) {
+			hosts = append(hosts, h.Host)
+		}
+	}
+	slices.Sort(hosts)
+	return slices.Compact(hosts)
+}
+
 // connectionWeight returns the number of connections to targets of a service that a host may hold, as its weight among the hosts.
 func (v *clusterView) connectionWeight(service model.Service, host model.HostID) float64 {
 	if !v.routing.ByTarget {
--- a/frontend/queue_bench_test.go
+++ b/frontend/queue_bench_test.go
@@ -87,7 +87,7 @@
 	s.queues = turns.NewShared(boottime.Now().Add(-time.Hour), s.metrics.queues) // no recovery
 	s.SetLoadControl(loadControl)
 	s.AllowPrimariesUntil(boottime.Now().Add(time.Hour))
-	s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock", Slots: 4, StartedAt: 1}}, connections)
+	s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock", Slots: 4, StartedAt: 1}}, maxConnections(connections))
 	s.ApplyPrimaryDocument(primacy.Document{Service: "stock", Epoch: 2, Open: true, Primary: "a", Term: 1, Born: 1})
 	stop := make(chan struct{})
 	defer close(stop)
