--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -44,6 +44,9 @@
 	shrinkWindows = 2
 	// checkSamples is the number of times after a decrease that decide whether it stays.
 	checkSamples = 2 * windowSamples
+	// checkWindow is the number of times after which it is decided earlier if the throughput differs by more than
+	// checkMargin divided by the root of the number of times: three standard deviations of the mean logarithm.
+	checkWindow, checkMargin = 12, 1.8
 	// maxLoss is the logarithm of the ratio by which throughput may fall after a decrease: 1.1. If it falls more, the slowness
 	// has nothing to do with the limit, and the decrease is withdrawn.
 	maxLoss = 0.1
@@ -254,7 +257,8 @@
 	}
 	l.window.sum += x
 	l.window.count++
-	full := l.window.count >= windowSamples || l.starting && l.window.count >= limit
+	full := l.window.count >= windowSamples || l.starting && l.window.count >= limit ||
+		l.decrease != nil && l.window.count >= checkWindow
 	old := now.Sub(l.window.start) >= windowAge
 	if full || old {
 		l.evaluate(now, l.window.sum/float64(l.window.count), l.window.count)
@@ -307,12 +311,14 @@
 	}
 	if d := l.decrease; d != nil {
 		d.sum += mean * float64(count)
-		if d.count += count; d.count < checkSamples {
+		d.count += count
+		mean = d.sum / float64(d.count)
+		gain := d.mean - mean - math.Log(float64(min(d.from, l.slots))/float64(l.Limit())) + maxLoss
+		if d.count < checkSamples && math.Abs(gain) < checkMargin/math.Sqrt(float64(d.count)) {
 			return
 		}
 		l.decrease = nil
-		mean = d.sum / float64(d.count)
-		if d.mean-mean < math.Log(float64(min(d.from, l.slots))/float64(l.Limit()))-maxLoss {
+		if gain < 0 {
 			l.base, l.baseCount = mean, baseSamples
 			l.tooHigh = 0
 			l.holdUntil, l.holdPause = now.Add(l.holdPause), min(2*l.holdPause, maxHoldPause)
