--- a/fleet/register_test.go
+++ b/fleet/register_test.go
@@ -120,13 +120,6 @@
 	return s.revision, nil
 }
 
-// setDelay starts or ends the delay of calls. Calls may be running, for example the end of a lease in the background.
-func (s *memoryStore) setDelay(on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delay = on
-}
-
 // applyDelayed executes the delayed calls.
 func (s *memoryStore) applyDelayed() (errs []error) {
 	s.mu.Lock()
