Bounds for what callers, other hosts and responses of targets hold

Cause: sessions were not counted, a message that had begun could take forever with 1 MiB of memory, responses that nobody read were held in full, session state had no bound, and neither had messages between hosts (skipping nested values ended the process) nor responses of targets.

Change: package budget decides whom to refuse or close, package clientlimit counts places, bytes and time and closes them. Links count the memory of a message while it is decoded; the wire format is the same. Session state, responses of targets and the connections of readiness checks and metrics have limits. Each limit is a setting.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/clientlimit"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/guard"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
@@ -97,6 +98,9 @@
 	Seeds    []string // addresses of the hosts to sync with at startup
 	IsSeed   bool     // this host is listed as a seed by other hosts
 	Log      *zap.Logger
+
+	Registry   *clientlimit.Registry // counts what other hosts hold; may be nil
+	LinkLimits rpccodec.Limits       // of connections between hosts; the accounts are set by the agent
 }
 
 // Agent runs the control plane of one host.
@@ -183,6 +187,10 @@
 		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
 		unconfirmed: map[model.Service]uint64{}}
+	for _, clients := range []*peerClients{a.controlClients, a.statementClients, a.bulkTransfer.clients} {
+		clients.limits = c.LinkLimits
+		clients.limits.Registry = c.Registry
+	}
 	a.view.Store(newClusterView())
 	a.leaderUnreachable.Store(true)
 	a.follower(a.Decoders.ConfigurationKey, (*control).applyConfiguration)
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -167,5 +167,8 @@
 func (p *Peer) Run(f frontend.ForwardRequest, reply *frontend.ForwardReply) error {
 	var err error
 	*reply, err = p.agent.Server.RunForwarded(f)
+	if err == nil {
+		p.agent.holdReply(reply)
+	}
 	return err
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -11,6 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/clientlimit"
+	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
@@ -55,6 +57,7 @@
 type peerClients struct {
 	mu      sync.Mutex
 	clients map[string]*rpccodec.Client
+	limits  rpccodec.Limits // of the responses
 }
 
 func newPeerClients() *peerClients { return &peerClients{clients: map[string]*rpccodec.Client{}} }
@@ -126,7 +129,7 @@
 	if client := p.openClient(address); client != nil {
 		return client, nil
 	}
-	client, err := dial(address)
+	client, err := p.dial(address)
 	if err != nil {
 		return nil, err
 	}
@@ -154,18 +157,18 @@
 	return client
 }
 
-func dial(address string) (*rpccodec.Client, error) {
+func (p *peerClients) dial(address string) (*rpccodec.Client, error) {
 	conn, err := socket.Dialer(peerDialTimeout).Dial("tcp", address)
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return rpccodec.NewClient(conn), nil
+	return rpccodec.NewClientWithLimits(conn, p.limits), nil
 }
 
 // reconnect replaces the connection to a host by a new one that has answered a ping. Calls pending on the old
 // connection fail.
 func (p *peerClients) reconnect(h Host, timeout time.Duration) error {
-	client, err := dial(h.Address)
+	client, err := p.dial(h.Address)
 	if err != nil {
 		return err
 	}
@@ -240,7 +243,27 @@
 			time.Sleep(retryInterval)
 			continue
 		}
-		go rpccodec.Serve(server, conn, &a.forwardCounter)
+		link, admitted := a.Registry.Admit(clientlimit.Link, conn)
+		if !admitted {
+			_ = conn.Close() // the other host learns it from the end of the connection
+			continue
+		}
+		go func() {
+			defer link.Leave()
+			limits := a.LinkLimits
+			limits.Client, limits.Sent = link, a.releaseReply
+			rpccodec.ServeWithLimits(server, conn, &a.forwardCounter, limits)
+		}()
+	}
+}
+
+// holdReply counts the memory of an answer until it has been sent to the host that asked.
+func (a *Agent) holdReply(reply *frontend.ForwardReply) { a.Registry.Hold(reply.Answer.HeldBytes()) }
+
+// releaseReply releases what holdReply counted, after the response has been sent or lost.
+func (a *Agent) releaseReply(body any) {
+	if reply, ok := body.(*frontend.ForwardReply); ok {
+		a.Registry.Release(reply.Answer.HeldBytes())
 	}
 }
 
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -134,7 +134,7 @@
 
 // logForwardFailure logs that the host returned no answer; sent reports whether the statement may have run there.
 func (s *session) logForwardFailure(host model.HostID, st Statement, sent bool, err error) {
-	s.log.Info("forward: no answer", zap.String("id", st.ID), zap.String("to", string(host)), zap.Bool("sent", sent),
+	s.log.Info("forward: no answer", zap.String("id", shorten(st.ID)), zap.String("to", string(host)), zap.Bool("sent", sent),
 		zap.Error(err))
 }
 
@@ -248,8 +248,8 @@
 
 // logForwarded logs the answer to a statement of another host.
 func (s *session) logForwarded(f ForwardRequest, a Answer, started time.Time) {
-	s.log.Info("forwarded statement: answered", zap.String("id", f.Statement.ID), zap.Stringer("code", a.Code),
-		zap.String("detail", a.Detail), zap.Duration("took", boottime.Now().Sub(started)),
+	s.log.Info("forwarded statement: answered", zap.String("id", shorten(f.Statement.ID)),
+		zap.Stringer("code", a.Code), zap.String("detail", shorten(a.Detail)), zap.Duration("took", boottime.Now().Sub(started)),
 		zap.String("service", string(f.Route.Service)), zap.String("workspace", string(f.Workspace)),
 		zap.String("on", s.executedOn), zap.Uint64("mark_epoch", s.mark.Epoch),
 		zap.Uint64("mark_offset", s.mark.Position.Offset))
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -51,6 +51,7 @@
 	forwarder Forwarder     // nil if all statements run on this host
 	lastTxnID atomic.Uint64 // number of the last transaction that was forwarded
 
+	stateLimits    StateLimits // of one session
 	acquireTokens  AcquireTokensFunc
 	brokerChanging func(requestFailed bool) bool
 	limitMu        sync.Mutex
@@ -221,6 +222,7 @@
 	}
 	sess := &session{server: s, log: s.log, database: database, key: key,
 		state: sessionState{variables: map[string]string{}, prepared: map[string]PreparedStatement{}}}
+	sess.holder, _ = conn.(StateHolder)
 	if !s.addSession(sess, conn) {
 		return Busy
 	}
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -286,8 +286,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
-	if s.conns[c.id] != c {
-		broken = true // the connection was closed while in use
+	if s.conns[c.id] != c || len(c.prepared) > maxPreparedOnConn {
+		broken = true // the connection was closed while in use, or the target holds many prepared statements for it
 	}
 	if !broken {
 		s.applyActions(s.pool.Release(now, c.id))
@@ -373,9 +373,9 @@
 		}
 	}
 	for name, value := range sess.variables {
-		if current, set := c.variables[name]; !set || current != value {
+		if current, set := c.variables[name]; !set || current != valueOnConn(value) {
 			add(Set, name, value)
-			c.variables[name] = value
+			c.variables[name] = valueOnConn(value)
 		}
 	}
 	if command.Kind == Execute {
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -59,6 +59,7 @@
 type sessionState struct {
 	variables map[string]string
 	prepared  map[string]PreparedStatement
+	bytes     int // memory of both, unless the session is one of another host
 }
 
 // HighWaterMark is the log position of the last commit of a session.
@@ -85,6 +86,7 @@
 	onIdleRollback func()           // called after the idle timeout rolled a transaction back; may be nil
 
 	state      sessionState
+	holder     StateHolder // counts the memory of state; nil if nobody does
 	mark       HighWaterMark
 	executedOn string // target or host that the last statement was sent to, for logs
 	mayHaveRun bool   // a target may have run a statement of the current operation
@@ -120,7 +122,7 @@
 		err = conn.WriteAnswer(answer, s.txnState())
 		s.runningStatement.Store(nil)
 		if err != nil {
-			s.log.Info("session: answer not delivered", zap.String("id", statement.ID), zap.Error(err))
+			s.log.Info("session: answer not delivered", zap.String("id", shorten(statement.ID)), zap.Error(err))
 			return
 		}
 		if s.closesForDrain() {
@@ -156,7 +158,7 @@
 	if a.Code != Success {
 		message = "statement: failed"
 	}
-	s.log.Info(message, zap.String("id", statement.ID), zap.Stringer("code", a.Code), zap.String("detail", a.Detail),
+	s.log.Info(message, zap.String("id", shorten(statement.ID)), zap.Stringer("code", a.Code), zap.String("detail", shorten(a.Detail)),
 		zap.Duration("took", took), zap.String("database", s.database), zap.String("workspace", string(c.Keys[s.key])),
 		zap.String("on", s.executedOn), zap.Int64("configuration", c.Version))
 }
@@ -189,13 +191,11 @@
 	}
 	switch st.Kind {
 	case Set:
-		s.state.variables[st.Name] = st.Args
-		return Answer{}
+		return s.setVariable(st)
 	case PrepareRead, PrepareWrite:
-		s.state.prepared[st.Name] = PreparedStatement{Kind: st.Kind, Shape: st.Args}
-		return Answer{}
+		return s.prepare(st)
 	case Deallocate:
-		delete(s.state.prepared, st.Name)
+		s.deallocate(st.Name)
 		return Answer{}
 	case Begin, BeginRead:
 		return s.begin(st)
@@ -315,6 +315,9 @@
 		case err != nil && sent && op.isWrite:
 			s.logNoAnswer(st, c, err)
 			return errorAnswer(InDoubt, "the answer of the target was lost")
+		case errors.Is(err, ErrResponseTooLarge):
+			s.logNoAnswer(st, c, err)
+			return errorAnswer(OtherError, err.Error())
 		case err != nil:
 			s.logNoAnswer(st, c, err)
 			lastAnswer = errorAnswer(Busy, "the target could not be reached")
@@ -354,7 +357,7 @@
 
 // logNoAnswer logs that an attempt to run a statement returned no answer.
 func (s *session) logNoAnswer(st Statement, c *targetConn, err error) {
-	s.log.Info("statement: attempt without answer", zap.String("id", st.ID),
+	s.log.Info("statement: attempt without answer", zap.String("id", shorten(st.ID)),
 		zap.String("target", string(c.target.ID)), zap.Error(err))
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,11 +17,13 @@
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/clientlimit"
 	"github.com/waxwingspindle/waxwingspindle/fleet"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/platform"
+	"github.com/waxwingspindle/waxwingspindle/rpccodec"
 	"github.com/waxwingspindle/waxwingspindle/socket"
 )
 
@@ -34,6 +36,11 @@
 	balancerRemovalDelay = 2200 * time.Millisecond
 	// settingsPollInterval is the time between two checks of the settings file, which may change without a signal.
 	settingsPollInterval = time.Second
+	// The readiness check and the metrics are read by a few programs every second or less often.
+	maxHTTPConnections = 16
+	httpIdleTimeout    = 30 * time.Second
+	httpWriteTimeout   = 10 * time.Second
+	maxHTTPHeaderBytes = 16 << 10
 	// deregisterTimeout bounds the removal of the registration. If it fails, the lease expires by itself.
 	deregisterTimeout = time.Second
 	// sessionPollInterval is the time between two checks for sessions that are still open during a stop.
@@ -60,15 +67,21 @@
 	log.Info("start", zap.Uint64("incarnation", uint64(incarnation)), zap.String("data_centre", settings.DataCentre))
 
 	registry := prometheus.NewRegistry()
-	server := frontend.New(model.DataCentre(settings.DataCentre), platform.TargetDialer{}, log,
-		frontend.NewMetrics(registry))
+	limits := settings.ClientLimits()
+	log.Info("client: limits", zap.Int64("held_bytes", limits.HeldBytes), zap.Int("callers", limits.Places[clientlimit.Caller]),
+		zap.Int("links", limits.Places[clientlimit.Link]))
+	clients := clientlimit.New(limits, log, registry)
+	server := frontend.New(model.DataCentre(settings.DataCentre),
+		platform.TargetDialer{Registry: clients, MaxResponseBytes: settings.ResponseKB << 10}, log, frontend.NewMetrics(registry))
+	server.SetStateLimits(settings.StateLimits())
 	self := fleet.Host{ID: model.HostID(settings.Host), Incarnation: incarnation, Address: settings.AdvertisedAddress(),
 		DataCentre: model.DataCentre(settings.DataCentre), LinkMbps: settings.LinkMbps, Cores: settings.Cores}
 	agent := fleet.New(fleet.Config{Self: self, Store: metastore.Measure(platform.NewStore(settings.Store), registry),
 		Decoders: fleet.Decoders{ConfigurationKey: platform.ConfigurationKey, TargetPrefix: platform.TargetPrefix,
 			Configuration: platform.ParseConfiguration, Target: platform.ParseTarget},
 		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.PromotionAPI, self.ID), Server: server,
-		Log: log, Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed()})
+		Log: log, Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed(), Registry: clients,
+		LinkLimits: rpccodec.Limits{MaxMessageBytes: settings.HostMessageKB << 10, MaxCalls: settings.HostCalls}})
 
 	listeners, err := listen(settings)
 	if err != nil {
@@ -86,7 +99,8 @@
 	}
 	go agent.Run(ctx)
 	go server.Run(ctx.Done())
-	go platform.ServeCallers(listeners.callers, server, log)
+	go clients.Run(ctx.Done())
+	go platform.ServeCallers(listeners.callers, server, clients, log)
 	watchSettings(path, settings, log, signals)
 	drain(agent, server, listeners, settings, log)
 	cancel()
@@ -110,8 +124,9 @@
 }
 
 func serveHTTP(l net.Listener, handler http.Handler, log *zap.Logger) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	if err := server.Serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, IdleTimeout: httpIdleTimeout,
+		WriteTimeout: httpWriteTimeout, MaxHeaderBytes: maxHTTPHeaderBytes}
+	if err := server.Serve(newLimitedListener(l, maxHTTPConnections)); err != nil && !errors.Is(err, net.ErrClosed) {
 		log.Error("http: stopped", zap.Error(err))
 	}
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -11,6 +11,8 @@
 	"github.com/gravitational/trace"
 	"gopkg.in/ini.v1"
 
+	"github.com/waxwingspindle/waxwingspindle/budget"
+	"github.com/waxwingspindle/waxwingspindle/clientlimit"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 )
 
@@ -29,6 +31,21 @@
 // Few statements take longer.
 const lastStatementTime = time.Second
 
+// Default limits of clients. Clients inside the limits of the protocol (messages up to 1 MiB that arrive within seconds) do not
+// reach them.
+const (
+	// defaultSessionStartSeconds is the time for a startup message. Callers give up after 2 s.
+	defaultSessionStartSeconds = 5
+	// defaultMessageSeconds is the time for a message. 1 MiB takes 0.9 s at 10 Mbit/s.
+	defaultMessageSeconds = 10
+	// defaultResponseSeconds is the time for a response to be read. Callers' timeouts are below 10 s.
+	defaultResponseSeconds = 20
+	// defaultSessionEntries bounds variables and prepared statements of a session, which are compared before each statement.
+	defaultSessionEntries = 1000
+	// defaultSessionStateKB leaves room for a variable of 1 MiB.
+	defaultSessionStateKB = 2048
+)
+
 // Settings are the contents of section [host] of a settings file.
 type Settings struct {
 	Host       string  `ini:"name"`
@@ -48,6 +65,19 @@
 	PromotionAPI string `ini:"duties"` // address of the platform's promotion API
 
 	DrainSeconds float64 `ini:"drain_seconds"` // time between the stop signal and the kill of the process
+
+	// Limits of clients. 0 stands for the default, and where there is none for no limit.
+	MaxFiles            int     `ini:"max_files"`             // descriptors of the process
+	ReserveFiles        int     `ini:"reserve_files"`         // descriptors for targets, hosts, the store and files
+	ClientMemoryMB      int64   `ini:"client_memory_mb"`      // memory that all clients hold together
+	SessionStartSeconds float64 `ini:"session_start_seconds"` // from the connection to the end of the startup message
+	MessageSeconds      float64 `ini:"message_seconds"`       // from the beginning of a message to its end
+	ResponseSeconds     float64 `ini:"response_seconds"`      // for a response to be read
+	SessionEntries      int     `ini:"session_entries"`       // variables and prepared statements of a session
+	SessionStateKB      int     `ini:"session_state_kb"`      // memory of the same
+	ResponseKB          int64   `ini:"response_kb"`           // memory of a response of a target
+	HostMessageKB       int64   `ini:"host_message_kb"`       // memory of a decoded message of another host
+	HostCalls           int     `ini:"host_calls"`            // calls without a response on a connection of another host
 }
 
 // AdvertisedAddress returns the address at which other hosts reach this one.
@@ -65,6 +95,25 @@
 	return slices.Contains(strings.Split(s.Seeds, ","), s.AdvertisedAddress())
 }
 
+// ClientLimits returns the limits of all clients together and their time limits.
+func (s Settings) ClientLimits() clientlimit.Limits {
+	seconds := func(value, byDefault float64) time.Duration {
+		return time.Duration(cmp.Or(value, byDefault) * float64(time.Second))
+	}
+	callers, links := budget.Places(s.MaxFiles, s.ReserveFiles)
+	return clientlimit.Limits{HeldBytes: cmp.Or(s.ClientMemoryMB<<20, budget.HeldBytes(s.MemoryMB<<20)),
+		Places: [2]int{clientlimit.Caller: callers, clientlimit.Link: links},
+		Times: budget.Times{Start: seconds(s.SessionStartSeconds, defaultSessionStartSeconds),
+			Message:  seconds(s.MessageSeconds, defaultMessageSeconds),
+			Response: seconds(s.ResponseSeconds, defaultResponseSeconds)}}
+}
+
+// StateLimits returns the limits of the state of one session.
+func (s Settings) StateLimits() frontend.StateLimits {
+	return frontend.StateLimits{Entries: cmp.Or(s.SessionEntries, defaultSessionEntries),
+		Bytes: cmp.Or(s.SessionStateKB, defaultSessionStateKB) << 10}
+}
+
 // DrainTimeout returns the maximum duration of a graceful stop, without the calls that end the process.
 func (s Settings) DrainTimeout() time.Duration { return s.drainTime(drainFraction) }
 
@@ -79,6 +128,9 @@
 	return time.Duration(s.DrainSeconds * fraction * float64(time.Second))
 }
 
+// maxFilesKey is the key of Settings.MaxFiles.
+const maxFilesKey = "max_files"
+
 // ReadSettings reads and validates a settings file. Unknown keys are ignored.
 func ReadSettings(path string) (Settings, error) {
 	file, err := ini.Load(path)
@@ -86,7 +138,11 @@
 		return Settings{}, trace.Wrap(err, "reading the settings file")
 	}
 	var s Settings
-	if err := file.Section("host").StrictMapTo(&s); err != nil {
+	section := file.Section("host")
+	if section.HasKey(maxFilesKey) && section.Key(maxFilesKey).Value() == "" {
+		section.DeleteKey(maxFilesKey) // a deployment without this limit leaves the field of the template empty
+	}
+	if err := section.StrictMapTo(&s); err != nil {
 		return Settings{}, trace.Wrap(err, "section [host]")
 	}
 	return s, s.validate()
@@ -110,8 +166,15 @@
 			problems = append(problems, fmt.Sprintf("%s: %q is not an IP address with a port", a.name, a.value))
 		}
 	}
-	if s.DrainSeconds < 0 {
-		problems = append(problems, "drain_seconds is negative")
+	for name, value := range map[string]float64{"drain_seconds": s.DrainSeconds, "memory_mb": float64(s.MemoryMB),
+		"max_files": float64(s.MaxFiles), "reserve_files": float64(s.ReserveFiles),
+		"client_memory_mb": float64(s.ClientMemoryMB), "session_start_seconds": s.SessionStartSeconds,
+		"message_seconds": s.MessageSeconds, "response_seconds": s.ResponseSeconds,
+		"session_entries": float64(s.SessionEntries), "session_state_kb": float64(s.SessionStateKB),
+		"response_kb": float64(s.ResponseKB), "host_message_kb": float64(s.HostMessageKB), "host_calls": float64(s.HostCalls)} {
+		if value < 0 {
+			problems = append(problems, name+" is negative")
+		}
 	}
 	if len(problems) > 0 {
 		return trace.BadParameter("settings: %s", strings.Join(problems, "; "))
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/waxwingspindle/waxwingspindle/clientlimit"
 )
 
 const validSettings = `[host]
@@ -59,6 +61,10 @@
 		{"metrics = 10.0.0.1:9464", "metrics = 10.0.0.1:99999", "metrics"},
 		{"drain_seconds = 6", "drain_seconds = -1", "drain_seconds"},
 		{"memory_mb = 200", "memory_mb = much", "memory_mb"},
+		{"memory_mb = 200", "memory_mb = -1", "memory_mb"},
+		{"drain_seconds = 6", "drain_seconds = 6\nmax_files = -1", "max_files"},
+		{"drain_seconds = 6", "drain_seconds = 6\nmessage_seconds = -1", "message_seconds"},
+		{"drain_seconds = 6", "drain_seconds = 6\nresponse_kb = -1", "response_kb"},
 	}
 	for _, test := range tests {
 		_, err := readSettingsText(t, strings.Replace(validSettings, test.from, test.to, 1))
@@ -81,3 +87,26 @@
 		}
 	}
 }
+
+// Guards against limits that ordinary clients reach on the smallest host, and against limits that are in force where the settings
+// give none.
+func TestClientLimits(t *testing.T) {
+	s, err := readSettingsText(t, strings.Replace(validSettings, "memory_mb = 200", "memory_mb = 184\nmax_files = 4300", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := s.ClientLimits()
+	if l.HeldBytes < 40<<20 || l.HeldBytes > 184<<20/2 || l.Places[clientlimit.Caller] < 3000 || l.Places[clientlimit.Link] < 600 {
+		t.Errorf("limits of the smallest host: %+v", l)
+	}
+	if l.Times.Start != 5*time.Second || l.Times.Message != 10*time.Second || l.Times.Response != 20*time.Second {
+		t.Errorf("time limits: %+v", l.Times)
+	}
+	s, err = readSettingsText(t, strings.Replace(validSettings, "memory_mb = 200", "max_files =\nmessage_seconds = 2.5", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := s.ClientLimits(); l.HeldBytes != 0 || l.Places != [2]int{} || l.Times.Message != 2500*time.Millisecond {
+		t.Errorf("limits without memory_mb and max_files: %+v", l)
+	}
+}
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -168,7 +168,8 @@
 		duties = s.options.DutiesFor(h.Number, duties)
 	}
 	text := strings.NewReplacer("{{ip}}:9464", metrics, "{{nodeName}}", h.Name, "{{zone}}", fmt.Sprintf("z%d", 1+h.Number%3),
-		"{{limits.memoryMb}}", "284", "{{limits.linkMbps}}", "1000.0", "{{limits.cpuShare}}", "0.4",
+		"{{limits.memoryMb}}", "284", "{{limits.maxFds}}", "4300", "{{limits.linkMbps}}", "1000.0",
+		"{{limits.cpuShare}}", "0.4",
 		"{{listen.front}}", h.Callers, "{{listen.ready}}", h.Health, "{{listen.control}}", h.Peers, "{{seeds}}", seeds,
 		"{{platform.address}}", store, "{{cloud.address}}", duties,
 		"{{bounds.graceS}}", fmt.Sprint(GraceSeconds)).Replace(string(template))
--- a/rpccodec/rpccodec.go
+++ b/rpccodec/rpccodec.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"io"
 	"net/rpc"
+	"sync"
 	"sync/atomic"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -22,14 +23,15 @@
 	conn    io.ReadWriteCloser
 	writer  *bufio.Writer
 	encoder *msgpack.Encoder
+	reader  *messageReader
 	decoder *msgpack.Decoder
 }
 
 // newCodec returns a codec that encodes structs as arrays, without field names.
-func newCodec(conn io.ReadWriteCloser) codec {
+func newCodec(conn io.ReadWriteCloser, limits Limits) codec {
 	writer := bufio.NewWriterSize(conn, bufferBytes)
-	c := codec{conn: conn, writer: writer, encoder: msgpack.NewEncoder(writer),
-		decoder: msgpack.NewDecoder(bufio.NewReaderSize(conn, bufferBytes))}
+	reader := &messageReader{Reader: bufio.NewReaderSize(conn, bufferBytes), limits: limits.withDefaults()}
+	c := codec{conn: conn, writer: writer, encoder: msgpack.NewEncoder(writer), reader: reader, decoder: newDecoder(reader)}
 	c.encoder.UseArrayEncodedStructs(true)
 	c.encoder.UseCompactInts(true)
 	return c
@@ -45,19 +47,34 @@
 	return c.writer.Flush()
 }
 
-// readBody decodes a body, or skips it if the argument is nil.
-func (c codec) readBody(body any) error {
-	return guard.Decode(func() error {
+// readBody decodes a body, or skips it if the argument is nil. It returns the memory that was charged for the body, which the
+// caller has to release.
+func (c codec) readBody(body any) (charged int64, err error) {
+	c.reader.begin(c.reader.limits.MaxMessageBytes)
+	err = guard.Decode(func() error {
 		if body == nil {
-			return c.decoder.Skip()
+			return c.reader.skip()
 		}
 		return c.decoder.Decode(body)
 	})
+	if err != nil && c.reader.failed == nil {
+		c.reader.failed = err
+	}
+	if c.reader.cost > keepBufferBytes {
+		c.dropBuffer()
+	}
+	return c.reader.end(), err
 }
 
+// dropBuffer drops the decoder's buffer, which has the size of the largest message so far.
+func (c codec) dropBuffer() { *c.decoder = *newDecoder(c.reader) }
+
 // readHeader decodes a header.
 func (c codec) readHeader(header any) error {
-	return guard.Decode(func() error { return c.decoder.Decode(header) })
+	c.reader.begin(maxHeaderBytes)
+	err := guard.Decode(func() error { return c.decoder.Decode(header) })
+	c.reader.limits.release(c.reader.end())
+	return err
 }
 
 // Close closes the connection.
@@ -76,9 +93,12 @@
 }
 
 // NewClient returns a client that sends its calls over a connection.
-func NewClient(conn io.ReadWriteCloser) *Client {
+func NewClient(conn io.ReadWriteCloser) *Client { return NewClientWithLimits(conn, Limits{}) }
+
+// NewClientWithLimits is NewClient with limits for the responses.
+func NewClientWithLimits(conn io.ReadWriteCloser, limits Limits) *Client {
 	c := &Client{}
-	c.Client = rpc.NewClientWithCodec(clientCodec{newCodec(conn), &c.ended})
+	c.Client = rpc.NewClientWithCodec(clientCodec{newCodec(conn, limits), &c.ended})
 	return c
 }
 
@@ -100,12 +120,25 @@
 	return nil
 }
 
-func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
+func (c clientCodec) ReadResponseBody(body any) error {
+	charged, err := c.readBody(body)
+	c.reader.limits.release(charged) // the session that gets the answer is charged with it
+	return err
+}
 
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct {
 	codec
 	counter *CallCounter
+	calls   *runningCalls
+}
+
+// runningCalls are the calls of one connection whose responses have not been sent.
+type runningCalls struct {
+	places  chan struct{} // one element for each call
+	lastSeq uint64        // of the last header; used by the goroutine that reads
+	mu      sync.Mutex
+	charged map[uint64]int64 // memory of large calls by sequence number
 }
 
 // CallCounter counts the calls of one method that have been read and whose responses have not been sent yet. Connections may
@@ -126,7 +159,19 @@
 
 // Serve serves the calls that arrive on a connection until the connection is closed.
 func Serve(server *rpc.Server, conn io.ReadWriteCloser, counter *CallCounter) {
-	server.ServeCodec(serverCodec{newCodec(conn), counter})
+	ServeWithLimits(server, conn, counter, Limits{})
+}
+
+// ServeWithLimits is Serve with limits for the calls and their responses. It reads no more calls while as many as allowed wait
+// for their responses.
+func ServeWithLimits(server *rpc.Server, conn io.ReadWriteCloser, counter *CallCounter, limits Limits) {
+	server.ServeCodec(newServerCodec(conn, counter, limits))
+}
+
+func newServerCodec(conn io.ReadWriteCloser, counter *CallCounter, limits Limits) serverCodec {
+	c := newCodec(conn, limits)
+	return serverCodec{c, counter, &runningCalls{places: make(chan struct{}, c.reader.limits.MaxCalls),
+		charged: map[uint64]int64{}}}
 }
 
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
@@ -134,16 +179,51 @@
 	if err := c.readHeader(&h); err != nil {
 		return err
 	}
+	c.calls.places <- struct{}{} // WriteResponse makes room
 	r.ServiceMethod, r.Seq = h.Method, h.Sequence
+	c.calls.lastSeq = h.Sequence
 	c.counter.add(r.ServiceMethod, 1) // net/rpc answers each request whose header it has read
 	return nil
 }
 
-func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+func (c serverCodec) ReadRequestBody(body any) error {
+	client := c.reader.limits.Client
+	client.BodyBegan()
+	charged, err := c.readBody(body)
+	client.BodyEnded()
+	if charged > 0 {
+		c.calls.mu.Lock()
+		c.calls.charged[c.calls.lastSeq] += charged
+		c.calls.mu.Unlock()
+	}
+	if err == nil && body != nil && client != nil && !client.Known() {
+		client.AwaitsMessage()
+		client.SetInTxn(true) // statements of other sessions are lost with it
+	}
+	return err
+}
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	defer c.counter.add(r.ServiceMethod, -1)
-	return c.writeMessage(responseHeader{r.ServiceMethod, r.Seq, r.Error}, body)
+	limits := c.reader.limits
+	known := limits.Client.Known()
+	if known {
+		limits.Client.ResponseBegan(0)
+	}
+	err := c.writeMessage(responseHeader{r.ServiceMethod, r.Seq, r.Error}, body)
+	if known {
+		limits.Client.ResponseEnded(0)
+	}
+	c.calls.mu.Lock()
+	charged := c.calls.charged[r.Seq]
+	delete(c.calls.charged, r.Seq)
+	c.calls.mu.Unlock()
+	limits.release(charged)
+	if limits.Sent != nil {
+		limits.Sent(body)
+	}
+	c.counter.add(r.ServiceMethod, -1)
+	<-c.calls.places
+	return err
 }
 
 // requestHeader precedes the arguments of a call. It is encoded as an array, so the order of its fields is the wire format.
--- a/rpccodec/rpccodec_test.go
+++ b/rpccodec/rpccodec_test.go
@@ -73,7 +73,7 @@
 		t.Fatal(err)
 	}
 	go Serve(server, far, counter)
-	c := clientCodec{codec: newCodec(near), ended: new(atomic.Bool)}
+	c := clientCodec{codec: newCodec(near, Limits{}), ended: new(atomic.Bool)}
 	for n, method := range []string{"Gate.Wait", "Gate.Wait", "Gate.Unknown"} {
 		if err := c.WriteRequest(&rpc.Request{ServiceMethod: method, Seq: uint64(n)}, struct{}{}); err != nil {
 			t.Fatal(err)
