Limits for clients documented; the reserve of descriptors follows the links of other hosts

Cause: a fixed reserve of a quarter left 3,225 callers on the smallest host.

Change: 300 descriptors are reserved there, and 2 more for each link beyond what that covers. A connection counts with 12 KiB. Decompressed changes are bounded to 16 MiB, and the sets that are kept to 16.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -14,8 +14,8 @@
 	// 1 KB; a connection itself counts with ConnectionBytes.
 	OrdinaryBytes = 64 << 10
 	// ConnectionBytes is the memory of a connection without messages: two buffers of 2 KiB, a goroutine and the session.
-	// 1,000 idle sessions took 21 MB more than none.
-	ConnectionBytes = 20 << 10
+	// 3,990 idle sessions took 65 MB of resident memory, which includes the headroom of the garbage collector.
+	ConnectionBytes = 12 << 10
 	// stalledAfter is the time after which a client that has begun a message makes room for a new one when all places are
 	// taken. A message of 1 MiB takes a second at 10 Mbit/s.
 	stalledAfter = 2 * time.Second
@@ -23,33 +23,40 @@
 	idleAfter = 10 * time.Second
 )
 
-// heldFraction is the fraction of a host's memory that clients may hold. The Go runtime gets 0.7 of it, of which the process
-// needs 25 MB (60 MB in fleets of 200 hosts) by itself, and the runtime returns memory late: 0.3 leaves 49 MB of 184 MB to the
-// process and to memory that was released and not collected yet.
+// heldFraction is the fraction of a host's memory that clients may hold. The soft limit of the Go runtime is 0.7 of it, of which
+// the process needs 25 MB (60 MB in fleets of 200 hosts) by itself, and the runtime returns memory late. Of 184 MB, 0.3 leaves
+// 74 MB below that limit to the process and to memory that was released and not collected yet, and 4,000 idle sessions fit.
 const heldFraction = 0.3
 
 // HeldBytes returns the number of bytes that all clients of a host with the given memory may hold together. 0 stands for no limit.
 func HeldBytes(memory int64) int64 { return int64(float64(memory) * heldFraction) }
 
 const (
-	// reservedFilesDivisor is the part of the descriptors that is reserved for targets, other hosts, the store and files.
+	// reservedFilesDivisor, minReservedFiles and maxReservedFiles determine the descriptors that are reserved for targets, other
+	// hosts, the store and files: a part of all, but no more than a host needs that sees few other hosts. The smallest host
+	// has 4,300 descriptors, of which 200 are for files, and then keeps 4,000 callers.
 	reservedFilesDivisor = 4
-	// minReservedFiles is the smallest reserve that leaves room for a few targets and hosts.
-	minReservedFiles = 64
-	// linksDivisor, applied twice, is the part of the reserve for connections that other hosts have opened.
-	linksNumerator, linksDivisor = 3, 5
+	minReservedFiles     = 64
+	maxReservedFiles     = 300
+	// filesPerLink is the number of descriptors for each link of another host: to most of these hosts there is one, too.
+	filesPerLink = 2
+	// linksDivisor is the part of the descriptors that links of other hosts may take: 1,075 on the smallest host. In a fleet
+	// of 300 hosts a leader has up to 600.
+	linksDivisor = 4
 )
 
-// Places returns how many callers and how many links of other hosts a host with the given number of descriptors accepts at
-// once. 0 descriptors stand for no limit, as do the results of 0. A reserve of 0 stands for the default.
-func Places(files, reserve int) (callers, links int) {
+// Places returns how many callers and how many links of other hosts a host with the given number of descriptors accepts at once,
+// while it has the given number of links. The more links it has, the fewer callers it accepts. 0 descriptors stand for no limit,
+// as do results of 0. A reserve of 0 stands for the default.
+func Places(files, reserve, links int) (maxCallers, maxLinks int) {
 	if files <= 0 {
 		return 0, 0
 	}
 	if reserve <= 0 {
-		reserve = max(minReservedFiles, files/reservedFilesDivisor)
+		reserve = max(minReservedFiles, min(files/reservedFilesDivisor, maxReservedFiles))
 	}
-	return max(1, files-reserve), max(1, reserve*linksNumerator/linksDivisor)
+	needed := max(reserve, reserve*2/3+filesPerLink*links)
+	return max(1, files-needed), max(1, files/linksDivisor)
 }
 
 // Phase is what a client's connection waits for.
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -74,12 +74,14 @@
 
 // Guards against places that leave no descriptors for targets and hosts on the smallest host, or none for callers.
 func TestPlaces(t *testing.T) {
-	for _, test := range []struct{ files, reserve, callers, links int }{
-		{0, 0, 0, 0}, {4300, 0, 3225, 645}, {4300, 300, 4000, 180}, {200, 0, 136, 38}, {10, 0, 1, 38},
+	for _, test := range []struct{ files, reserve, links, callers, maxLinks int }{
+		{0, 0, 100, 0, 0}, {4300, 0, 0, 4000, 1075}, {4300, 0, 50, 4000, 1075}, {4300, 0, 150, 3800, 1075},
+		{4300, 0, 600, 2900, 1075}, {4300, 800, 0, 3500, 1075}, {200, 0, 0, 136, 50}, {10, 0, 0, 1, 2},
 	} {
-		if callers, links := Places(test.files, test.reserve); callers != test.callers || links != test.links {
-			t.Errorf("%d files, reserve %d: %d callers and %d links, want %d and %d", test.files, test.reserve, callers, links,
-				test.callers, test.links)
+		callers, links := Places(test.files, test.reserve, test.links)
+		if callers != test.callers || links != test.maxLinks {
+			t.Errorf("%d files, reserve %d, %d links: %d callers and %d links, want %d and %d", test.files, test.reserve, test.links,
+				callers, links, test.callers, test.maxLinks)
 		}
 	}
 }
--- a/clientlimit/registry.go
+++ b/clientlimit/registry.go
@@ -30,9 +30,16 @@
 
 // Limits are the limits of all clients of a process. 0 stands for no limit.
 type Limits struct {
-	HeldBytes int64  // bytes that all clients hold together
-	Places    [2]int // clients at once, by Kind
-	Times     budget.Times
+	HeldBytes    int64 // bytes that all clients hold together
+	Files        int   // descriptors of the process
+	ReserveFiles int   // descriptors that are not for clients; 0: default
+	Times        budget.Times
+}
+
+// Places returns how many callers and links of other hosts are accepted at once while there are the given number of links. 0
+// stands for no limit.
+func (l Limits) Places(links int) (callers, maxLinks int) {
+	return budget.Places(l.Files, l.ReserveFiles, links)
 }
 
 // Causes of a refusal or a close, which are also labels of the metric.
@@ -137,18 +144,14 @@
 	c.setPhase(budget.Unknown)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if limit := r.limits.Places[kind]; limit > 0 && len(r.clients[kind]) >= limit {
-		list, states := r.snapshot(r.clients[kind])
-		i := budget.Replace(states)
-		if i < 0 {
-			r.report(kind, causePlaces, conn, "client: refused")
-			return nil, false
-		}
-		list[i].close(causePlaces)
-		// The descriptor is closed already, so the place can be used before the goroutine of the client has ended.
-		delete(r.clients[kind], list[i])
+	if r.full(kind) && !r.replace(kind) {
+		r.report(kind, causePlaces, conn, "client: refused")
+		return nil, false
 	}
 	r.clients[kind][c] = struct{}{}
+	if kind == Link && r.full(Caller) {
+		_ = r.replace(Caller) // if all callers are in use, the reserve has to do
+	}
 	c.held.Store(budget.ConnectionBytes)
 	if r.held.Add(budget.ConnectionBytes) > r.limits.HeldBytes && r.limits.HeldBytes > 0 {
 		r.shed(c)
@@ -156,6 +159,28 @@
 	return c, true
 }
 
+// full reports whether all places for clients of a kind are taken. The caller holds r.mu.
+func (r *Registry) full(kind Kind) bool {
+	limit, maxLinks := r.limits.Places(len(r.clients[Link]))
+	if kind == Link {
+		limit = maxLinks
+	}
+	return limit > 0 && len(r.clients[kind]) >= limit
+}
+
+// replace closes the client that uses its place least, and reports whether there was one. The caller holds r.mu.
+func (r *Registry) replace(kind Kind) bool {
+	list, states := r.snapshot(r.clients[kind])
+	i := budget.Replace(states)
+	if i < 0 {
+		return false
+	}
+	list[i].close(causePlaces)
+	// The descriptor is closed already, so the place can be used before the goroutine of the client has ended.
+	delete(r.clients[kind], list[i])
+	return true
+}
+
 // snapshot returns the clients that have not been closed, with their states. The caller holds r.mu.
 func (r *Registry) snapshot(sets ...map[*Client]struct{}) ([]*Client, []budget.Client) {
 	var list []*Client
--- a/clientlimit/registry_test.go
+++ b/clientlimit/registry_test.go
@@ -79,7 +79,7 @@
 
 // Guards against clients without a session that keep others out, and against new clients that push out sessions in use.
 func TestPlacesAreTakenFromUnknownClients(t *testing.T) {
-	r := newRegistry(Limits{Places: [2]int{2, 1}})
+	r := newRegistry(Limits{Files: 10, ReserveFiles: 8})
 	session, sessionFar := admit(t, r, Caller)
 	session.AwaitsMessage()
 	_, unknownFar := admit(t, r, Caller)
@@ -137,7 +137,7 @@
 // Guards against a counter that drifts, which would refuse everybody in the end.
 func TestCounterReturnsToZero(t *testing.T) {
 	const limit = 1 << 20
-	r := newRegistry(Limits{HeldBytes: limit, Places: [2]int{20, 20}})
+	r := newRegistry(Limits{HeldBytes: limit, Files: 60, ReserveFiles: 40})
 	var clients sync.WaitGroup
 	for i := range 40 {
 		clients.Go(func() {
--- a/fleet/bulk.go
+++ b/fleet/bulk.go
@@ -21,8 +21,10 @@
 	// fetchTimeout bounds the transfer of large changes: a megabyte takes less than a second on the narrowest link,
 	// and hundreds of hosts may fetch from the leader at the same time.
 	fetchTimeout = 4 * time.Second
-	// maxDecompressedBytes bounds the decompressed changes: every prefix with some megabytes.
-	maxDecompressedBytes = 64 << 20
+	// maxDecompressedBytes bounds the decompressed changes: every prefix with some megabytes. The smallest host has 184 MB.
+	maxDecompressedBytes = 16 << 20
+	// maxCompressedSets bounds the sets of changes that are kept. Hosts that follow each other ask for few different ones.
+	maxCompressedSets = 16
 )
 
 // bulkTransfer sends large changes to other hosts. Each set of changes is compressed once and reused for all of them.
@@ -69,6 +71,9 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
+	if len(b.compressed) >= maxCompressedSets {
+		clear(b.compressed)
+	}
 	b.compressed[wanted] = buffer.Bytes()
 	return buffer.Bytes(), nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,8 +68,8 @@
 
 	registry := prometheus.NewRegistry()
 	limits := settings.ClientLimits()
-	log.Info("client: limits", zap.Int64("held_bytes", limits.HeldBytes), zap.Int("callers", limits.Places[clientlimit.Caller]),
-		zap.Int("links", limits.Places[clientlimit.Link]))
+	callers, links := limits.Places(0)
+	log.Info("client: limits", zap.Int64("held_bytes", limits.HeldBytes), zap.Int("callers", callers), zap.Int("links", links))
 	clients := clientlimit.New(limits, log, registry)
 	server := frontend.New(model.DataCentre(settings.DataCentre),
 		platform.TargetDialer{Registry: clients, MaxResponseBytes: settings.ResponseKB << 10}, log, frontend.NewMetrics(registry))
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -100,9 +100,8 @@
 	seconds := func(value, byDefault float64) time.Duration {
 		return time.Duration(cmp.Or(value, byDefault) * float64(time.Second))
 	}
-	callers, links := budget.Places(s.MaxFiles, s.ReserveFiles)
 	return clientlimit.Limits{HeldBytes: cmp.Or(s.ClientMemoryMB<<20, budget.HeldBytes(s.MemoryMB<<20)),
-		Places: [2]int{clientlimit.Caller: callers, clientlimit.Link: links},
+		Files: s.MaxFiles, ReserveFiles: s.ReserveFiles,
 		Times: budget.Times{Start: seconds(s.SessionStartSeconds, defaultSessionStartSeconds),
 			Message:  seconds(s.MessageSeconds, defaultMessageSeconds),
 			Response: seconds(s.ResponseSeconds, defaultResponseSeconds)}}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -6,8 +6,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/waxwingspindle/waxwingspindle/clientlimit"
 )
 
 const validSettings = `[host]
@@ -96,7 +94,7 @@
 		t.Fatal(err)
 	}
 	l := s.ClientLimits()
-	if l.HeldBytes < 40<<20 || l.HeldBytes > 184<<20/2 || l.Places[clientlimit.Caller] < 3000 || l.Places[clientlimit.Link] < 600 {
+	if callers, links := l.Places(50); l.HeldBytes < 40<<20 || l.HeldBytes > 184<<20/2 || callers < 4000 || links < 600 {
 		t.Errorf("limits of the smallest host: %+v", l)
 	}
 	if l.Times.Start != 5*time.Second || l.Times.Message != 10*time.Second || l.Times.Response != 20*time.Second {
@@ -106,7 +104,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if l := s.ClientLimits(); l.HeldBytes != 0 || l.Places != [2]int{} || l.Times.Message != 2500*time.Millisecond {
+	if l := s.ClientLimits(); l.HeldBytes != 0 || l.Files != 0 || l.Times.Message != 2500*time.Millisecond {
 		t.Errorf("limits without memory_mb and max_files: %+v", l)
 	}
 }
--- a/test/hostile/harness_test.go
+++ b/test/hostile/harness_test.go
@@ -321,7 +321,7 @@
 		return err
 	}
 	_, err := io.WriteString(conn, text)
-	return err
+	return errors.Join(err, conn.SetWriteDeadline(time.Time{}))
 }
 
 // discard reads and drops what the host sends until the connection ends.
