--- a/clientlimit/registry.go
+++ b/clientlimit/registry.go
@@ -229,12 +229,10 @@
 // when that takes too long. The wait ends when the client itself, which may be nil, is closed.
 func (r *Registry) reserve(c *Client, n int64) bool {
 	for began := time.Now(); ; time.Sleep(waitInterval) {
-		held := r.held.Load()
-		if r.limits.HeldBytes <= 0 || held+n <= r.limits.HeldBytes {
+		for held := r.held.Load(); r.limits.HeldBytes <= 0 || held+n <= r.limits.HeldBytes; held = r.held.Load() {
 			if r.held.CompareAndSwap(held, held+n) {
 				return true
 			}
-			continue
 		}
 		waited := time.Since(began)
 		if c != nil && c.closed.Load() || waited > giveUpAfter || n > r.limits.HeldBytes {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,7 +37,7 @@
 	// settingsPollInterval is the time between two checks of the settings file, which may change without a signal.
 	settingsPollInterval = time.Second
 	// The readiness check and the metrics are read by a few programs every second or less often.
-	maxHTTPConnections = 16
+	maxHTTPConnections = 32
 	httpIdleTimeout    = 30 * time.Second
 	httpWriteTimeout   = 10 * time.Second
 	maxHTTPHeaderBytes = 16 << 10
--- a/rpccodec/limits_test.go
+++ b/rpccodec/limits_test.go
@@ -4,9 +4,13 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
+	"net/rpc"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -91,3 +95,102 @@
 		t.Errorf("read %q after the nested value, error %v", next, err)
 	}
 }
+
+// Guards against messages that builds without the limits can't read: a header and a body as arrays, without a length before them.
+func TestWireFormat(t *testing.T) {
+	var sent bytes.Buffer
+	type body struct {
+		Text  string
+		Count int
+	}
+	c := clientCodec{codec: newCodec(output{&sent}, Limits{}), ended: new(atomic.Bool)}
+	if err := c.WriteRequest(&rpc.Request{ServiceMethod: "Peer.Take", Seq: 7}, body{"a", 200}); err != nil {
+		t.Fatal(err)
+	}
+	if want := "\x92\xa9Peer.Take\x07\x92\xa1a\xcc\xc8"; sent.String() != want {
+		t.Errorf("the request is %q, want %q", sent.String(), want)
+	}
+	s := newServerCodec(input{&sent}, &CallCounter{}, Limits{})
+	var r rpc.Request
+	var received body
+	if err := s.ReadRequestHeader(&r); err != nil || r.ServiceMethod != "Peer.Take" || r.Seq != 7 {
+		t.Errorf("header %+v, error %v", r, err)
+	}
+	if err := s.ReadRequestBody(&received); err != nil || received != (body{"a", 200}) {
+		t.Errorf("body %+v, error %v", received, err)
+	}
+}
+
+// output is a connection whose other end reads later.
+type output struct{ io.Writer }
+
+func (output) Read([]byte) (int, error) { return 0, io.EOF }
+func (output) Close() error             { return nil }
+
+// counting answers calls and counts them.
+type counting struct{ calls *atomic.Int64 }
+
+func (c counting) Add(struct{}, *struct{}) error {
+	c.calls.Add(1)
+	return nil
+}
+
+// Guards against calls without a bound from a host that reads no responses, and against a connection that is stuck after it reads
+// them.
+func TestUnreadResponsesBoundCalls(t *testing.T) {
+	const maxCalls, sent = 8, 50
+	near, far := net.Pipe()
+	defer near.Close()
+	server, calls := rpc.NewServer(), new(atomic.Int64)
+	if err := server.RegisterName("Counter", counting{calls}); err != nil {
+		t.Fatal(err)
+	}
+	go ServeWithLimits(server, far, &CallCounter{}, Limits{MaxCalls: maxCalls})
+	go func() { // ends with the connection
+		_, _ = io.WriteString(near, strings.Repeat("\x92\xabCounter.Add\x01\x90", sent))
+	}()
+	time.Sleep(100 * time.Millisecond)
+	if n := calls.Load(); n > maxCalls {
+		t.Errorf("%d calls run without a response that was read, allowed are %d", n, maxCalls)
+	}
+	go func() { _, _ = io.Copy(io.Discard, near) }()
+	for deadline := time.Now().Add(10 * time.Second); calls.Load() < sent; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d calls were run after the responses were read", calls.Load(), sent)
+		}
+	}
+}
+
+// Guards against limits that a statement of 1 MiB with 2 MiB of session state, or a response with 4 MiB of rows, exceeds.
+func TestLargeMessagesInsideLimits(t *testing.T) {
+	type request struct {
+		Text      string
+		Variables map[string]string
+	}
+	variables := map[string]string{"large": strings.Repeat("x", 1<<20)}
+	for i := range 900 {
+		variables[strings.Repeat("n", 1+i)] = strings.Repeat("x", 500)
+	}
+	for name, message := range map[string]any{
+		"statement":  request{strings.Repeat("x", 1<<20), variables},
+		"one row":    []string{strings.Repeat("x", 4<<20-100)},
+		"short rows": make([]string, 4<<20/32),
+	} {
+		var text bytes.Buffer
+		e := msgpack.NewEncoder(&text)
+		e.UseArrayEncodedStructs(true)
+		if err := e.Encode(message); err != nil {
+			t.Fatal(err)
+		}
+		c := newCodec(input{&text}, Limits{})
+		var err error
+		if _, isRequest := message.(request); isRequest {
+			_, err = c.readBody(new(request))
+		} else {
+			_, err = c.readBody(new([]string))
+		}
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/rpccodec/rpccodec.go
+++ b/rpccodec/rpccodec.go
@@ -196,8 +196,10 @@
 		c.calls.charged[c.calls.lastSeq] += charged
 		c.calls.mu.Unlock()
 	}
-	if err == nil && body != nil && client != nil && !client.Known() {
+	if err == nil && client != nil && !client.Known() {
 		client.AwaitsMessage()
+	}
+	if err == nil && body != nil {
 		client.SetInTxn(true) // statements of other sessions are lost with it
 	}
 	return err
