--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/clientlimit"
 	"github.com/waxwingspindle/waxwingspindle/evacuation"
 	"github.com/waxwingspindle/waxwingspindle/frontend"
 	"github.com/waxwingspindle/waxwingspindle/guard"
@@ -111,6 +112,9 @@
 	// the leader for all together. They also do so where statements are assigned by target, unless NoPoolTokens is set.
 	PoolTokens, NoPoolTokens bool
 	Log                      *zap.Logger
+
+	Registry   *clientlimit.Registry // counts what other hosts hold; may be nil
+	LinkLimits rpccodec.Limits       // of connections between hosts; the accounts are set by the agent
 }
 
 // Agent runs the control plane of one host.
@@ -200,6 +204,10 @@
 		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
 		unconfirmed: map[model.Service]uint64{}}
+	for _, clients := range []*peerClients{a.controlClients, a.statementClients, a.bulkTransfer.clients} {
+		clients.limits = c.LinkLimits
+		clients.limits.Registry = c.Registry
+	}
 	a.view.Store(a.newClusterView())
 	a.leaderUnreachable.Store(true)
 	a.follower(a.configurationPrefix(), (*control).applyOperatorKeys)
