Metrics of bytes between hosts by method and crossing, and of the targets of a gateway host

Bytes between data centres were known in sum only. The memory of forwarded answers is also counted where the target was selected by the caller's host.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -103,6 +103,7 @@
 	Server   *frontend.Server
 	Seeds    []string // addresses of the hosts to sync with at startup
 	IsSeed   bool     // this host is listed as a seed by other hosts
+	Metrics  *Metrics // may be nil
 	// LoadControl is set if the deployment asks for decisions under load. They are also used where statements are assigned by
 	// target, unless NoLoadControl is set.
 	LoadControl, NoLoadControl bool
@@ -207,6 +208,7 @@
 	for _, clients := range []*peerClients{a.controlClients, a.statementClients, a.bulkTransfer.clients} {
 		clients.limits = c.LinkLimits
 		clients.limits.Registry = c.Registry
+		clients.counter = a.countSent
 	}
 	a.view.Store(a.newClusterView())
 	a.leaderUnreachable.Store(true)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -65,6 +65,8 @@
 	clients  map[string]*rpccodec.Client
 	lastUsed map[string]time.Time // of the clients
 	limits   rpccodec.Limits      // of the responses
+	// counter returns the function that counts the bytes sent to an address; may be nil.
+	counter func(address string) func(method string, size int)
 }
 
 func newPeerClients() *peerClients {
@@ -186,7 +188,11 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return rpccodec.NewClientWithLimits(conn, p.limits), nil
+	limits := p.limits
+	if p.counter != nil {
+		limits.Written = p.counter(address)
+	}
+	return rpccodec.NewClientWithLimits(conn, limits), nil
 }
 
 // reconnect replaces the connection to a host by a new one that has answered a ping. Calls pending on the old
@@ -276,6 +282,7 @@
 			defer link.Leave()
 			limits := a.LinkLimits
 			limits.Client, limits.Sent = link, a.releaseReply
+			limits.Written = a.countSent(conn.RemoteAddr().String())
 			rpccodec.ServeWithLimits(server, conn, &a.forwardCounter, limits)
 		}()
 	}
@@ -286,8 +293,11 @@
 
 // releaseReply releases what holdReply counted, after the response has been sent or lost.
 func (a *Agent) releaseReply(body any) {
-	if reply, ok := body.(*frontend.ForwardReply); ok {
+	switch reply := body.(type) {
+	case *frontend.ForwardReply:
 		a.Registry.Release(reply.Answer.HeldBytes())
+	case *RunOnReply:
+		a.Registry.Release(reply.Reply.Answer.HeldBytes())
 	}
 }
 
--- a/fleet/plans.go
+++ b/fleet/plans.go
@@ -36,6 +36,7 @@
 		c.view.plans, c.view.targetPlan = c.view.computePlans(), placement.TargetPlan{}
 	}
 	c.planInputs = inputs
+	c.updateGateways()
 	ended := boottime.Now()
 	c.nextPlanTime = ended.Add(planPauseFactor * ended.Sub(started))
 }
--- a/fleet/positions.go
+++ b/fleet/positions.go
@@ -116,6 +116,7 @@
 func (p *Peer) RunOn(r RunOnRequest, reply *RunOnReply) (err error) {
 	r.Request.Target = r.Target
 	reply.Reply, err = p.agent.Server.RunForwarded(r.Request)
+	p.agent.holdReply(&reply.Reply)
 	reply.Elsewhere, reply.Load = reply.Reply.Elsewhere, newTargetLoad(reply.Reply.Load)
 	return err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,7 @@
 			Configuration: platform.ParseConfiguration, Target: platform.ParseTarget},
 		Prober: platform.NewProber(), Promoter: platform.NewPromoter(settings.PromotionAPI, self.ID), Server: server,
 		Log: log, Seeds: settings.OtherSeeds(), IsSeed: settings.IsSeed(), Registry: clients,
+		Metrics:     fleet.NewMetrics(registry),
 		LinkLimits:  rpccodec.Limits{MaxMessageBytes: settings.HostMessageKB << 10, MaxCalls: settings.HostCalls},
 		LoadControl: settings.LoadControlEnabled(), NoLoadControl: settings.LoadControl == "off",
 		PoolTokens: settings.PoolTokens == "on", NoPoolTokens: settings.PoolTokens == "off",
--- a/rpccodec/limits.go
+++ b/rpccodec/limits.go
@@ -49,6 +49,8 @@
 	MaxMessageBytes int64                 // memory of one decoded message; 0: DefaultMaxMessageBytes
 	MaxCalls        int                   // calls that wait for their responses; 0: DefaultMaxCalls
 	Sent            func(body any)        // called after a response has been sent or lost; may be nil
+	// Written is called after a message of a method was written, with its size in bytes; may be nil.
+	Written func(method string, size int)
 }
 
 func (l Limits) withDefaults() Limits {
--- a/rpccodec/rpccodec.go
+++ b/rpccodec/rpccodec.go
@@ -22,6 +22,7 @@
 // methods from a single goroutine.
 type codec struct {
 	conn    io.ReadWriteCloser
+	written *countingWriter
 	writer  *bufio.Writer
 	encoder *msgpack.Encoder
 	reader  *messageReader
@@ -30,23 +31,43 @@
 
 // newCodec returns a codec that encodes structs as arrays, without field names.
 func newCodec(conn io.ReadWriteCloser, limits Limits) codec {
-	writer := bufio.NewWriterSize(conn, bufferBytes)
+	written := &countingWriter{Writer: conn}
+	writer := bufio.NewWriterSize(written, bufferBytes)
 	reader := &messageReader{Reader: bufio.NewReaderSize(conn, bufferBytes), limits: limits.withDefaults()}
-	c := codec{conn: conn, writer: writer, encoder: msgpack.NewEncoder(writer), reader: reader, decoder: newDecoder(reader)}
+	c := codec{conn: conn, written: written, writer: writer, encoder: msgpack.NewEncoder(writer), reader: reader, decoder: newDecoder(reader)}
 	c.encoder.UseArrayEncodedStructs(true)
 	c.encoder.UseCompactInts(true)
 	c.encoder.UseCompactFloats(true) // whole numbers as integers; earlier versions decode both
 	return c
 }
 
-func (c codec) writeMessage(header, body any) error {
+// countingWriter counts the bytes that are written.
+type countingWriter struct {
+	io.Writer
+	bytes int
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.bytes += n
+	return n, err
+}
+
+// writeMessage writes a message of a method.
+func (c codec) writeMessage(method string, header, body any) error {
+	c.written.bytes = 0
 	if err := c.encoder.Encode(header); err != nil {
 		return err
 	}
 	if err := c.encoder.Encode(body); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	err := c.writer.Flush()
+	if c.reader.limits.Written != nil {
+		c.reader.limits.Written(method, c.written.bytes)
+	}
+	return err
 }
 
 // readBody decodes a body, or skips it if the argument is nil. It returns the memory that was charged for the body, which the
@@ -109,7 +130,7 @@
 func (c *Client) Ended() bool { return c.ended.Load() }
 
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	return c.writeMessage(requestHeader{r.ServiceMethod, r.Seq}, body)
+	return c.writeMessage(r.ServiceMethod, requestHeader{r.ServiceMethod, r.Seq}, body)
 }
 
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
@@ -213,7 +234,7 @@
 	if known {
 		limits.Client.ResponseBegan(0)
 	}
-	err := c.writeMessage(responseHeader{"", r.Seq, r.Error}, body) // net/rpc finds the call by its sequence number
+	err := c.writeMessage(r.ServiceMethod, responseHeader{"", r.Seq, r.Error}, body) // net/rpc finds the call by its sequence number
 	if known {
 		limits.Client.ResponseEnded(0)
 	}
