--- a/fleet/exchange_test.go
+++ b/fleet/exchange_test.go
@@ -170,6 +170,7 @@
 	if !relayed(5) {
 		t.Error("the first state is not relayed")
 	}
+	f.relayedAt = boottime.Now().Add(time.Hour) // the delay does not pass, also on a busy machine
 	f.applyEvents(t.Context(), []metastore.Event{{Item: item(hostPrefix+"a", 11)}}, 11)
 	if relayed(10) {
 		t.Error("a registration is relayed at once")
@@ -178,6 +179,7 @@
 	if !relayed(10) {
 		t.Error("a registration is not relayed after the delay")
 	}
+	f.relayedAt = boottime.Now().Add(time.Hour)
 	f.applyEvents(t.Context(), []metastore.Event{{Item: item(hostPrefix+"b", 12)}}, 12)
 	f.applyEvents(t.Context(), []metastore.Event{{Item: item(primaryPrefix+"s", 13)}}, 13)
 	if !relayed(11) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -188,8 +188,8 @@
 		homes:          homeSelector{outstanding: map[model.HostID]int{}, avoidUntil: map[model.HostID]time.Time{}},
 		events:         make(chan func(*control), eventQueueLength),
 		reachability:   reachability{timeout: pingTimeout, hosts: map[model.HostID]*hostProbe{}},
-		forwardCounter: rpccodec.CallCounter{Method: runMethod},
-		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
+		forwardCounter: rpccodec.CallCounter{Method: runMethod}, tokenPool: tokenPool{timeout: poolTimeout},
+		successions: make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
 		unconfirmed: map[model.Service]uint64{}}
 	a.view.Store(newClusterView())
--- a/fleet/tokenpool.go
+++ b/fleet/tokenpool.go
@@ -48,6 +48,8 @@
 
 // tokenPool is the pool of tokens for the hosts of this data centre.
 type tokenPool struct {
+	timeout time.Duration // of a request to another host's pool
+
 	mu     sync.Mutex
 	pool   *share.Pool
 	broker heartbeat.Process     // that has granted its tokens
@@ -128,7 +130,7 @@
 		if a.tokenPool.available(h.ID) {
 			reply := new(TokenReply)
 			_, err := a.controlClients.callKeepConn(h, "Peer.TakePooled", PoolTokenRequest{leader.ID, leader.Incarnation,
-				request.Workspace, request.Tokens}, reply, poolTimeout)
+				request.Workspace, request.Tokens}, reply, a.tokenPool.timeout)
 			if err == nil {
 				return *reply, nil
 			}
