--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -147,7 +147,8 @@
 }
 
 // applySyncResult applies the reply to a report sent at the given time. Large changes are fetched separately.
-func (a *Agent) applySyncResult(ctx context.Context, from Host, sent time.Time, since map[string]uint64, result syncResult) {
+func (a *Agent) applySyncResult(ctx context.Context, from Host, sent time.Time, since map[string]uint64,
+	result syncResult) {
 	if result.legacy != nil {
 		a.applySyncReply(ctx, from, sent, since, *result.legacy)
 		return
--- a/fleet/publish.go
+++ b/fleet/publish.go
@@ -20,7 +20,8 @@
 // pendingChanges records which parts of the view have changed since it was published.
 type pendingChanges struct {
 	hosts, targets, documents bool
-	due                       <-chan time.Time // fires when the changes have to be published; nil if there are none to wait for
+	// due fires when the changes have to be published. It is nil if there are none to wait for.
+	due <-chan time.Time
 }
 
 // passedOn is what the control goroutine has passed on to the server. Only differences are passed on.
--- a/fleet/publish_test.go
+++ b/fleet/publish_test.go
@@ -69,7 +69,8 @@
 	if got := len(h.view.Load().hosts); got != 11 {
 		t.Errorf("%d hosts are published before the delay", got)
 	}
-	leader := metastore.Item{Key: leaderKey, Value: mustEncode(Leader{Host: scaledHost(0).ID}), Revision: firstHostRevision + 50}
+	leader := metastore.Item{Key: leaderKey, Value: mustEncode(Leader{Host: scaledHost(0).ID}),
+		Revision: firstHostRevision + 50}
 	h.followers[controlPrefix].applyEvents(t.Context(), []metastore.Event{{Item: leader}}, leader.Revision)
 	h.drain()
 	if v := h.view.Load(); v.leader == nil || len(v.hosts) != 20 {
@@ -78,7 +79,8 @@
 	h.register(t, s.registrations[20:25])
 	configuration := metastore.Item{Key: platform.ConfigurationKey, Value: s.encodeConfiguration(7),
 		Revision: firstHostRevision + 60}
-	h.followers[platform.ConfigurationKey].applyEvents(t.Context(), []metastore.Event{{Item: configuration}}, configuration.Revision)
+	h.followers[platform.ConfigurationKey].applyEvents(t.Context(), []metastore.Event{{Item: configuration}},
+		configuration.Revision)
 	h.drain()
 	if v := h.view.Load(); v.catalog.Version != 7 {
 		t.Errorf("configuration %d is published", v.catalog.Version)
--- a/fleet/scale_test.go
+++ b/fleet/scale_test.go
@@ -73,8 +73,9 @@
 func serviceName(i int) string { return fmt.Sprintf("service-%02d", i) }
 
 func scaledHost(i int) Host {
-	h := Host{ID: model.HostID(fmt.Sprintf("node-%d-%04d", i%4, i)), Incarnation: model.Incarnation(1_790_000_000_000_000_000 + i),
-		Address: fmt.Sprintf("10.%d.%d.%d:7411", i%4, i/250, i%250), DataCentre: model.DataCentre(fmt.Sprintf("zone-%d", i%4)),
+	h := Host{ID: model.HostID(fmt.Sprintf("node-%d-%04d", i%4, i)),
+		Incarnation: model.Incarnation(1_790_000_000_000_000_000 + i),
+		Address:     fmt.Sprintf("10.%d.%d.%d:7411", i%4, i/250, i%250), DataCentre: model.DataCentre(fmt.Sprintf("zone-%d", i%4)),
 		LinkMbps: 10, Cores: 0.192}
 	if i%12 == 0 {
 		h.LinkMbps, h.Cores = 200, 0.8
@@ -545,7 +546,8 @@
 				seed.list(b, s, firstHostRevision+uint64(n/20))
 				hosts := make([]simulatedHost, n)
 				for i := range hosts {
-					hosts[i] = simulatedHost{Host: scaledHost(i), since: map[string]uint64{controlPrefix: uint64(firstHostRevision + i%(n/10))}}
+					listed := uint64(firstHostRevision + i%(n/10))
+					hosts[i] = simulatedHost{Host: scaledHost(i), since: map[string]uint64{controlPrefix: listed}}
 				}
 				b.StartTimer()
 				for round := range 10 { // of 50 ms
--- a/fleet/tokenpool.go
+++ b/fleet/tokenpool.go
@@ -160,7 +160,8 @@
 func (p *Peer) TakePooled(r PoolTokenRequest, reply *TokenReply) (err error) {
 	a := p.agent
 	b := a.membership.current()
-	if !a.poolsTokens() || b == nil || b.deputy || processOf(b.Host) != (heartbeat.Process{Host: r.Broker, Incarnation: r.Incarnation}) {
+	broker := heartbeat.Process{Host: r.Broker, Incarnation: r.Incarnation}
+	if !a.poolsTokens() || b == nil || b.deputy || processOf(b.Host) != broker {
 		return errNoPool
 	}
 	*reply, err = a.takeFromPool(b.Host, TokenRequest{Workspace: r.Workspace, Tokens: r.Tokens})
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -53,7 +53,8 @@
 }
 
 func layoutOf(r Report) layout {
-	l := layout{host: r.Host, prefixes: slices.Sorted(maps.Keys(r.Revisions)), services: slices.Sorted(maps.Keys(r.Observations))}
+	l := layout{host: r.Host, prefixes: slices.Sorted(maps.Keys(r.Revisions)),
+		services: slices.Sorted(maps.Keys(r.Observations))}
 	for _, service := range l.services {
 		l.epochs = append(l.epochs, r.Observations[service].Epoch)
 	}
--- a/placement/homes_test.go
+++ b/placement/homes_test.go
@@ -154,7 +154,8 @@
 func TestNextPlanEqualsNewPlan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var plan Plan
-		in := PlanInput{Service: "booking", Connections: 68, Rate: 130, Hosts: planHosts(40), Weights: map[model.Workspace]float64{}}
+		in := PlanInput{Service: "booking", Connections: 68, Rate: 130, Hosts: planHosts(40),
+			Weights: map[model.Workspace]float64{}}
 		for i := range 20 {
 			in.Weights[model.Workspace(fmt.Sprintf("w%d", i))] = float64(i % 4)
 		}
--- a/relay/patch_test.go
+++ b/relay/patch_test.go
@@ -22,7 +22,8 @@
 			end := rapid.IntRange(at, len(next)).Draw(t, "end")
 			next = append(append(bytes.Clone(next[:at]), letters.Draw(t, "inserted")...), next[end:]...)
 		}
-		from, to := metastore.Item{Key: "k", Value: old, Revision: 3}, metastore.Item{Key: "k", Value: next, Revision: 7, Lease: 5}
+		from := metastore.Item{Key: "k", Value: old, Revision: 3}
+		to := metastore.Item{Key: "k", Value: next, Revision: 7, Lease: 5}
 		got, err := NewPatch(from, to).Apply(from)
 		if err != nil || !bytes.Equal(got.Value, next) || got.Revision != 7 || got.Lease != 5 || got.Key != "k" {
 			t.Fatalf("%q became %q (%v), want %q", old, got.Value, err, next)
