--- a/fleet/scale_test.go
+++ b/fleet/scale_test.go
@@ -75,8 +75,9 @@
 func scaledHost(i int) Host {
 	h := Host{ID: model.HostID(fmt.Sprintf("node-%d-%04d", i%4, i)),
 		Incarnation: model.Incarnation(1_790_000_000_000_000_000 + i),
-		Address:     fmt.Sprintf("10.%d.%d.%d:7411", i%4, i/250, i%250), DataCentre: model.DataCentre(fmt.Sprintf("zone-%d", i%4)),
-		LinkMbps: 10, Cores: 0.192}
+		Address:     fmt.Sprintf("10.%d.%d.%d:7411", i%4, i/250, i%250),
+		DataCentre:  model.DataCentre(fmt.Sprintf("zone-%d", i%4)),
+		LinkMbps:    10, Cores: 0.192}
 	if i%12 == 0 {
 		h.LinkMbps, h.Cores = 200, 0.8
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,7 +15,8 @@
 func TestEncodedChangesKeepTheirValues(t *testing.T) {
 	for _, size := range []int{0, 10, 1000, 1 << 20} {
 		want := Delta{Since: 3, Revision: 9, Removed: []string{"b"}, Keys: []string{"a", "c"}, AllKeys: true,
-			Patches: []Patch{{Item: metastore.Item{Key: "d", Revision: 9}, From: 4, Checksum: 1 << 63, Edits: []byte("edits")}}, Items: []metastore.Item{
+			Patches: []Patch{{Item: metastore.Item{Key: "d", Revision: 9}, From: 4, Checksum: 1 << 63, Edits: []byte("edits")}},
+			Items: []metastore.Item{
 				{Key: "a", Value: bytes.Repeat([]byte("x"), size), Revision: 8, Created: 2, Lease: 77}}}
 		encoded, err := Encode(want)
 		if err != nil {
