--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -196,13 +196,16 @@
 
 // Limit returns the number of statements that may run on the target at once: from 1 to one more than the slots.
 func (l *Limiter) Limit() int {
-	limit := int(l.limit)
 	if l.probe != nil {
-		limit = l.probe.limit
+		return max(1, l.probe.limit)
 	}
-	return max(1, limit)
+	return l.Learned()
 }
 
+// Learned returns the limit without its reduction during a measurement of the base, which takes half a second at most. It
+// is what metrics, logs and other hosts show.
+func (l *Limiter) Learned() int { return max(1, int(l.limit)) }
+
 // Running returns the number of commands that were started and have not finished.
 func (l *Limiter) Running() int { return l.running }
 
@@ -213,6 +216,9 @@
 // Start records that a command was sent to the target.
 func (l *Limiter) Start(now time.Time) {
 	l.running++
+	if l.probe != nil && !now.Before(l.probe.until) {
+		l.endProbe(now) // no statement has ended since
+	}
 	if l.coldUntil.After(now) {
 		l.limit = min(l.limit, max(1, float64(l.slots/2)))
 	}
@@ -285,9 +291,14 @@
 		p.sum += x
 		p.count++
 	}
-	if p.count < baseProbeSamples && now.Before(p.until) {
-		return
+	if p.count >= baseProbeSamples || !now.Before(p.until) {
+		l.endProbe(now)
 	}
+}
+
+// endProbe ends the measurement of the base and returns to the earlier limit.
+func (l *Limiter) endProbe(now time.Time) {
+	p := l.probe
 	if p.count > 0 {
 		weight := float64(p.count) / float64(p.count+baseProbeSamples/4)
 		l.base += weight * (p.sum/float64(p.count) - l.base)
@@ -386,7 +397,7 @@
 		return
 	}
 	l.busyAt = now
-	limit := l.Limit()
+	limit := l.Learned()
 	l.decrease, l.probe = nil, nil
 	if limit == 1 {
 		return
--- a/concurrency/concurrency_test.go
+++ b/concurrency/concurrency_test.go
@@ -117,3 +117,87 @@
 		_ = l.Slowdown()
 	}
 }
+
+// saturate runs statements of the same time, always as many as the limit allows, until the given time.
+func saturate(l *Limiter, from, until time.Time, took time.Duration) {
+	now := from
+	for now.Before(until) {
+		for l.Running() < l.Limit() {
+			l.Start(now)
+		}
+		now = now.Add(took / time.Duration(l.Running()))
+		l.Finish(now, Sample{Class{"own", Read}, took, Done})
+	}
+}
+
+// Guards against a limit that stays at its initial value while callers wait.
+func TestLimitGrowsWithinASecond(t *testing.T) {
+	for _, slots := range []int{1, 4, 8} {
+		l := New(slots, epoch)
+		saturate(l, epoch, epoch.Add(900*time.Millisecond), 12*time.Millisecond)
+		if l.Learned() != slots+1 {
+			t.Errorf("%d slots: limit %d after 0.9 s", slots, l.Learned())
+		}
+	}
+}
+
+// Guards against a limit that stays reduced when traffic stops during a measurement of the base.
+func TestMeasurementEndsWithoutTraffic(t *testing.T) {
+	l, now := New(4, epoch), epoch
+	for end := epoch.Add(20 * time.Second); l.probe == nil && now.Before(end); now = now.Add(20 * time.Millisecond) {
+		saturate(l, now, now.Add(20*time.Millisecond), 12*time.Millisecond)
+	}
+	if l.Limit() >= l.Learned() {
+		t.Fatal("a saturated target was not measured at a reduced limit")
+	}
+	l.Start(now.Add(time.Minute))
+	if l.Limit() != l.Learned() {
+		t.Errorf("limit %d a minute after the last statement, expected %d", l.Limit(), l.Learned())
+	}
+}
+
+// Guards against a cold target that gets as many statements as a warm one, and whose slow start is learned as its speed.
+func TestColdTarget(t *testing.T) {
+	refs := NewReferences()
+	l := refs.Limiter("a", 4, epoch)
+	saturate(l, epoch, epoch.Add(time.Second), 12*time.Millisecond)
+	cold := epoch.Add(3 * time.Second)
+	l.SetCold(cold)
+	saturate(l, epoch.Add(time.Second), cold.Add(-200*time.Millisecond), 120*time.Millisecond)
+	if l.Limit() != 2 {
+		t.Errorf("limit %d of a cold target with 4 slots", l.Limit())
+	}
+	if typical := refs.Typical("a", Class{"own", Read}); typical.Round(time.Millisecond) != 12*time.Millisecond {
+		t.Errorf("typical time %v, expected 12 ms", typical)
+	}
+	saturate(l, cold, cold.Add(time.Second), 12*time.Millisecond)
+	if l.Learned() != 5 {
+		t.Errorf("limit %d one second after the target was cold", l.Learned())
+	}
+}
+
+// Guards against a limit that does not follow BUSY, and against one that stays low afterwards.
+func TestBusy(t *testing.T) {
+	l := New(4, epoch)
+	saturate(l, epoch, epoch.Add(time.Second), 12*time.Millisecond)
+	now := epoch.Add(time.Second)
+	for range 20 { // sent together
+		l.Start(now)
+		l.Finish(now, Sample{Outcome: Busy})
+	}
+	if l.Learned() != 3 {
+		t.Errorf("limit %d after statements that were refused together, expected 3", l.Learned())
+	}
+	for i := range 20 {
+		at := now.Add(time.Duration(i) * 50 * time.Millisecond)
+		l.Start(at)
+		l.Finish(at, Sample{Outcome: Busy})
+	}
+	if l.Learned() != 1 {
+		t.Errorf("limit %d after refusals for a second, expected 1", l.Learned())
+	}
+	saturate(l, now.Add(time.Second), now.Add(10*time.Second), 12*time.Millisecond)
+	if l.Learned() != 5 {
+		t.Errorf("limit %d nine seconds after the last refusal", l.Learned())
+	}
+}
--- a/frontend/learned.go
+++ b/frontend/learned.go
@@ -157,7 +157,7 @@
 	if s.learned.limits[target] != m.limit {
 		return // the target was removed or has started again
 	}
-	limit, slowdown := m.limit.Limit(), m.limit.Slowdown()
+	limit, slowdown := m.limit.Learned(), m.limit.Slowdown()
 	m.limit.limit.Set(float64(limit))
 	m.limit.slowdown.Set(slowdown)
 	change := float64(limit - m.limit.loggedLimit)
@@ -240,7 +240,7 @@
 		return balance.Load{}
 	}
 	// The queue of the pool holds the statements for all targets of the service.
-	load := balance.Load{Limit: l.Limit(), Running: l.Running(), Waiting: s.pool.QueueLength() / max(1, len(s.targets)),
+	load := balance.Load{Limit: l.Learned(), Running: l.Running(), Waiting: s.pool.QueueLength() / max(1, len(s.targets)),
 		Slowdown: l.Slowdown(), Service: s.learned.refs.Typical(id, class)}
 	each := load.Service
 	if each == 0 {
