Choice of targets takes figures and settings of any kind

A route without a latency target sent all its reads to other data centres, and a mistaken slowdown of a report could hide a target for long. Reads of such a route stay local, slowdowns are bounded, and a test ranks targets after random reports.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,8 @@
 	// recovery is seen: one statement a second from each host, and at most one in 20 of its statements.
 	exploreInterval = time.Second
 	exploreShare    = 0.05
+	// maxSlowdown bounds reported slowdowns, so that a mistaken report cannot hide a target for long.
+	maxSlowdown = 100
 	// entryTTL is the time after which a target without statements, figures and choices is forgotten.
 	entryTTL = time.Minute
 	// maxTargets bounds the targets in a tracker. The users' services have three.
@@ -118,9 +120,11 @@
 // Report records the figures of a target that its gateway host returned.
 func (t *Tracker) Report(now time.Time, target model.TargetID, load Load) {
 	e := t.entry(now, target)
-	if load.Slowdown < 1 || math.IsNaN(load.Slowdown) || math.IsInf(load.Slowdown, 0) {
+	if math.IsNaN(load.Slowdown) {
 		load.Slowdown = 1
 	}
+	load.Slowdown = min(max(1, load.Slowdown), maxSlowdown)
+	load.Running, load.Waiting = max(0, load.Running), max(0, load.Waiting)
 	load.Wait = max(0, load.Wait)
 	e.load, e.loadAt, e.sinceReport = load, now, 0
 	if load.Service > 0 {
@@ -308,6 +312,9 @@
 func stayLocal(rng *rand.Rand, list []scored, latencyTarget float64) bool {
 	for _, s := range list {
 		if s.local {
+			if latencyTarget <= 0 {
+				return true // not configured
+			}
 			// The list is sorted, so this is the best local target.
 			excess := (s.expected/latencyTarget - localShare) / (localShareEnd - localShare)
 			return excess <= 0 || excess < 1 && rng.Float64() >= excess
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -40,11 +41,16 @@
 		{"no wait", 0, 1000, 1000},
 		{"within a quarter of the latency target", 45 * time.Millisecond, 1000, 1000},
 		{"far beyond it", 500 * time.Millisecond, 0, 100},
+		{"no latency target", 500 * time.Millisecond, 1000, 1000},
 	} {
 		tracker := NewTracker()
 		tracker.Report(epoch, "local", Load{Limit: 4, Wait: test.wait, Service: 12 * time.Millisecond})
 		tracker.Report(epoch, "remote", Load{Limit: 4, Service: 12 * time.Millisecond})
-		local := firsts(tracker, epoch, 1000, candidates, 250*time.Millisecond)["local"]
+		latencyTarget := 250 * time.Millisecond
+		if test.name == "no latency target" {
+			latencyTarget = 0
+		}
+		local := firsts(tracker, epoch, 1000, candidates, latencyTarget)["local"]
 		if local < test.min || local > test.max {
 			t.Errorf("%s: %d of 1000 reads stay, expected %d to %d", test.name, local, test.min, test.max)
 		}
@@ -147,6 +153,45 @@
 	}
 }
 
+// Guards against a choice that loses, repeats or invents a target, or fails, for figures and settings of any kind.
+func TestRankingIsComplete(t *testing.T) {
+	numbers := []float64{0, 1, 5, -3, 1e300, math.NaN(), math.Inf(1), math.Inf(-1)}
+	times := []time.Duration{0, -time.Second, 1, time.Millisecond, math.MaxInt64, math.MinInt64}
+	counts := []int{0, 1, 4, -7, math.MaxInt32}
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		tracker, now := NewTracker(), epoch
+		var candidates []Candidate
+		var want []model.TargetID
+		for i := range 1 + rng.IntN(20) {
+			id := model.TargetID(fmt.Sprintf("t%02d", i))
+			candidates = append(candidates, Candidate{id, times[rng.IntN(4)], i == 0})
+			want = append(want, id)
+		}
+		for range 200 {
+			now = now.Add(time.Duration(rng.IntN(700)) * time.Millisecond)
+			target := candidates[rng.IntN(len(candidates))].Target
+			switch rng.IntN(3) {
+			case 0:
+				tracker.Report(now, target, Load{counts[rng.IntN(5)], counts[rng.IntN(5)], counts[rng.IntN(5)],
+					times[rng.IntN(6)], numbers[rng.IntN(8)], times[rng.IntN(6)]})
+			case 1:
+				tracker.Started(target)
+			case 2:
+				tracker.Finished(now, target, concurrency.Outcome(rng.IntN(4)), times[rng.IntN(6)])
+			}
+			got := tracker.Rank(now, rng, candidates, times[rng.IntN(6)])
+			slices.Sort(got)
+			if !slices.Equal(got, want) {
+				t.Fatalf("seed %d: ranking of %v, expected all of %v", seed, got, want)
+			}
+		}
+	}
+	if got := NewTracker().Rank(epoch, newRNG(), nil, time.Second); got != nil {
+		t.Errorf("ranking %v of no targets", got)
+	}
+}
+
 // Guards against memory that grows with targets that come and go.
 func TestTrackerIsBounded(t *testing.T) {
 	tracker, rng := NewTracker(), newRNG()
