--- a/frontend/learned.go
+++ b/frontend/learned.go
@@ -184,8 +184,8 @@
 	if s.learned.limits[target] != m.limit {
 		return // the target was removed or has started again
 	}
-	limit, slowdown := m.limit.Limit(), m.limit.Slowdown()
-	s.queueLimit(target).current.Store(int64(limit))
+	s.queueLimit(target).current.Store(int64(m.limit.Limit()))
+	limit, slowdown := m.limit.Learned(), m.limit.Slowdown()
 	m.limit.limit.Set(float64(limit))
 	m.limit.slowdown.Set(slowdown)
 	change := float64(limit - m.limit.loggedLimit)
