Soak: a planned stop is not recorded as a kill

Cause: the timer that kills a stopping host after drainSeconds fired as the fault ended, also for hosts that had exited, and turned the window into one of an unavailable host. Change: the timer does nothing for a process that has exited; TestPlannedStopIsNotRecordedAsKill fails without that.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -93,6 +93,9 @@
 	h.signal(syscall.SIGTERM)
 	done := h.exited()
 	killTimer := time.AfterFunc(drainSeconds*time.Second, func() {
+		if isClosed(done) {
+			return // the fault ends at the same time
+		}
 		h.signal(syscall.SIGCONT) // a frozen process does not handle SIGTERM
 		h.signal(syscall.SIGKILL)
 		sys.history.update(func() { window.PlannedStop, window.HostUnavailable = false, true })
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -34,6 +34,28 @@
 	}
 }
 
+// Guards against a planned stop that is recorded as a kill because its end and the timer of the kill coincide: the invariants of
+// planned stops were not checked then.
+func TestPlannedStopIsNotRecordedAsKill(t *testing.T) {
+	t.Parallel()
+	h := &host{cmd: exec.Command("sleep", "60"), done: make(chan struct{})}
+	if err := h.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = h.cmd.Wait() // the process is terminated, so the error is expected
+		close(h.done)
+	}()
+	sys := &system{hosts: []*host{h}, history: &History{}}
+	started, active := sys.startFault(1, Fault{Kind: HostStopped})
+	time.Sleep(drainSeconds*time.Second + 200*time.Millisecond)
+	var view View
+	sys.history.copyTo(&view)
+	if !active || !started.window.PlannedStop || !view.FaultWindows[0].PlannedStop || view.FaultWindows[0].HostUnavailable {
+		t.Errorf("windows %+v", view.FaultWindows)
+	}
+}
+
 // Guards against two faults that end at the same time and both start the host: the second process cannot listen and exits
 // (seed 504).
 func TestConcurrentRestartsStartOneProcess(t *testing.T) {
