--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -148,7 +148,7 @@
 	Here Elsewhere = iota
 	// OnPrimary means that the statement has to run on the primary, because no replica is known to be recent enough.
 	OnPrimary
-	// OnOtherTarget means that the target lags too much for the read.
+	// OnOtherTarget means that the target lags too much for the read, or has failed to run it.
 	OnOtherTarget
 	// OnOtherHost means that the host cannot use the target, or that the target gave no answer.
 	OnOtherHost
--- a/frontend/select.go
+++ b/frontend/select.go
@@ -92,10 +92,10 @@
 	switch {
 	case s.elsewhere == OnOtherHost && s.targetLoad.Limit > 0:
 		return concurrency.NoAnswer // the host that uses the target gets no connection to it, or no answer
-	case s.elsewhere == OnPrimary || s.elsewhere == OnOtherTarget || !s.mayHaveRun:
-		return concurrency.Done
 	case answer.Code == Failed || answer.Code == OtherError:
 		return concurrency.Failed
+	case s.elsewhere == OnPrimary || s.elsewhere == OnOtherTarget || !s.mayHaveRun:
+		return concurrency.Done
 	case answer.Code == InDoubt, answer.Code == Timeout:
 		return concurrency.NoAnswer
 	}
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -349,6 +349,9 @@
 			return reply.Answer
 		case !s.prepareRetry(&op, reply):
 			return reply.Answer
+		case op.target != "" && reply.Code == Failed && !op.needsPrimary():
+			s.elsewhere = OnOtherTarget // a target that fails may fail again
+			return reply.Answer
 		case op.target != "" && reply.Code == Lagging:
 			s.elsewhere = OnOtherTarget
 			return errorAnswer(Busy, reply.Code.String())
