--- a/cli/cli.go
+++ b/cli/cli.go
@@ -12,14 +12,15 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/waxwingspindle/waxwingspindle/config"
+	"github.com/waxwingspindle/waxwingspindle/configcheck"
 	genoperator "github.com/waxwingspindle/waxwingspindle/gen/operator"
 )
 
 // Exit codes.
 const (
 	ExitOK          = 0
-	ExitFailure     = 1 // any failure without a code of its own
-	ExitUsage       = 2 // invalid command line
+	ExitFailure     = 1 // any failure without a code of its own; config check has findings
+	ExitUsage       = 2 // invalid command line; config check cannot run
 	ExitInvalid     = 3 // invalid configuration or parameter
 	ExitConflict    = 4 // conflict with another change of the configuration
 	ExitUnavailable = 5 // the daemon or the store is unreachable, or the outcome of a change is unknown
@@ -44,7 +45,7 @@
 }
 
 type configGroup struct {
-	Check configCheckCommand `cmd:"" help:"Check a base file with its overlays, without a daemon."`
+	Check configCheckCommand `cmd:"" help:"Check a base file with its overlays, or a JSON document, without a daemon."`
 	Diff  configDiffCommand  `cmd:"" help:"Show what applying the files would change."`
 	Apply configApplyCommand `cmd:"" help:"Apply the files."`
 	Show  configShowCommand  `cmd:"" help:"Show the configuration in force."`
@@ -77,7 +78,8 @@
 	exited := -1 // exit code if kong ended the program, for example after --help
 	parser, err := kong.New(&a, kong.Name("waxwingspindle"),
 		kong.Description("A database proxy with session consistency."),
-		kong.Vars{"version": "waxwingspindle " + Version}, kong.Writers(stdout, stderr),
+		kong.Vars{"version": "waxwingspindle " + Version,
+			"statementTime": configcheck.DefaultStatementTime.String()}, kong.Writers(stdout, stderr),
 		kong.Exit(func(code int) { exited = code }), kong.UsageOnError())
 	if err != nil {
 		panic(fmt.Sprintf("invalid command definitions: %v", err))
@@ -101,12 +103,19 @@
 		failed    *genoperator.OperatorFailure
 		invalid   *config.InvalidError
 		path      *os.PathError
+		findings  findingsError
+		stopped   uncheckableError
 	)
 	switch {
 	case err == nil:
 		return ExitOK
 	case errors.As(err, &different):
 		return ExitDifferent
+	case errors.As(err, &findings):
+		return ExitFailure
+	case errors.As(err, &stopped):
+		fmt.Fprintf(stderr, "waxwingspindle: %v\n", err)
+		return ExitUsage
 	case errors.As(err, &failed):
 		return reportFailure(failed, stderr)
 	case errors.As(err, &invalid):
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -126,17 +126,6 @@
 	return out
 }
 
-type configCheckCommand struct{ configFiles }
-
-// Run validates the files.
-func (c *configCheckCommand) Run(e *environment) error {
-	if _, err := c.check(); err != nil {
-		return err
-	}
-	fmt.Fprintln(e.stdout, "The configuration is valid.")
-	return nil
-}
-
 type configDiffCommand struct {
 	clientOptions
 	configFiles
--- a/config/parse.go
+++ b/config/parse.go
@@ -24,6 +24,7 @@
 // Problem is one error in a configuration.
 type Problem struct {
 	File    string
+	Line    int // 0 if not known; set by InvalidError.AddLines
 	Section string
 	Key     string
 	Value   string
@@ -34,6 +35,9 @@
 func (p Problem) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s:", p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "%d:", p.Line)
+	}
 	if p.Section != "" {
 		fmt.Fprintf(&b, " section [%s]", p.Section)
 	}
