--- a/cli/check.go
+++ b/cli/check.go
@@ -69,9 +69,11 @@
 	return c.printFindings(e, findings)
 }
 
-// isDocument reports whether a file is a JSON document. No base file begins with a brace.
+// isDocument reports whether a file is a JSON document, also one with a byte order mark, which the decoder rejects. No base
+// file begins with a brace. Errors of base files quote the line, which would show the keys of a document.
 func isDocument(name string, data []byte) bool {
-	return filepath.Ext(name) == ".json" || bytes.HasPrefix(bytes.TrimSpace(data), []byte("{"))
+	text := bytes.TrimPrefix(data, []byte("\ufeff"))
+	return filepath.Ext(name) == ".json" || bytes.HasPrefix(bytes.TrimSpace(text), []byte("{"))
 }
 
 func (c *configCheckCommand) checkDocument(data, other []byte) ([]configcheck.Finding, error) {
--- a/cli/check_test.go
+++ b/cli/check_test.go
@@ -46,6 +46,7 @@
 		{"json", []string{lower, "--against", valid, "--format", "json"}, ExitFailure, `"severity": "error"`},
 		{"capacity", []string{valid, "--slots", "s=1", "--statement-time", "11ms"}, ExitFailure, "1 slots take 91 a second"},
 		{"invalid document", []string{broken}, ExitFailure, "broken.json:1: error"},
+		{"byte order mark", []string{write("mark", "\ufeff"+strings.ReplaceAll(document, "\n", ""))}, ExitFailure, "no valid JSON"},
 		{"other kind", []string{valid, "--against", base}, ExitUsage, "cannot be compared"},
 		{"invalid other", []string{write("v.json", document), "--against", broken}, ExitUsage, "broken.json:1"},
 		{"missing other", []string{valid, "--against", valid + ".missing"}, ExitUsage, "missing"},
