--- a/coldstart/coldstart_test.go
+++ b/coldstart/coldstart_test.go
@@ -17,7 +17,10 @@
 				weights[i] = float64(random.IntN(20))
 			}
 			weights[hosts/2] = 20
-			buckets := make([]Bucket, hosts)
+			buckets, shares := make([]Bucket, hosts), make([]Rate, hosts)
+			for i := range shares {
+				shares[i] = Share(perSecond, weights, i)
+			}
 			var sent []time.Duration
 			start, probed := time.Unix(1000, 0), -ProbeInterval
 			for now := time.Duration(0); now < 10*time.Second; now += 5 * time.Millisecond {
@@ -28,9 +31,8 @@
 					continue // the hosts save tokens
 				}
 				for i := range buckets {
-					share := Share(perSecond, weights, i)
-					for buckets[i].Allows(start.Add(now), share) {
-						buckets[i].Take(start.Add(now), share, 1)
+					for buckets[i].Allows(start.Add(now), shares[i]) {
+						buckets[i].Take(start.Add(now), shares[i], 1)
 						sent = append(sent, now)
 					}
 				}
