Findings of the review: closed queues, pooled tokens, retries of failed reads

A request that reached a queue just after its target had left waited there until a running statement ended, because nothing ticks a closed queue; it is refused at once (TestRequestAfterClose, failed before). A late reply of an earlier leader replaced the pool of the current one and its tokens (TestLateReplyOfPreviousLeader, failed before), and tokens to be returned were dropped while the leader could not be asked. A read that a target has failed spends from the retry budget before it runs on another target. A connection on which nothing was sent is not closed. Sessions of earlier processes and probe times that have passed are removed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -144,8 +144,8 @@
 	}
 }
 
-// Finished records the outcome of a statement that was started, after the time took, which includes crossings and waits.
-func (t *Tracker) Finished(now time.Time, target model.TargetID, outcome concurrency.Outcome, _ time.Duration) Change {
+// Finished records the outcome of a statement that was started.
+func (t *Tracker) Finished(now time.Time, target model.TargetID, outcome concurrency.Outcome) Change {
 	e := t.entry(now, target)
 	e.outstanding = max(0, e.outstanding-1)
 	e.sinceReport = min(e.sinceReport, e.outstanding)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -100,7 +100,7 @@
 			if i == n-1 {
 				want = TakenOut
 			}
-			if got := tracker.Finished(epoch, "b", outcome, time.Millisecond); got != want {
+			if got := tracker.Finished(epoch, "b", outcome); got != want {
 				t.Fatalf("%v %d: change %d, expected %d", outcome, i+1, got, want)
 			}
 		}
@@ -114,7 +114,7 @@
 		for at := time.Duration(0); at < 40*time.Second; at += 10 * time.Millisecond {
 			if tracker.Rank(epoch.Add(at), rng, candidates, time.Second)[0] == "b" {
 				probes = append(probes, at)
-				tracker.Finished(epoch.Add(at), "b", outcome, time.Millisecond)
+				tracker.Finished(epoch.Add(at), "b", outcome)
 			}
 		}
 		s := time.Second
@@ -124,7 +124,7 @@
 		}
 		now := epoch.Add(50 * time.Second)
 		if tracker.Rank(now, rng, candidates, time.Second)[0] != "b" ||
-			tracker.Finished(now, "b", concurrency.Done, time.Millisecond) != Returned || tracker.TakenOut("b") {
+			tracker.Finished(now, "b", concurrency.Done) != Returned || tracker.TakenOut("b") {
 			t.Errorf("%v: not returned after a probe", outcome)
 		}
 	}
@@ -142,7 +142,7 @@
 		out := 0
 		for range 20 {
 			for _, c := range candidates {
-				if tracker.Finished(epoch, c.Target, concurrency.Failed, 0) == TakenOut {
+				if tracker.Finished(epoch, c.Target, concurrency.Failed) == TakenOut {
 					out++
 				}
 			}
@@ -178,7 +178,7 @@
 			case 1:
 				tracker.Started(target)
 			case 2:
-				tracker.Finished(now, target, concurrency.Outcome(rng.IntN(4)), times[rng.IntN(6)])
+				tracker.Finished(now, target, concurrency.Outcome(rng.IntN(4)))
 			}
 			got := tracker.Rank(now, rng, candidates, times[rng.IntN(6)])
 			slices.Sort(got)
@@ -218,7 +218,7 @@
 		now = now.Add(time.Millisecond)
 		target := tracker.Rank(now, rng, candidates, time.Second)[0]
 		tracker.Started(target)
-		tracker.Finished(now, target, concurrency.Done, time.Millisecond)
+		tracker.Finished(now, target, concurrency.Done)
 		tracker.Report(now, target, Load{Limit: 4, Slowdown: 1, Service: 12 * time.Millisecond})
 	}
 }
--- a/balance/sim_test.go
+++ b/balance/sim_test.go
@@ -56,7 +56,7 @@
 func (c *trackerChooser) Finished(now time.Time, target int, class simtargets.Class, outcome concurrency.Outcome,
 	took time.Duration, f simtargets.Figures) {
 	id := c.candidates[target].Target
-	change := c.tracker.Finished(now, id, outcome, took)
+	change := c.tracker.Finished(now, id, outcome)
 	if change != Unchanged && c.changes != nil {
 		*c.changes = append(*c.changes, fmt.Sprintf("%v %s %d", now.Sub(simtargets.Epoch), id, change))
 	}
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -1,6 +1,6 @@
-// Package budget decides which clients a host refuses or closes when it runs out of memory, of descriptors or of patience. It is
-// pure: the clients and their states are arguments. The load that its decisions answer is a crowd of clients that don't stay
-// inside the limits (unfinished messages, responses that nobody reads, connections without a session), next to a few hundred
+// Package budget decides which clients a host refuses or closes when memory or descriptors run out, or when a client exceeds a
+// time limit. It is pure: the clients and their states are arguments. The load that its decisions answer is many clients that
+// don't stay inside the limits (unfinished messages, responses that nobody reads, connections without a session), next to a few hundred
 // ordinary sessions with messages of about 1 KB.
 package budget
 
--- a/clientlimit/client.go
+++ b/clientlimit/client.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// Shrink releases bytes.
+// Shrink releases bytes. It does nothing after Leave.
 func (c *Client) Shrink(n int64) {
 	if c == nil || n == 0 || c.left.Load() {
 		return
--- a/clientlimit/registry.go
+++ b/clientlimit/registry.go
@@ -150,7 +150,7 @@
 	}
 	r.clients[kind][c] = struct{}{}
 	if kind == Link && r.full(Caller) {
-		_ = r.replace(Caller) // if all callers are in use, the reserve has to do
+		_ = r.replace(Caller) // if no caller can be closed, the link uses a reserved place
 	}
 	c.held.Store(budget.ConnectionBytes)
 	if r.held.Add(budget.ConnectionBytes) > r.limits.HeldBytes && r.limits.HeldBytes > 0 {
--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -57,6 +58,7 @@
 	if p.next == nil {
 		p.next = map[model.TargetID]time.Time{}
 	}
+	maps.DeleteFunc(p.next, func(_ model.TargetID, at time.Time) bool { return !at.After(now) })
 	at := now
 	if p.next[t.ID].After(now) {
 		at = p.next[t.ID]
--- a/fleet/evacuate.go
+++ b/fleet/evacuate.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// logEvacuations logs which data centres are evacuated from now on, and which no longer are.
+// logEvacuations logs the data centres whose evacuation has begun or ended.
 func (c *control) logEvacuations(before evacuation.State, now time.Time) {
 	for _, dc := range c.view.evacuations.DataCentres() {
 		if before.Evacuated(dc) {
@@ -162,7 +162,8 @@
 // Hosts of earlier versions, and hosts without an evacuation bound, exchange the configuration under its own key. The
 // functions below translate between both forms while a fleet is being upgraded.
 
-// addConfigurationRevision adds the revision of the configuration for a relaying host that follows only its key.
+// addConfigurationRevision adds the revision of the configuration for a relaying host that follows only its key. The
+// caller holds followMu.
 func (a *Agent) addConfigurationRevision(revisions map[string]uint64) {
 	if a.evacuates() {
 		revisions[a.Decoders.ConfigurationKey] =
--- a/fleet/tokenpool.go
+++ b/fleet/tokenpool.go
@@ -64,6 +64,13 @@
 	return t.pool
 }
 
+// add adds tokens that a broker has granted, unless another one grants tokens by now. The caller holds t.mu.
+func (t *tokenPool) add(broker Host, workspace model.Workspace, n float64) {
+	if t.pool != nil && t.broker == processOf(broker) {
+		t.pool.Add(boottime.Now(), workspace, n)
+	}
+}
+
 // available reports whether another host can be asked.
 func (t *tokenPool) available(id model.HostID) bool {
 	t.mu.Lock()
@@ -154,7 +161,7 @@
 	return a.requestTokens(leader, request, func(workspace model.Workspace, n float64) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.of(leader).Add(boottime.Now(), workspace, n)
+		t.add(leader, workspace, n)
 	})
 }
 
@@ -200,13 +207,18 @@
 	}
 }
 
+// exchangeTokens requests and returns tokens of this host's pool. Those returned in a request that fails are lost, because the
+// leader may have taken them back.
 func (a *Agent) exchangeTokens(leader Host) {
 	t := &a.tokenPool
+	if !t.available(leader.ID) {
+		return
+	}
 	t.mu.Lock()
 	request := PoolExchangeRequest{}
 	request.Wanted, request.Returned = t.of(leader).Exchange(boottime.Now())
 	t.mu.Unlock()
-	if len(request.Wanted) == 0 && len(request.Returned) == 0 || !t.available(leader.ID) {
+	if len(request.Wanted) == 0 && len(request.Returned) == 0 {
 		return
 	}
 	reply := new(PoolExchangeReply)
@@ -217,6 +229,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for workspace, n := range reply.Granted {
-		t.of(leader).Add(boottime.Now(), workspace, n)
+		t.add(leader, workspace, n)
 	}
 }
--- a/fleet/tokenpool_test.go
+++ b/fleet/tokenpool_test.go
@@ -141,3 +141,15 @@
 		t.Errorf("%d requests", older.taken)
 	}
 }
+
+// Guards against the loss of the pooled tokens of a new leader when a reply of the previous one arrives late.
+func TestLateReplyOfPreviousLeader(t *testing.T) {
+	previous, current := Host{ID: "a", Incarnation: 1}, Host{ID: "b", Incarnation: 1}
+	p := new(tokenPool)
+	p.of(previous)
+	p.of(current).Add(boottime.Now(), "w", 5)
+	p.add(previous, "w", 3)
+	if got := p.of(current).Take(boottime.Now(), "w", 5); got != 5 {
+		t.Errorf("the pool holds %v tokens of the current leader, want 5", got)
+	}
+}
--- a/frontend/admission.go
+++ b/frontend/admission.go
@@ -15,13 +15,13 @@
 // refused caller can retry within its target.
 const maxAdmissionWait = 50 * time.Millisecond
 
-// calmAdmissionFraction is the fraction of the latency target that an operation may wait for a token where statements are assigned
+// steadyAdmissionFraction is the fraction of the latency target that an operation may wait for a token where statements are assigned
 // by target, as long as its workspace has had no refusal on this host for rateRefusalMemory. A small workspace inside its rate gets a
 // token every few hundred milliseconds. One that is above its rate would spend its tokens on operations that miss their latency
 // target, instead of those that arrive in time.
 const (
-	calmAdmissionFraction = 0.4
-	rateRefusalMemory     = time.Second
+	steadyAdmissionFraction = 0.4
+	rateRefusalMemory       = time.Second
 )
 
 // minAdmissionWait is the shortest pause between two requests of a waiting operation to the broker.
@@ -42,7 +42,7 @@
 	if refused, known := s.rateRefusals[workspace]; known && boottime.Now().Sub(refused) < rateRefusalMemory {
 		return short
 	}
-	return time.Duration(calmAdmissionFraction * float64(route.LatencyTarget))
+	return time.Duration(steadyAdmissionFraction * float64(route.LatencyTarget))
 }
 
 // recordRateRefusal records that an operation of the workspace was refused for its rate.
--- a/frontend/evacuation.go
+++ b/frontend/evacuation.go
@@ -23,6 +23,11 @@
 // errEvacuated means that nothing was sent because the data centre of the target is evacuated.
 var errEvacuated = errors.New("the data centre of the target is evacuated")
 
+// isNotPermitted reports whether an error means that nothing was sent, so that the connection can be used again.
+func isNotPermitted(err error) bool {
+	return errors.Is(err, errPrimaryNotAllowed) || errors.Is(err, errEvacuated)
+}
+
 // evacuatedDetail is the detail of the answer that ends a transaction on a target of an evacuated data centre.
 const evacuatedDetail = "the data centre of the transaction's target is evacuated"
 
@@ -75,7 +80,7 @@
 	}
 }
 
-// evacuationEndsTxn reports whether the open transaction may no longer continue on its target. The caller holds s.mu.
+// evacuationEndsTxn reports whether the open transaction must end because its target is evacuated. The caller holds s.mu.
 func (s *session) evacuationEndsTxn(now time.Time) bool {
 	c := s.txn.conn
 	return c != nil && !s.server.evacuations().MayContinue(now, c.target.DataCentre)
--- a/frontend/learned.go
+++ b/frontend/learned.go
@@ -72,6 +72,10 @@
 			svc.forgetLearned(id)
 		}
 		svc.learned = newLearned()
+		for id, q := range svc.queues { // their limits are those that were learned
+			q.Close(boottime.Now())
+			delete(svc.queues, id)
+		}
 		svc.mu.Unlock()
 	}
 }
@@ -315,13 +319,12 @@
 	svc.learned.tracker.Started(id)
 }
 
-// TargetFinished records the outcome of a statement for which TargetStarted was called. The time took includes crossings
-// and waits.
-func (s *Server) TargetFinished(name model.Service, id model.TargetID, outcome concurrency.Outcome, took time.Duration) {
+// TargetFinished records the outcome of a statement for which TargetStarted was called.
+func (s *Server) TargetFinished(name model.Service, id model.TargetID, outcome concurrency.Outcome) {
 	svc := s.service(name)
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	switch svc.learned.tracker.Finished(boottime.Now(), id, outcome, took) {
+	switch svc.learned.tracker.Finished(boottime.Now(), id, outcome) {
 	case balance.TakenOut:
 		svc.log.Warn("target: taken out, too many statements failed", zap.String("target", string(id)),
 			zap.Stringer("last_outcome", outcome))
--- a/frontend/learned_test.go
+++ b/frontend/learned_test.go
@@ -161,7 +161,7 @@
 	s.server.RankTargets("stock", candidates, time.Second)
 	finish := func(outcome concurrency.Outcome) {
 		s.server.TargetStarted("stock", "a")
-		s.server.TargetFinished("stock", "a", outcome, time.Millisecond)
+		s.server.TargetFinished("stock", "a", outcome)
 	}
 	for range 8 {
 		finish(concurrency.NoAnswer)
--- a/frontend/queue.go
+++ b/frontend/queue.go
@@ -125,6 +125,7 @@
 		if refusal != nil {
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			// The pause after a failed opening keeps the pool from asking again at once.
 			s.applyActions(s.pool.OpenFinished(boottime.Now(), a.Conn, false))
 			return
 		}
@@ -317,8 +318,8 @@
 }
 
 // mayAttempt reports whether another attempt to run a statement may be made after the last answer. With load control, retries
-// stay inside the budget of the service. Answers after which the next attempt runs elsewhere, or prepares the statement
-// first, don't count: the target did no work for them.
+// stay inside the budget of the service. An answer that the target lags, or that it lacks the prepared statement, costs
+// nothing: the target did no work for it.
 func (s *service) mayAttempt(attempt int, last *Answer) bool {
 	if !s.server.loadControl.Load() {
 		return true
--- a/frontend/select.go
+++ b/frontend/select.go
@@ -52,7 +52,7 @@
 		}
 		op.target = selected.Target
 		answer := s.runOnTarget(op, selected, st)
-		if s.elsewhere == Here {
+		if s.elsewhere == Here || answer.Code == Failed && !op.service.mayAttempt(attempt+1, &answer) {
 			return answer
 		}
 		if answer.Code != Success {
@@ -66,7 +66,7 @@
 // runOnTarget runs a statement outside transactions at the selected host, and records what that tells about the target. s.elsewhere
 // is Here if the answer is final.
 func (s *session) runOnTarget(op operation, selected Selection, st Statement) (answer Answer) {
-	started, kind := boottime.Now(), concurrency.Read
+	kind := concurrency.Read
 	if op.isWrite {
 		kind = concurrency.Write
 	}
@@ -82,7 +82,7 @@
 		}
 	}
 	s.server.ReportTargetLoad(op.service.name, selected.Target, op.route.Database, kind, s.targetLoad)
-	s.server.TargetFinished(op.service.name, selected.Target, s.targetOutcome(answer), boottime.Now().Sub(started))
+	s.server.TargetFinished(op.service.name, selected.Target, s.targetOutcome(answer))
 	return answer
 }
 
@@ -314,6 +314,6 @@
 	}
 	command := Command{Statement: Statement{ID: internalStatementID, Kind: Status}}
 	_, _, err := s.run(g.conn, nil, command, epoch, time.Now().Add(positionTimeout))
-	s.release(g.conn, err != nil)
+	s.release(g.conn, err != nil && !isNotPermitted(err))
 	return err == nil
 }
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -323,7 +323,7 @@
 		began := boottime.Now()
 		reply, sent, err := op.service.run(c, &s.state, Command{Statement: st, MinPosition: minPosition}, epoch,
 			s.attemptDeadline(op))
-		op.service.release(c, err != nil && !errors.Is(err, errPrimaryNotAllowed))
+		op.service.release(c, err != nil && !isNotPermitted(err))
 		s.mayHaveRun = s.mayHaveRun || sent && !reply.Code.provesNotRun()
 		if !op.isWrite && sent {
 			op.service.recordReadTime(boottime.Now().Sub(began))
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -199,7 +198,7 @@
 			t.conn, t.epoch = c, epoch
 			return Answer{}
 		}
-		op.service.release(c, err != nil && !errors.Is(err, errPrimaryNotAllowed))
+		op.service.release(c, err != nil && !isNotPermitted(err))
 		if err == nil && !s.prepareRetry(&op, reply) {
 			return reply.Answer
 		}
--- a/heartbeat/exchange.go
+++ b/heartbeat/exchange.go
@@ -1,6 +1,7 @@
 package heartbeat
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 
@@ -37,6 +38,7 @@
 	if e.legacy == nil {
 		e.legacy = map[Process]bool{}
 	}
+	maps.DeleteFunc(e.legacy, func(known Process, _ bool) bool { return known.Host == p.Host })
 	e.legacy[p] = true
 }
 
--- a/runqueue/order.go
+++ b/runqueue/order.go
@@ -188,7 +188,7 @@
 		return q.inTxn[0]
 	}
 	highest := q.highestWaiting()
-	if !now.Before(q.calmAt) {
+	if !now.Before(q.recoveryUntil) {
 		for i := highest + 1; i <= LowestPriority; i++ {
 			if c := &q.classes[i]; c.count > 0 && c.credit >= 1 {
 				return q.nextOf(c, now)
--- a/runqueue/runqueue.go
+++ b/runqueue/runqueue.go
@@ -157,22 +157,22 @@
 
 // Queue holds the requests for one target. Create it with New.
 type Queue struct {
-	limit       int
-	random      func() float64
-	decay       fairqueue.Decay
-	classes     [LowestPriority + 1]class
-	inTxn       []*entry
-	inTxnWork   float64
-	inTxnMeter  meter
-	running     map[RequestID]*entry
-	runningWork float64 // expected time of the running requests in seconds
-	waiting     int
-	waitingOpen []*entry                // openings in order of arrival
-	openings    int                     // running openings
-	maxOpenings int                     // bound of openings
-	calmAt      time.Time               // end of the time after the loss of all hosts
-	idle        map[model.Workspace]int // idle connections to the target, without those that started requests will use
-	actions     []Action                // actions of the call in progress
+	limit         int
+	random        func() float64
+	decay         fairqueue.Decay
+	classes       [LowestPriority + 1]class
+	inTxn         []*entry
+	inTxnWork     float64
+	inTxnMeter    meter
+	running       map[RequestID]*entry
+	runningWork   float64 // expected time of the running requests in seconds
+	waiting       int
+	waitingOpen   []*entry                // openings in order of arrival
+	openings      int                     // running openings
+	maxOpenings   int                     // bound of openings
+	recoveryUntil time.Time               // end of the recovery time, see SetRecovery
+	idle          map[model.Workspace]int // idle connections to the target, without those that started requests will use
+	actions       []Action                // actions of the call in progress
 }
 
 // New returns an empty queue for a target that runs up to limit requests at once. random returns numbers in [0, 1).
@@ -195,11 +195,11 @@
 // SetRecovery states that all hosts were lost, and that callers return together until the given time. Until then the
 // highest priority is served before all others, without the floors of the lower ones, and no more requests run at once than
 // connections may be opened, because every statement needs a new connection.
-func (q *Queue) SetRecovery(until time.Time) { q.calmAt = until }
+func (q *Queue) SetRecovery(until time.Time) { q.recoveryUntil = until }
 
 // currentLimit returns the number of requests that may run at once now.
 func (q *Queue) currentLimit(now time.Time) int {
-	if now.Before(q.calmAt) {
+	if now.Before(q.recoveryUntil) {
 		return min(q.limit, q.maxOpenings)
 	}
 	return q.limit
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -112,6 +112,7 @@
 	waiting  int // number that the metric contains
 	expected map[Class]time.Duration
 	busyAt   time.Time // last BUSY answer of the target
+	closed   bool      // the target has left
 	awaiting int       // statements that have a turn and wait for a connection
 	covered  int       // connections being opened for them
 }
@@ -172,6 +173,10 @@
 func (q *Queue) Await(r runqueue.Request, class Class) (*Turn, *runqueue.Refuse) {
 	decision := make(chan runqueue.Action, 1)
 	q.mu.Lock()
+	if q.closed { // nothing calls Tick for this queue any more, so that the request would wait past its deadline
+		q.mu.Unlock()
+		return nil, &runqueue.Refuse{Reason: runqueue.Closed}
+	}
 	q.lastID++
 	r.ID, r.Expected = q.lastID, q.expected[class]
 	if r.Opening {
@@ -349,10 +354,11 @@
 	q.apply(q.queue.Tick(now))
 }
 
-// Close refuses all waiting requests, because the target has left.
+// Close refuses all waiting requests and those that come later, because the target has left.
 func (q *Queue) Close(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.closed = true
 	q.apply(q.queue.RefuseAll(now))
 }
 
--- a/turns/queue_test.go
+++ b/turns/queue_test.go
@@ -160,3 +160,27 @@
 	close(work)
 	wg.Wait()
 }
+
+// Guards against a request that waits past its deadline in the queue of a target that has left: nothing ticks it any more.
+func TestRequestAfterClose(t *testing.T) {
+	q, _ := newQueue(1, slotLimit(0))
+	first, refusal := q.Await(newRequest(time.Second), Class{"orders", Read})
+	if refusal != nil {
+		t.Fatalf("refused: %v", refusal)
+	}
+	defer first.End()
+	q.Close(boottime.Now())
+	refused := make(chan *runqueue.Refuse, 1)
+	go func() {
+		_, refusal := q.Await(newRequest(time.Second), Class{"orders", Read})
+		refused <- refusal
+	}()
+	select {
+	case refusal := <-refused:
+		if refusal == nil || refusal.Reason != runqueue.Closed {
+			t.Errorf("got %v, want a refusal because the queue is closed", refusal)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the request waits in a closed queue")
+	}
+}
