Limits of queues: one interface

turns.LearnedLimit had one implementation, whose methods for samples did nothing, because the service measures the commands. The queue reads the limit after each answer instead. TestLearnedLimit also checked the removed methods; TestChangingLimit keeps the check that a changed limit takes effect at once. turns and frontend pass with the race detector.

--- a/frontend/learned.go
+++ b/frontend/learned.go
@@ -16,7 +16,6 @@
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
-	"github.com/waxwingspindle/waxwingspindle/turns"
 )
 
 const (
@@ -106,17 +105,12 @@
 }
 
 // queueLimit is the learned limit of a target as its queue reads it, without the lock of the service. It implements
-// turns.LearnedLimit; the commands are measured by the service.
+// turns.Limit.
 type queueLimit struct{ current atomic.Int64 }
 
 // Limit implements turns.Limit.
 func (l *queueLimit) Limit() int { return max(1, int(l.current.Load())) }
 
-// SetSlots, Start and Finish implement turns.LearnedLimit.
-func (l *queueLimit) SetSlots(int)                                                {}
-func (l *queueLimit) Start(time.Time)                                             {}
-func (l *queueLimit) Finish(time.Time, turns.Class, time.Duration, turns.Outcome) {}
-
 // queueLimit returns the limit of a target as its queue reads it. The caller holds s.mu.
 func (s *service) queueLimit(id model.TargetID) *queueLimit {
 	l := s.learned.queue[id]
--- a/frontend/queue.go
+++ b/frontend/queue.go
@@ -136,10 +136,7 @@
 
 // openObserved opens a connection for the pool and records the outcome in the queue of the target.
 func (s *service) openObserved(q *turns.Queue, a pool.Open, t catalog.Target) {
-	sent := boottime.Now()
-	q.Sent(sent)
-	err := s.open(a, t)
-	q.Answered(sent, turns.OpeningClass, openingOutcome(err))
+	q.Answered(openingOutcome(s.open(a, t)))
 }
 
 func openingOutcome(err error) turns.Outcome {
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -321,9 +321,8 @@
 	s.countCommands(sentAt, c, len(commands))
 	s.mu.Unlock()
 	c.lastSentAt = sentAt
-	c.turn.Sent(sentAt)
 	replies, sent, err := s.runMeasured(c, class, known, deadline, commands)
-	c.turn.Answered(sentAt, outcomeOf(replies, err))
+	c.turn.Answered(outcomeOf(replies, err))
 	if err != nil {
 		return Reply{}, sent, err
 	}
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -29,20 +29,9 @@
 	openingExpected = 12 * time.Millisecond
 )
 
-// Limit is the number of statements that may run at once on a target.
+// Limit is the number of statements that may run at once on a target. It may change with each command.
 type Limit interface{ Limit() int }
 
-// LearnedLimit is a Limit that follows from the times of commands on the target. Its methods are called one at a time.
-type LearnedLimit interface {
-	Limit
-	// SetSlots adopts the number of slots of the target's registration, which may be 0 or negative.
-	SetSlots(slots int)
-	// Start records that a command is sent to the target.
-	Start(now time.Time)
-	// Finish records the result of a command that was started, and the time from sending it to its answer.
-	Finish(now time.Time, class Class, took time.Duration, outcome Outcome)
-}
-
 // Outcome is the result of a command on a target.
 type Outcome uint8
 
@@ -159,9 +148,7 @@
 			zap.Int("slots", slots), zap.Int("assumed", runqueue.DefaultLimit))
 		slots = runqueue.DefaultLimit
 	}
-	if learned, ok := q.limit.(LearnedLimit); ok {
-		learned.SetSlots(slots)
-	} else {
+	if _, bySlots := q.limit.(slotLimit); bySlots || q.limit == nil {
 		q.limit = slotLimit(slots)
 	}
 	q.queue.SetMaxOpenings(slots)
@@ -267,42 +254,23 @@
 	q.expected[class] = known + time.Duration(expectedSmoothing*float64(took-known))
 }
 
-// Sent records that a command of the statement is sent to the target.
-func (t *Turn) Sent(now time.Time) {
-	if t != nil {
-		t.queue.Sent(now)
-	}
-}
-
-// Answered records the outcome of a command that was sent at the given time.
-func (t *Turn) Answered(sent time.Time, outcome Outcome) {
+// Answered records the outcome of a command of the statement.
+func (t *Turn) Answered(outcome Outcome) {
 	if t != nil {
 		t.done = t.done || outcome == Done
-		t.queue.Answered(sent, t.class, outcome)
+		t.queue.Answered(outcome)
 	}
 }
 
-// Sent records that a command is sent to the target.
-func (q *Queue) Sent(now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if learned, ok := q.limit.(LearnedLimit); ok {
-		learned.Start(now)
-	}
-}
-
-// Answered records the outcome of a command that was sent at the given time.
-func (q *Queue) Answered(sent time.Time, class Class, outcome Outcome) {
+// Answered records the outcome of a command. A learned limit may have changed with it.
+func (q *Queue) Answered(outcome Outcome) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := boottime.Now()
 	if outcome == Busy {
 		q.busyAt = now
 	}
-	if learned, ok := q.limit.(LearnedLimit); ok {
-		learned.Finish(now, class, now.Sub(sent), outcome)
-		q.apply(q.queue.SetLimit(now, learned.Limit()))
-	}
+	q.apply(q.queue.SetLimit(now, q.limit.Limit()))
 }
 
 // PauseAfterBusy returns the time until retries may be sent to the target again.
--- a/turns/queue_test.go
+++ b/turns/queue_test.go
@@ -71,8 +71,7 @@
 	class := Class{"orders", Write}
 	for _, outcome := range []Outcome{NoAnswer, Failed, Busy, Done} {
 		turn, _ := q.Await(newRequest(time.Second), class)
-		turn.Sent(boottime.Now())
-		turn.Answered(boottime.Now(), outcome)
+		turn.Answered(outcome)
 		turn.End()
 		if _, learned := q.expected[class]; learned != (outcome == Done) {
 			t.Errorf("outcome %d: learned %t", outcome, learned)
@@ -85,21 +84,13 @@
 	}
 }
 
-// fakeLimit is a LearnedLimit that records what it is told.
-type fakeLimit struct {
-	limit, slots, started int
-	outcomes              []Outcome
-}
+// fakeLimit is a limit that changes.
+type fakeLimit struct{ limit int }
 
-func (f *fakeLimit) Limit() int         { return f.limit }
-func (f *fakeLimit) SetSlots(slots int) { f.slots = slots }
-func (f *fakeLimit) Start(time.Time)    { f.started++ }
-func (f *fakeLimit) Finish(_ time.Time, _ Class, _ time.Duration, o Outcome) {
-	f.outcomes = append(f.outcomes, o)
-}
+func (f *fakeLimit) Limit() int { return f.limit }
 
-// Guards against a learned limit that gets no samples, or whose changes have no effect on the statements that wait.
-func TestLearnedLimit(t *testing.T) {
+// Guards against changes of a limit that have no effect on the statements that wait.
+func TestChangingLimit(t *testing.T) {
 	limit := &fakeLimit{limit: 1}
 	q, _ := newQueue(4, limit)
 	first, _ := q.Await(newRequest(time.Second), Class{"orders", Write})
@@ -118,22 +109,17 @@
 	q.mu.Lock()
 	limit.limit = 2
 	q.mu.Unlock()
-	sent := boottime.Now()
-	first.Sent(sent)
-	first.Answered(sent, Busy)
+	answered := boottime.Now()
+	first.Answered(Busy)
 	second := <-started // the changed limit lets it start while the first one has not ended
 	wg.Wait()
 	first.End()
 	second.End()
-	if limit.slots != 4 || limit.started != 1 || len(limit.outcomes) != 1 || limit.outcomes[0] != Busy {
-		t.Errorf("the limit was told %+v", limit)
-	}
-	if q.PauseAfterBusy(sent) < BusyPause {
+	if q.PauseAfterBusy(answered) < BusyPause {
 		t.Error("the BUSY answer was not recorded")
 	}
 	var none *Turn // of statements without load control
-	none.Sent(sent)
-	none.Answered(sent, Done)
+	none.Answered(Done)
 	none.End()
 }
 
@@ -146,8 +132,7 @@
 		wg.Go(func() {
 			for range work {
 				if turn, refusal := q.Await(newRequest(time.Hour), Class{"orders", Write}); refusal == nil {
-					turn.Sent(turn.startedAt)
-					turn.Answered(turn.startedAt, Done)
+					turn.Answered(Done)
 					turn.End()
 				}
 			}
