--- a/fleet/scale_test.go
+++ b/fleet/scale_test.go
@@ -368,8 +368,8 @@
 	}
 }
 
-// BenchmarkCalmReport measures a report and its reply in a fleet without changes.
-func BenchmarkCalmReport(b *testing.B) {
+// BenchmarkSteadyReport measures a report and its reply in a fleet without changes.
+func BenchmarkSteadyReport(b *testing.B) {
 	for _, n := range append([]int{65}, fleetSizes...) {
 		s := newScaledFleet(n)
 		leader := newControlHost(scaledHost(0))
@@ -430,7 +430,7 @@
 // BenchmarkObserve measures one check of a primary by the leader, which does ten a second for each service.
 func BenchmarkObserve(b *testing.B) {
 	for _, n := range fleetSizes {
-		leader := calmLeader(b, n)
+		leader := steadyLeader(b, n)
 		term := leader.leadership()
 		for i := range n {
 			term.recordReport(ReportRequest{Host: scaledHost(i).ID, Observations: observations(i)})
--- a/fleet/wire_test.go
+++ b/fleet/wire_test.go
@@ -44,18 +44,18 @@
 	return rpccodec.NewClient(countingConn{here, bytes}), bytes
 }
 
-// calmLeader returns a leader of a fleet in which nothing changes.
-func calmLeader(tb testing.TB, hosts int) *controlHost {
+// steadyLeader returns a leader of a fleet in which nothing changes.
+func steadyLeader(tb testing.TB, hosts int) *controlHost {
 	leader := newControlHost(scaledHost(0))
 	leader.list(tb, newScaledFleet(hosts), firstHostRevision+uint64(hosts))
 	leader.lead()
 	return leader
 }
 
-// BenchmarkWire measures the bytes of a message and its reply in calm conditions, with the headers of net/rpc.
+// BenchmarkWire measures the bytes of a message and its reply under normal conditions, with the headers of net/rpc.
 func BenchmarkWire(b *testing.B) {
 	for _, n := range []int{65, 300} {
-		leader := calmLeader(b, n)
+		leader := steadyLeader(b, n)
 		client, bytes := connectCounted(b, &Peer{leader.Agent})
 		request := ReportRequest{Host: scaledHost(3).ID, Observations: observations(3), Revisions: leader.knownRevisions()}
 		var opened ExchangeReply
@@ -87,10 +87,10 @@
 	}
 }
 
-// Guards against reports that grow again: they are the largest part of control bytes in calm conditions. Before
+// Guards against reports that grow again: they are the largest part of control bytes under normal conditions. Before
 // heartbeats a report of this host and its reply took 115 bytes.
-func TestCalmReportsAreSmall(t *testing.T) {
-	leader := calmLeader(t, 65)
+func TestSteadyReportsAreSmall(t *testing.T) {
+	leader := steadyLeader(t, 65)
 	client, bytes := connectCounted(t, &Peer{leader.Agent})
 	request := ReportRequest{Host: scaledHost(3).ID, Observations: observations(3), Revisions: leader.knownRevisions()}
 	var opened ExchangeReply
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -327,7 +327,7 @@
 	return most
 }
 
-// Guards against more requests to a cold target than its bound allows, in calm conditions, when an evacuation moves the
+// Guards against more requests to a cold target than its bound allows, under normal conditions, when an evacuation moves the
 // load to it, and when it becomes usable at the end of an evacuation; and against reads that wait for it while others can
 // run them.
 func TestColdTargetsKeepToBound(t *testing.T) {
--- a/gateway/load_control_test.go
+++ b/gateway/load_control_test.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// Guards against load control that refuses statements in calm conditions: a statement whose turn is on a replica that lags must
+// Guards against load control that refuses statements under normal conditions: a statement whose turn is on a replica that lags must
 // run elsewhere, and slow first statements must not lead to refusals of the next ones.
-func TestLoadControlRefusesNothingInCalmConditions(t *testing.T) {
+func TestLoadControlRefusesNothingUnderNormalConditions(t *testing.T) {
 	fleet := newTestFleetWith(t, "load_control = on\n", func(*lines.Group) {})
 	fleet.group.SetReplicationLag(60 * time.Millisecond)
 	var wg sync.WaitGroup
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -1,4 +1,4 @@
-// Package heartbeat encodes the periodic reports of hosts to the leader compactly. In calm conditions these reports are
+// Package heartbeat encodes the periodic reports of hosts to the leader compactly. Under normal conditions these reports are
 // most of the control bytes: every host sends one each 250 ms, and nothing in it has changed but the ages of its
 // observations. So the names in a report are sent once, in a full report that opens a session at the leader; the
 // following requests refer to it and hold numbers only. A session ends when a name changes, when the host reports to
--- a/share/calm_test.go
+++ b/share/steady_test.go
@@ -10,9 +10,9 @@
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
-// calmFleet is the calm operation of customer B: 65 hosts in four data centres, 75 workspaces of unequal size, 1,054
+// steadyFleet is the normal operation of customer B: 65 hosts in four data centres, 75 workspaces of unequal size, 1,054
 // operations a second at random hosts.
-type calmFleet struct {
+type steadyFleet struct {
 	hosts, workspaces int
 	rate              float64
 	limits            Limits
@@ -20,8 +20,8 @@
 	surge             float64 // part of all operations that are of one small workspace from the eighth second on
 }
 
-func newCalmFleet(headroom float64) *calmFleet {
-	f := &calmFleet{hosts: 65, workspaces: 75, rate: 1054, limits: Limits{}}
+func newSteadyFleet(headroom float64) *steadyFleet {
+	f := &steadyFleet{hosts: 65, workspaces: 75, rate: 1054, limits: Limits{}}
 	total := 0.0
 	for i := range f.workspaces {
 		total += 1 / float64(5+i)
@@ -35,7 +35,7 @@
 }
 
 // workspace returns the workspace of a random operation.
-func (f *calmFleet) workspace(rng *rand.Rand) model.Workspace {
+func (f *steadyFleet) workspace(rng *rand.Rand) model.Workspace {
 	at := rng.Float64() * f.cumulative[len(f.cumulative)-1]
 	for i, limit := range f.cumulative {
 		if at < limit {
@@ -48,7 +48,7 @@
 // run plays operations for some seconds, with a pool in each data centre or without. It returns the requests to the
 // broker for each operation after the first two seconds, the refused fraction then, and the largest excess of admissions
 // of a workspace over its limit in five seconds, as a fraction of the limit.
-func (f *calmFleet) run(seconds int, pooled bool) (requests, refused, excess float64) {
+func (f *steadyFleet) run(seconds int, pooled bool) (requests, refused, excess float64) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	now := start
 	broker := NewBroker(now)
@@ -125,15 +125,15 @@
 	return taken / operations, denied / operations, excess
 }
 
-// BenchmarkCalmRequests measures how many requests to the broker the operations of a calm fleet cause, and what part of
+// BenchmarkSteadyRequests measures how many requests to the broker the operations of a fleet under normal conditions cause, and what part of
 // them is refused. Pools are in four data centres; their exchanges count as requests.
-func BenchmarkCalmRequests(b *testing.B) {
+func BenchmarkSteadyRequests(b *testing.B) {
 	for _, headroom := range []float64{2, 1.2, 0.8} {
 		for _, pooled := range []bool{false, true} {
 			b.Run(fmt.Sprintf("limit=%.1f/pooled=%t", headroom, pooled), func(b *testing.B) {
 				var requests, refused, excess float64
 				for b.Loop() {
-					requests, refused, excess = newCalmFleet(headroom).run(20, pooled)
+					requests, refused, excess = newSteadyFleet(headroom).run(20, pooled)
 				}
 				b.ReportMetric(requests, "requests/operation")
 				b.ReportMetric(refused, "refused")
@@ -150,7 +150,7 @@
 func TestPoolsKeepToLimits(t *testing.T) {
 	for _, headroom := range []float64{2, 1.2, 0.8} {
 		for _, surge := range []float64{0, 0.1, 0.5} {
-			f := newCalmFleet(headroom)
+			f := newSteadyFleet(headroom)
 			f.surge = surge
 			requests, refused, excess := f.run(16, true)
 			if excess > 0.1 {
