One event queue for the simulations in virtual time

simtargets and the simulation in runqueue's tests repeated the heap of simqueue. internal/eventqueue serves the three; the order of events, by time and then by insertion, is as before, and so are the figures that the tests compare. Tests of internal, runqueue, balance and concurrency pass.

--- a/internal/simqueue/simqueue.go
+++ b/internal/simqueue/simqueue.go
@@ -3,12 +3,12 @@
 package simqueue
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/fairqueue"
+	"github.com/waxwingspindle/waxwingspindle/internal/eventqueue"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -61,31 +61,9 @@
 }
 
 type event struct {
-	at       time.Time
-	sequence uint64
-	load     int              // load of the next arrival, or -1 if a request finishes
-	target   int              // target of the finishing request
-	ticket   fairqueue.Ticket // ticket of the finishing request
-}
-
-type eventHeap []event
-
-func (e eventHeap) Len() int      { return len(e) }
-func (e eventHeap) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *eventHeap) Push(x any)   { *e = append(*e, x.(event)) }
-
-func (e eventHeap) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].sequence < e[j].sequence
-}
-
-func (e *eventHeap) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
+	load   int              // load of the next arrival, or -1 if a request finishes
+	target int              // target of the finishing request
+	ticket fairqueue.Ticket // ticket of the finishing request
 }
 
 // queue is the common interface of the disciplines. fairqueue.Queue implements it.
@@ -105,8 +83,7 @@
 type simulation struct {
 	params      Params
 	now         time.Time
-	events      eventHeap
-	sequence    uint64
+	events      eventqueue.Queue[event]
 	random      []*rand.Rand // one per load, so that all disciplines get the same requests
 	targets     []target     // the primary is the first
 	nextReplica int
@@ -123,9 +100,9 @@
 		s.random = append(s.random, rand.New(rand.NewPCG(params.Seed, uint64(i))))
 		s.scheduleArrival(i)
 	}
-	for len(s.events) > 0 {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
+	for s.events.Len() > 0 {
+		at, next := s.events.Pop()
+		s.now = at
 		if next.load >= 0 {
 			s.arrive(next.load)
 		} else {
@@ -151,18 +128,12 @@
 	return q
 }
 
-func (s *simulation) schedule(e event) {
-	s.sequence++
-	e.sequence = s.sequence
-	heap.Push(&s.events, e)
-}
-
 // scheduleArrival schedules the next arrival of a Poisson process.
 func (s *simulation) scheduleArrival(load int) {
 	gap := s.random[load].ExpFloat64() / s.params.Loads[load].Rate
 	at := s.now.Add(time.Duration(gap * float64(time.Second)))
 	if at.Sub(time.Unix(0, 0)) < s.params.Duration {
-		s.schedule(event{at: at, load: load})
+		s.events.Push(at, event{load: load})
 	}
 }
 
@@ -224,7 +195,7 @@
 	for _, action := range actions {
 		r := t.requests[action.Ticket]
 		if action.Start {
-			s.schedule(event{at: s.now.Add(r.serviceTime), load: -1, target: targetIndex, ticket: action.Ticket})
+			s.events.Push(s.now.Add(r.serviceTime), event{load: -1, target: targetIndex, ticket: action.Ticket})
 			continue
 		}
 		delete(t.requests, action.Ticket)
--- a/internal/simtargets/simtargets.go
+++ b/internal/simtargets/simtargets.go
@@ -4,12 +4,12 @@
 package simtargets
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/concurrency"
+	"github.com/waxwingspindle/waxwingspindle/internal/eventqueue"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -117,8 +117,6 @@
 )
 
 type event struct {
-	at        time.Time
-	sequence  uint64
 	kind      eventKind
 	target    int
 	statement *statement
@@ -126,26 +124,6 @@
 	figures   Figures
 }
 
-type eventHeap []event
-
-func (e eventHeap) Len() int      { return len(e) }
-func (e eventHeap) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *eventHeap) Push(x any)   { *e = append(*e, x.(event)) }
-
-func (e eventHeap) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].sequence < e[j].sequence
-}
-
-func (e *eventHeap) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
-
 // gateway is the gateway host of a target together with the target.
 type gateway struct {
 	Target
@@ -161,8 +139,7 @@
 type simulation struct {
 	params   Params
 	now      time.Time
-	events   eventHeap
-	sequence uint64
+	events   eventqueue.Queue[event]
 	random   *rand.Rand
 	choosers []Chooser
 	gateways []*gateway
@@ -180,9 +157,9 @@
 		s.choosers = append(s.choosers, p.NewChooser(host, rand.New(rand.NewPCG(p.Seed, uint64(host+2)))))
 	}
 	s.scheduleArrival()
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
+	for s.events.Len() > 0 {
+		at, e := s.events.Pop()
+		s.now = at
 		switch e.kind {
 		case arrival:
 			s.arrive()
@@ -202,9 +179,7 @@
 }
 
 func (s *simulation) schedule(after time.Duration, e event) {
-	s.sequence++
-	e.at, e.sequence = s.now.Add(after), s.sequence
-	heap.Push(&s.events, e)
+	s.events.Push(s.now.Add(after), e)
 }
 
 // scheduleArrival schedules the next arrival of a Poisson process.
--- a/runqueue/sim_test.go
+++ b/runqueue/sim_test.go
@@ -1,7 +1,6 @@
 package runqueue
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingspindle/waxwingspindle/internal/eventqueue"
 	"github.com/waxwingspindle/waxwingspindle/model"
 )
 
@@ -38,30 +38,6 @@
 	Tick(now time.Time) []Action
 }
 
-type simEvent struct {
-	at       time.Time
-	sequence int
-	run      func(now time.Time)
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int      { return len(e) }
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e simEvents) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].sequence < e[j].sequence
-}
-func (e *simEvents) Push(x any) { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
-
 // outcome counts what the callers of a load got.
 type outcome struct {
 	arrived, inTime, late, refused int
@@ -77,8 +53,7 @@
 	length     time.Duration
 	measured   [2]time.Duration // arrivals in this interval count
 	random     []*rand.Rand
-	events     simEvents
-	sequence   int
+	events     eventqueue.Queue[func(now time.Time)]
 	now        time.Time
 	lastID     RequestID
 	requests   map[RequestID]*simRequest
@@ -103,19 +78,14 @@
 		s.random = append(s.random, rand.New(rand.NewPCG(seed, uint64(i))))
 		s.scheduleArrival(i, start.Add(loads[i].from))
 	}
-	s.at(start, s.tick)
+	s.events.Push(start, s.tick)
 	return s
 }
 
-func (s *simulation) at(t time.Time, run func(now time.Time)) {
-	s.sequence++
-	heap.Push(&s.events, simEvent{t, s.sequence, run})
-}
-
 func (s *simulation) tick(now time.Time) {
 	s.apply(s.discipline.Tick(now))
 	if now.Sub(start) < s.length+5*time.Second {
-		s.at(now.Add(20*time.Millisecond), s.tick)
+		s.events.Push(now.Add(20*time.Millisecond), s.tick)
 	}
 }
 
@@ -123,7 +93,7 @@
 	l := s.loads[i]
 	at := after.Add(time.Duration(s.random[i].ExpFloat64() / l.rate * float64(time.Second)))
 	if offset := at.Sub(start); offset < s.length && (l.until == 0 || offset < l.until) {
-		s.at(at, func(now time.Time) { s.arrive(i, now) })
+		s.events.Push(at, func(now time.Time) { s.arrive(i, now) })
 	}
 }
 
@@ -190,7 +160,7 @@
 func (s *simulation) answerBusy(r *simRequest) {
 	retries, ok := s.discipline.(interface{ retry(*simRequest) bool })
 	if ok && retries.retry(r) {
-		s.at(s.now.Add(20*time.Millisecond), func(time.Time) { s.send(r) })
+		s.events.Push(s.now.Add(20*time.Millisecond), func(time.Time) { s.send(r) })
 		return
 	}
 	if s.counts(r) {
@@ -202,7 +172,7 @@
 func (s *simulation) run(r *simRequest) {
 	s.running++
 	s.maxRunning = max(s.maxRunning, s.running)
-	s.at(s.now.Add(r.work+s.conns.take(r.Workspace)), func(now time.Time) {
+	s.events.Push(s.now.Add(r.work+s.conns.take(r.Workspace)), func(now time.Time) {
 		s.running--
 		s.conns.release(r.Workspace)
 		if len(s.queued) > 0 {
@@ -228,10 +198,10 @@
 
 // play runs the simulation to its end.
 func (s *simulation) play() *simulation {
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.run(e.at)
+	for s.events.Len() > 0 {
+		at, run := s.events.Pop()
+		s.now = at
+		run(at)
 	}
 	return s
 }
@@ -438,12 +408,8 @@
 	play := func(d discipline) (waits [3][]time.Duration, maxRunning int) {
 		random := rand.New(rand.NewPCG(1, 1))
 		requests := map[RequestID]Request{}
-		var events simEvents
-		sequence, running := 0, 0
-		at := func(t time.Time, run func(time.Time)) {
-			sequence++
-			heap.Push(&events, simEvent{t, sequence, run})
-		}
+		var events eventqueue.Queue[func(now time.Time)]
+		running := 0
 		var apply func(now time.Time, actions []Action)
 		apply = func(now time.Time, actions []Action) {
 			for _, action := range actions {
@@ -455,7 +421,7 @@
 				running++
 				maxRunning = max(maxRunning, running)
 				waits[r.Priority] = append(waits[r.Priority], now.Sub(r.Arrived))
-				at(now.Add(r.Expected), func(now time.Time) {
+				events.Push(now.Add(r.Expected), func(now time.Time) {
 					running--
 					apply(now, d.Finish(now, r.ID))
 				})
@@ -467,11 +433,11 @@
 				LatencyTarget: arrived.Add(400 * time.Millisecond), Deadline: arrived.Add(2 * time.Second),
 				Expected: 22 * time.Millisecond}
 			requests[r.ID] = r
-			at(arrived, func(now time.Time) { apply(now, d.Enqueue(now, r)) })
+			events.Push(arrived, func(now time.Time) { apply(now, d.Enqueue(now, r)) })
 		}
-		for len(events) > 0 {
-			e := heap.Pop(&events).(simEvent)
-			e.run(e.at)
+		for events.Len() > 0 {
+			at, run := events.Pop()
+			run(at)
 		}
 		return waits, maxRunning
 	}
