One limit of log lines, and one place for bytes that clients hold

turns, frontend and clientlimit each bounded their log lines to 20 a second by themselves; logging.LineLimit serves the three. The seconds of clientlimit begin with a line and not with the clock's second. Client.Hold and Registry.Hold repeated the same check of the limit. Tests of turns, frontend, clientlimit and logging pass with the race detector.

--- a/clientlimit/client.go
+++ b/clientlimit/client.go
@@ -87,13 +87,8 @@
 	if c == nil || n <= 0 {
 		return
 	}
-	r := c.registry
 	c.held.Add(n)
-	if r.held.Add(n) > r.limits.HeldBytes && r.limits.HeldBytes > 0 {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.shed(c)
-	}
+	c.registry.hold(c, n)
 }
 
 // Shrink releases bytes. It does nothing after Leave.
--- a/clientlimit/registry.go
+++ b/clientlimit/registry.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/waxwingspindle/waxwingspindle/budget"
+	"github.com/waxwingspindle/waxwingspindle/logging"
 )
 
 // Kind is the kind of a client.
@@ -62,8 +63,6 @@
 	giveUpAfter = 2 * time.Second
 	// waitInterval is the interval between two attempts to get memory.
 	waitInterval = 20 * time.Millisecond
-	// logLinesPerSecond bounds the log lines about clients.
-	logLinesPerSecond = 20
 )
 
 // Registry counts all clients of a process. A nil registry has no limits.
@@ -75,12 +74,10 @@
 	now     atomic.Int64 // milliseconds since started, updated by Run
 	started time.Time
 
-	mu          sync.Mutex
-	clients     [2]map[*Client]struct{}
-	lastShed    time.Time
-	logSecond   int64
-	logLines    int
-	linesHidden int
+	mu       sync.Mutex
+	clients  [2]map[*Client]struct{}
+	lastShed time.Time
+	lines    logging.LineLimit
 }
 
 // New returns a registry without clients and registers its metrics. Run must be called for the time limits to apply.
@@ -269,10 +266,17 @@
 // Hold counts bytes that are held already and belong to no client. Clients are closed if there are too many. Release must be
 // called for them.
 func (r *Registry) Hold(n int64) {
-	if r != nil && n > 0 && r.held.Add(n) > r.limits.HeldBytes && r.limits.HeldBytes > 0 {
+	if r != nil && n > 0 {
+		r.hold(nil, n)
+	}
+}
+
+// hold counts bytes that are held already and closes clients other than the given one if there are too many.
+func (r *Registry) hold(except *Client, n int64) {
+	if r.held.Add(n) > r.limits.HeldBytes && r.limits.HeldBytes > 0 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.shed(nil)
+		r.shed(except)
 	}
 }
 
@@ -290,17 +294,15 @@
 	}
 }
 
-// report counts and logs a client that was refused or closed, with logLinesPerSecond lines at most. The caller holds r.mu.
+// report counts and logs a client that was refused or closed, with a bounded number of lines. The caller holds r.mu.
 func (r *Registry) report(kind Kind, cause string, conn net.Conn, message string, fields ...zap.Field) {
 	r.reached.WithLabelValues(kind.String(), cause).Inc()
-	if second := time.Now().Unix(); second != r.logSecond {
-		if r.linesHidden > 0 {
-			r.log.Warn("client: further ones refused or closed", zap.Int("count", r.linesHidden))
-		}
-		r.logSecond, r.logLines, r.linesHidden = second, 0, 0
+	now := time.Now()
+	allowed := r.lines.Allow(now)
+	if n := r.lines.Suppressed(now); n > 0 {
+		r.log.Warn("client: further ones refused or closed", zap.Int("count", n))
 	}
-	if r.logLines++; r.logLines > logLinesPerSecond {
-		r.linesHidden++
+	if !allowed {
 		return
 	}
 	r.log.Warn(message, append(fields, zap.Stringer("kind", kind), zap.String("limit", cause),
--- a/frontend/evacuation.go
+++ b/frontend/evacuation.go
@@ -17,9 +17,6 @@
 	"github.com/waxwingspindle/waxwingspindle/pool"
 )
 
-// maxRefusalLines is the maximum number of log lines per second and service for statements that an evacuation refuses.
-const maxRefusalLines = 20
-
 // errEvacuated means that nothing was sent because the data centre of the target is evacuated.
 var errEvacuated = errors.New("the data centre of the target is evacuated")
 
@@ -175,27 +172,13 @@
 		zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open), zap.Any("targets", s.pool.Load()))
 }
 
-// refusalLog bounds the log lines for refused statements.
-type refusalLog struct {
-	second     time.Time
-	lines      int
-	suppressed int // since the last line
-}
-
 // recordEvacuationRefusal counts and logs a statement that only targets of evacuated data centres could run. The caller
 // holds s.mu.
 func (s *service) recordEvacuationRefusal(now time.Time) {
 	s.server.metrics.evacuationRefusals.Inc()
-	l := &s.evacuationRefusals
-	if now.Sub(l.second) >= time.Second {
-		l.second, l.lines = now, 0
-	}
-	if l.lines >= maxRefusalLines {
-		l.suppressed++
+	if !s.evacuationRefusals.Allow(now) {
 		return
 	}
-	l.lines++
 	s.log.Info("evacuation: statement refused", zap.String("primary", string(s.doc.Primary)), zap.Bool("open", s.doc.Open),
-		zap.Int("suppressed", l.suppressed))
-	l.suppressed = 0
+		zap.Int("suppressed", s.evacuationRefusals.Suppressed(now)))
 }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -11,6 +11,7 @@
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
 	"github.com/waxwingspindle/waxwingspindle/coldstart"
+	"github.com/waxwingspindle/waxwingspindle/logging"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/pool"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
@@ -79,9 +80,9 @@
 	primaryChanged      chan struct{} // closed and replaced when primaryState changes
 	positionFetch       positionFetch // of the position of a primary that another host uses
 	queues              map[model.TargetID]*turns.Queue
-	retries             *retry.Budget // nil before the first statement and without load control
-	poolTargets         []pool.Target // as last passed to the pool
-	evacuationRefusals  refusalLog
+	retries             *retry.Budget     // nil before the first statement and without load control
+	poolTargets         []pool.Target     // as last passed to the pool
+	evacuationRefusals  logging.LineLimit // lines about statements that an evacuation refuses
 	learned             learned
 	limitsCold          bool           // requests to cold targets are limited
 	coldRate            coldstart.Rate // share of this host
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -12,6 +12,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/logging"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/runqueue"
 )
@@ -78,7 +79,7 @@
 type Shared struct {
 	startedAt time.Time
 	metrics   *Metrics
-	lines     lineLimit
+	lines     logging.LineLimit
 }
 
 // NewShared returns the state of a process that started at the given time.
@@ -174,7 +175,7 @@
 	q.waiters[r.ID] = decision
 	q.apply(q.queue.Enqueue(now, r))
 	q.mu.Unlock()
-	if invalid != "" && q.shared.lines.allow(now) {
+	if invalid != "" && q.shared.lines.Allow(now) {
 		q.log.Warn("queue: invalid fields of a request, defaults used", zap.String("fields", invalid),
 			zap.String("database", class.Database), zap.String("workspace", string(r.Workspace)))
 	}
@@ -215,7 +216,7 @@
 func (q *Queue) logRefusal(r runqueue.Request, a runqueue.Refuse, class Class) {
 	q.shared.metrics.refused.WithLabelValues(a.Reason.String()).Inc()
 	now := boottime.Now()
-	if !q.shared.lines.allow(now) {
+	if !q.shared.lines.Allow(now) {
 		return
 	}
 	q.mu.Lock()
--- a/turns/queue_test.go
+++ b/turns/queue_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/logging"
 	"github.com/waxwingspindle/waxwingspindle/runqueue"
 )
 
@@ -52,7 +53,7 @@
 			t.Fatal("a request without time left was not refused")
 		}
 	}
-	if got := logs.FilterMessage("queue: refused").Len(); got == 0 || got > 2*maxLines {
+	if got := logs.FilterMessage("queue: refused").Len(); got == 0 || got > 2*logging.MaxLinesPerSecond {
 		t.Errorf("%d lines for 100 refusals", got)
 	}
 	q.shared.ReportSuppressed(boottime.Now().Add(2*time.Second), q.log)
--- a/turns/report.go
+++ b/turns/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -11,47 +10,9 @@
 	"github.com/waxwingspindle/waxwingspindle/runqueue"
 )
 
-// maxLines is the number of log lines about refusals and invalid requests in a second. Beyond it they are counted.
-const maxLines = 20
-
-// lineLimit limits the log lines of a second.
-type lineLimit struct {
-	mu         sync.Mutex
-	since      time.Time
-	lines      int
-	suppressed int
-}
-
-// allow reports whether a line may be logged at the given time.
-func (l *lineLimit) allow(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.since) >= time.Second {
-		l.since, l.lines = now, 0
-	}
-	if l.lines >= maxLines {
-		l.suppressed++
-		return false
-	}
-	l.lines++
-	return true
-}
-
-// takeSuppressed returns the number of suppressed lines once the second of the limit is over.
-func (l *lineLimit) takeSuppressed(now time.Time) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.since) < time.Second {
-		return 0
-	}
-	n := l.suppressed
-	l.suppressed = 0
-	return n
-}
-
 // ReportSuppressed logs how many lines about refusals were suppressed. It must be called at least once a second.
 func (s *Shared) ReportSuppressed(now time.Time, log *zap.Logger) {
-	if n := s.lines.takeSuppressed(now); n > 0 {
+	if n := s.lines.Suppressed(now); n > 0 {
 		log.Info("queue: lines not logged", zap.Int("count", n))
 	}
 }
@@ -59,7 +20,7 @@
 // RefusedRetry counts and logs a retry that the budget of its service does not allow.
 func (s *Shared) RefusedRetry(now time.Time, log *zap.Logger, attempts int, code string) {
 	s.metrics.refused.WithLabelValues("retry_budget").Inc()
-	if s.lines.allow(now) {
+	if s.lines.Allow(now) {
 		log.Info("queue: no retry, the budget is used up", zap.Int("attempts", attempts), zap.String("code", code))
 	}
 }
