Targets of a service from one index of the view

targetsOf scanned and sorted all targets of the fleet at each call, for each host of each service with a limit for cold targets, and rankTargets scanned them for each read; targetsByService did the same work once more for each publication. A published view computes one index at its first use, as it does for the order of hosts. rankTargets begins at a random target, which the iteration over the map did before. Tests of fleet pass with the race detector.

--- a/fleet/balance.go
+++ b/fleet/balance.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/balance"
@@ -14,9 +15,15 @@
 
 // rankTargets returns the targets of a service that may run a read, the preferred ones first.
 func (a *Agent) rankTargets(v *clusterView, r frontend.SelectRequest) []model.TargetID {
-	var candidates []balance.Candidate
-	for _, t := range v.targets {
-		if t.Service != r.Service || t.State == catalog.Draining || v.evacuations.Evacuated(t.DataCentre) ||
+	targets := v.targetsOf(r.Service)
+	if len(targets) == 0 {
+		return nil
+	}
+	candidates := make([]balance.Candidate, 0, len(targets))
+	first := rand.IntN(len(targets)) // so that hosts prefer different ones of targets that are expected to be equally fast
+	for i := range targets {
+		t := targets[(first+i)%len(targets)]
+		if t.State == catalog.Draining || v.evacuations.Evacuated(t.DataCentre) ||
 			!r.TargetRegion.Allows(t.DataCentre) {
 			continue
 		}
--- a/fleet/publish.go
+++ b/fleet/publish.go
@@ -95,11 +95,10 @@
 
 // passTargets passes the targets on to the services for which they or the limit of this host have changed.
 func (c *control) passTargets(v *clusterView) {
-	byService := v.targetsByService()
 	for service := range v.catalog.Services {
 		c.agent.setColdRate(v, service)
 		limits := v.connectionLimits(service, c.agent.Self.ID)
-		next := serviceTargets{list: byService[service]}
+		next := serviceTargets{list: v.targetsOf(service)}
 		for _, t := range next.list {
 			next.limits = append(next.limits, limits(t.ID))
 		}
@@ -115,8 +114,8 @@
 // cloneChanged returns a copy of the view that shares the parts which have not changed with the last published one.
 func (v *clusterView) cloneChanged(last *clusterView, changed pendingChanges) *clusterView {
 	c := *v
-	if c.targets, c.drainingSince = last.targets, last.drainingSince; changed.targets {
-		c.targets, c.drainingSince = maps.Clone(v.targets), maps.Clone(v.drainingSince)
+	if c.targets, c.drainingSince, c.byService = last.targets, last.drainingSince, last.byService; changed.targets {
+		c.targets, c.drainingSince, c.byService = maps.Clone(v.targets), maps.Clone(v.drainingSince), &targetIndex{}
 	}
 	if c.hosts, c.ordered = last.hosts, last.ordered; changed.hosts {
 		c.hosts, c.ordered = maps.Clone(v.hosts), &hostOrder{}
@@ -127,16 +126,28 @@
 	return &c
 }
 
-// targetsByService returns the registered targets of each service sorted by id.
-func (v *clusterView) targetsByService() map[model.Service][]catalog.Target {
-	byService := make(map[model.Service][]catalog.Target, len(v.catalog.Services))
-	for _, t := range v.targets {
-		byService[t.Service] = append(byService[t.Service], t)
-	}
-	for _, list := range byService {
-		slices.SortFunc(list, func(a, b catalog.Target) int { return cmp.Compare(a.ID, b.ID) })
+// targetIndex holds the registered targets of a published view by service. It is computed at the first use.
+type targetIndex struct {
+	once      sync.Once
+	byService map[model.Service][]catalog.Target
+}
+
+// targetsOf returns the registered targets of a service sorted by id. The list is shared and must not be modified.
+func (v *clusterView) targetsOf(service model.Service) []catalog.Target {
+	index := v.byService
+	if index == nil {
+		index = &targetIndex{} // the view of the control goroutine, which changes
 	}
-	return byService
+	index.once.Do(func() {
+		index.byService = make(map[model.Service][]catalog.Target, len(v.catalog.Services))
+		for _, t := range v.targets {
+			index.byService[t.Service] = append(index.byService[t.Service], t)
+		}
+		for _, list := range index.byService {
+			slices.SortFunc(list, func(a, b catalog.Target) int { return cmp.Compare(a.ID, b.ID) })
+		}
+	})
+	return index.byService[service]
 }
 
 // hostOrder holds the registered hosts of a published view in the orders that are used many times a second. They are
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -76,6 +75,7 @@
 	plans         map[model.Service]placement.Plan // empty if statements are assigned by target
 	routing       RoutingDocument
 	targetPlan    placement.TargetPlan // empty unless statements are assigned by target
+	byService     *targetIndex         // of a published view, as ordered
 	ordered       *hostOrder           // of a published view; nil in that of the control goroutine
 	evacuations   evacuation.State     // evacuated data centres; immutable
 }
@@ -133,18 +133,6 @@
 	return 0
 }
 
-// targetsOf returns the registered targets of a service sorted by id.
-func (v *clusterView) targetsOf(service model.Service) []catalog.Target {
-	var list []catalog.Target
-	for _, t := range v.targets {
-		if t.Service == service {
-			list = append(list, t)
-		}
-	}
-	slices.SortFunc(list, func(a, b catalog.Target) int { return cmp.Compare(a.ID, b.ID) })
-	return list
-}
-
 // setTarget applies the entry of a target.
 func (v *clusterView) setTarget(t catalog.Target, now time.Time) {
 	v.targets[t.ID] = t
