One type for outcomes, one function that sets targets of the pool

turns had its own copy of concurrency.Outcome and frontend two more mappings to it; both use commandOutcome. Four places passed targets to the pool in the same two lines. region.contains is slices.Contains for lists that are not empty. TargetFigures and Tracker.TakenOut served tests only and moved there. Tests of frontend, turns, region, pool and balance pass with the race detector.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -155,12 +155,6 @@
 // Forget drops a target that was removed.
 func (t *Tracker) Forget(target model.TargetID) { delete(t.entries, target) }
 
-// TakenOut reports whether the target gets single probes only.
-func (t *Tracker) TakenOut(target model.TargetID) bool {
-	e := t.entries[target]
-	return e != nil && e.ejection.out
-}
-
 // Slowdown returns the last reported slowdown of the target, or 1.
 func (t *Tracker) Slowdown(target model.TargetID) float64 {
 	if e := t.entries[target]; e != nil && e.load.Slowdown > 1 {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -222,3 +222,9 @@
 		tracker.Report(now, target, Load{Limit: 4, Slowdown: 1, Service: 12 * time.Millisecond})
 	}
 }
+
+// TakenOut reports whether the target gets single probes only.
+func (t *Tracker) TakenOut(target model.TargetID) bool {
+	e := t.entries[target]
+	return e != nil && e.ejection.out
+}
--- a/frontend/evacuation.go
+++ b/frontend/evacuation.go
@@ -108,8 +108,7 @@
 	}
 	svc.limitsCold, svc.coldRate = limited, rate
 	now := boottime.Now()
-	svc.poolTargets = svc.currentPoolTargets(now)
-	svc.applyActions(svc.pool.SetTargets(now, svc.poolTargets))
+	svc.setPoolTargets(now, svc.currentPoolTargets(now))
 }
 
 // countCommands counts the commands that are about to be sent on a connection, except for one that the pool has counted
@@ -135,10 +134,13 @@
 	if !evacuated && s.server.evacuations().Empty() {
 		return
 	}
-	list := s.currentPoolTargets(now)
-	if slices.Equal(list, s.poolTargets) {
-		return
+	if list := s.currentPoolTargets(now); !slices.Equal(list, s.poolTargets) {
+		s.setPoolTargets(now, list)
 	}
+}
+
+// setPoolTargets passes the targets to the pool. The caller holds s.mu.
+func (s *service) setPoolTargets(now time.Time, list []pool.Target) {
 	s.poolTargets = list
 	s.applyActions(s.pool.SetTargets(now, list))
 }
--- a/frontend/fence.go
+++ b/frontend/fence.go
@@ -32,8 +32,7 @@
 			s.closeConnections(now, old.Primary)
 		}
 		s.fencedEpoch = doc.Epoch
-		s.poolTargets = s.currentPoolTargets(now) // a draining primary gets no work once it is replaced
-		s.applyActions(s.pool.SetTargets(now, s.poolTargets))
+		s.setPoolTargets(now, s.currentPoolTargets(now)) // a draining primary gets no work once it is replaced
 		s.updatePoolPrimary(now)
 		return true
 	}
--- a/frontend/queue.go
+++ b/frontend/queue.go
@@ -7,6 +7,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/pool"
 	"github.com/waxwingspindle/waxwingspindle/retry"
@@ -139,34 +140,25 @@
 	q.Answered(openingOutcome(s.open(a, t)))
 }
 
-func openingOutcome(err error) turns.Outcome {
+// openingOutcome returns the outcome of opening a connection.
+func openingOutcome(err error) concurrency.Outcome {
 	var refused *TargetError
-	switch {
-	case err == nil:
-		return turns.Done
-	case errors.As(err, &refused) && refused.Code == Busy:
-		return turns.Busy
-	case errors.As(err, &refused):
-		return turns.Failed
+	if errors.As(err, &refused) {
+		return commandOutcome(refused.Code, nil)
 	}
-	return turns.NoAnswer
+	return commandOutcome(Success, err)
 }
 
 // outcomeOf returns the outcome of a command and of those that set up the session before it.
-func outcomeOf(replies []Reply, err error) turns.Outcome {
-	if err != nil {
-		return turns.NoAnswer
-	}
-	for _, reply := range replies {
-		switch reply.Code {
-		case Success:
-		case Busy:
-			return turns.Busy
-		default:
-			return turns.Failed
+func outcomeOf(replies []Reply, err error) concurrency.Outcome {
+	if err == nil {
+		for _, reply := range replies {
+			if reply.Code != Success {
+				return commandOutcome(reply.Code, nil)
+			}
 		}
 	}
-	return turns.Done
+	return commandOutcome(Success, err)
 }
 
 // runRequest returns the request for a turn of the operation. A read of another host must start before that host tries a
@@ -354,16 +346,3 @@
 	c.turn.End()
 	c.turn = nil
 }
-
-// TargetFigures returns the load of a target for a statement of the given priority. It returns false if this host has no
-// queue for the target, as without load control.
-func (s *Server) TargetFigures(name model.Service, target model.TargetID, priority int) (turns.Figures, bool) {
-	svc := s.service(name)
-	svc.mu.Lock()
-	q := svc.queues[target]
-	svc.mu.Unlock()
-	if q == nil {
-		return turns.Figures{}, false
-	}
-	return q.Figures(boottime.Now(), priority), true
-}
--- a/frontend/queue_test.go
+++ b/frontend/queue_test.go
@@ -413,3 +413,16 @@
 		t.Errorf("the other target has the figures %+v", f)
 	}
 }
+
+// TargetFigures returns the load of a target for a statement of the given priority. It returns false if this host has no
+// queue for the target, as without load control.
+func (s *Server) TargetFigures(name model.Service, target model.TargetID, priority int) (turns.Figures, bool) {
+	svc := s.service(name)
+	svc.mu.Lock()
+	q := svc.queues[target]
+	svc.mu.Unlock()
+	if q == nil {
+		return turns.Figures{}, false
+	}
+	return q.Figures(boottime.Now(), priority), true
+}
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -396,8 +396,7 @@
 	s.targets, s.connectionLimits = registered, limits
 	s.updateLearned()
 	s.updateQueues(now)
-	s.poolTargets = s.currentPoolTargets(now)
-	s.applyActions(s.pool.SetTargets(now, s.poolTargets))
+	s.setPoolTargets(now, s.currentPoolTargets(now))
 	s.updatePoolPrimary(now)
 }
 
--- a/region/region.go
+++ b/region/region.go
@@ -5,6 +5,7 @@
 package region
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -57,7 +58,7 @@
 	}
 	c := Constraint{Limited: true, Allowed: map[model.DataCentre]bool{}}
 	for dc, region := range m {
-		if contains(route, region) && contains(workspace, region) {
+		if allows(route, region) && allows(workspace, region) {
 			c.Allowed[dc] = true
 		}
 	}
@@ -79,11 +80,7 @@
 	return c
 }
 
-func contains(list []string, region string) bool {
-	for _, allowed := range list {
-		if allowed == region {
-			return true
-		}
-	}
-	return len(list) == 0
+// allows reports whether a list of regions allows one. An empty list allows all.
+func allows(list []string, region string) bool {
+	return len(list) == 0 || slices.Contains(list, region)
 }
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -12,6 +12,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/logging"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/runqueue"
@@ -33,20 +34,6 @@
 // Limit is the number of statements that may run at once on a target. It may change with each command.
 type Limit interface{ Limit() int }
 
-// Outcome is the result of a command on a target.
-type Outcome uint8
-
-const (
-	// Done means that the target ran the command.
-	Done Outcome = iota
-	// Busy means that the target refused the command because it is full.
-	Busy
-	// Failed means that the target answered with an error.
-	Failed
-	// NoAnswer means that the target did not answer in time.
-	NoAnswer
-)
-
 // slotLimit is the limit of a target by its registration: one statement for each slot, and one that waits at the target, so
 // that a slot is used again without the time of a message.
 type slotLimit int
@@ -256,19 +243,19 @@
 }
 
 // Answered records the outcome of a command of the statement.
-func (t *Turn) Answered(outcome Outcome) {
+func (t *Turn) Answered(outcome concurrency.Outcome) {
 	if t != nil {
-		t.done = t.done || outcome == Done
+		t.done = t.done || outcome == concurrency.Done
 		t.queue.Answered(outcome)
 	}
 }
 
 // Answered records the outcome of a command. A learned limit may have changed with it.
-func (q *Queue) Answered(outcome Outcome) {
+func (q *Queue) Answered(outcome concurrency.Outcome) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := boottime.Now()
-	if outcome == Busy {
+	if outcome == concurrency.Busy {
 		q.busyAt = now
 	}
 	q.apply(q.queue.SetLimit(now, q.limit.Limit()))
--- a/turns/queue_test.go
+++ b/turns/queue_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/concurrency"
 	"github.com/waxwingspindle/waxwingspindle/logging"
 	"github.com/waxwingspindle/waxwingspindle/runqueue"
 )
@@ -70,11 +71,11 @@
 func TestOnlyAnswersAreLearned(t *testing.T) {
 	q, _ := newQueue(1, nil)
 	class := Class{"orders", Write}
-	for _, outcome := range []Outcome{NoAnswer, Failed, Busy, Done} {
+	for _, outcome := range []concurrency.Outcome{concurrency.NoAnswer, concurrency.Failed, concurrency.Busy, concurrency.Done} {
 		turn, _ := q.Await(newRequest(time.Second), class)
 		turn.Answered(outcome)
 		turn.End()
-		if _, learned := q.expected[class]; learned != (outcome == Done) {
+		if _, learned := q.expected[class]; learned != (outcome == concurrency.Done) {
 			t.Errorf("outcome %d: learned %t", outcome, learned)
 		}
 	}
@@ -111,7 +112,7 @@
 	limit.limit = 2
 	q.mu.Unlock()
 	answered := boottime.Now()
-	first.Answered(Busy)
+	first.Answered(concurrency.Busy)
 	second := <-started // the changed limit lets it start while the first one has not ended
 	wg.Wait()
 	first.End()
@@ -120,7 +121,7 @@
 		t.Error("the BUSY answer was not recorded")
 	}
 	var none *Turn // of statements without load control
-	none.Answered(Done)
+	none.Answered(concurrency.Done)
 	none.End()
 }
 
@@ -133,7 +134,7 @@
 		wg.Go(func() {
 			for range work {
 				if turn, refusal := q.Await(newRequest(time.Hour), Class{"orders", Write}); refusal == nil {
-					turn.Answered(Done)
+					turn.Answered(concurrency.Done)
 					turn.End()
 				}
 			}
