--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -159,13 +160,23 @@
 	h.api.setCut(on)
 }
 
+// usedPorts are the ports that freeAddress has returned.
+var usedPorts = map[int]bool{}
+
+// freeAddress returns a free loopback address. Its port is below the kernel's ephemeral range, so that no outgoing connection takes
+// it before a host listens there.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		port := 20000 + rand.IntN(12000)
+		address := fmt.Sprint("127.0.0.1:", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil || usedPorts[port] {
+			continue
+		}
+		usedPorts[port] = true
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port found")
 }
 
 // fleet is the platform with its hosts.
