--- a/review/stand-2/late_order.go
+++ b/review/stand-2/late_order.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stand-2 holds the stand-ins and the checks of the scripts in review/6 to review/10. It starts hosts with the command of
 // the deploy file, brings about one case, and exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 // With TROUBLE=0 in the environment it does the same without the disruption.
