--- a/review/stand-2/late_order.go
+++ b/review/stand-2/late_order.go
@@ -40,17 +40,7 @@
 		return false, err
 	}
 	defer f.stop()
-	if err := f.await("a host leads and the primary accepts writes", 20*time.Second, func() bool {
-		if f.leader() == nil {
-			return false
-		}
-		c, err := f.hosts[0].connect("orders", "workshop-key")
-		if err != nil {
-			return false
-		}
-		defer c.Close()
-		return c.Query("warm-up", "WRITE warm-up x").Code == ""
-	}); err != nil {
+	if err := f.awaitWrite(); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -33,6 +33,7 @@
 // cases are the cases by name. They report whether the rule was broken.
 var cases = map[string]func() (broken bool, err error){
 	"late-order":    lateOrder,
+	"lost-copy":     lostCopy,
 	"empty-primary": emptyPrimary,
 }
 
