--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -210,14 +210,18 @@
 		}
 		f.hosts = append(f.hosts, h)
 	}
-	return f, f.await("all hosts are ready", 20*time.Second, func() bool {
+	if err := f.await("all hosts are ready", 20*time.Second, func() bool {
 		for _, h := range f.hosts {
 			if !h.ready() {
 				return false
 			}
 		}
 		return true
-	})
+	}); err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
 }
 
 // startHost starts a host with the command of deploy/system.toml, and settings as deploy/settings.ini.tmpl has them.
