Log each promotion that the leader orders

Of a promotion that was not confirmed the log had the error only. It could not tell three causes of a late order apart: a second order of the leader, a repetition by the HTTP client, or the bytes of the first order. The leader now logs each order before it is sent, with the epoch of the decision and what is left of its lease, and the time after which it gave up.

--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -361,8 +361,12 @@
 	s.orderedEpoch = s.agent.view.Load().documents[s.service].value.Epoch
 	callCtx, cancel := context.WithTimeout(ctx, min(promoteCallTimeout, remaining))
 	defer cancel()
+	started := boottime.Now()
+	s.log.Info("primary: ordering promotion", zap.String("target", string(target.ID)), zap.Uint64("epoch", s.orderedEpoch),
+		zap.Duration("lease_remaining", remaining))
 	if err := s.agent.Promoter.Promote(callCtx, s.service, target.ID, s.fence); err != nil {
-		s.log.Warn("primary: promotion not confirmed", zap.String("target", string(target.ID)), zap.Error(err))
+		s.log.Warn("primary: promotion not confirmed", zap.String("target", string(target.ID)),
+			zap.Duration("took", boottime.Now().Sub(started)), zap.Duration("lease_remaining", s.remainingLease()), zap.Error(err))
 	}
 	deadline := boottime.Now().Add(promotionTimeout)
 	for ctx.Err() == nil && boottime.Now().Before(deadline) {
