An order to promote a target does not arrive after its sender has given up on it

Callers saw acknowledged writes rolled back: the leader ordered a promotion, was cut off from the platform and gave up after 1 s. Another host led and promoted another target; when the cut ended, the platform received the first order, with the lower fencing token.

Cause: the order was written to a connection that the leader had kept open. Giving up closed the connection, and the kernel delivers what was written before it was closed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -88,7 +88,8 @@
 	Close()
 }
 
-// Promoter requests promotions from the platform. A request that returns an error may still take effect.
+// Promoter requests promotions from the platform. A request that returns an error may have taken effect, but does not arrive after
+// Promote has returned. The context carries a deadline, after which nothing arrives either.
 type Promoter interface {
 	Promote(ctx context.Context, service model.Service, target model.TargetID, fence uint64) error
 }
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -353,7 +353,7 @@
 // promote requests the promotion of a target, waits until it is the primary and returns its term. It reports false if
 // the lease has ended or the target does not become the primary within promotionTimeout.
 func (s *supervisor) promote(ctx context.Context, target primacy.Candidate, oldTerm uint64) (uint64, bool) {
-	// A request in flight when the lease ends could reach the platform after one of the next leader.
+	// A request that arrives after the end of the lease could reach the platform after one of the next leader.
 	remaining := s.remainingLease()
 	if remaining <= 0 {
 		return 0, false
