A leader that stops lets its order end before it offers its place

Cause: a planned stop cancelled the order that was on its way, and offered the leadership in the same moment. The platform may have received such an order and carry it out after one of the successor, which has a higher token.

The leader now waits until the order has been answered or given up, for 1 s at most (usually some milliseconds), and orders nothing from then on.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -44,8 +44,10 @@
 	stopSupervision context.CancelFunc // stops the replacement of primaries
 
 	mu          sync.Mutex
-	leaseEnd    time.Time // on this host's clock
-	handingOver bool      // another host has been asked to take over
+	leaseEnd    time.Time      // on this host's clock
+	noDecisions bool           // this host decides nothing about primaries any more, although its lease may live on
+	orders      sync.WaitGroup // promotions that were ordered and have neither been answered nor given up; added to under mu
+	handingOver bool           // another host has been asked to take over
 	broker      *share.Broker
 	successor   *Host // host that took over the broker state
 	reports     map[model.HostID]hostReport
@@ -225,7 +227,7 @@
 // successor has taken over.
 func (term *leadership) handOver() bool {
 	a := term.agent
-	term.stopSupervision() // a pending promotion must not take effect after one of the successor
+	term.endDecisions()
 	term.mu.Lock()
 	term.handingOver = true
 	request := SuccessionRequest{Fence: term.fence, Broker: term.broker.HandOver(boottime.Now())}
@@ -246,6 +248,28 @@
 	return false
 }
 
+// endDecisions ends the replacement of primaries. It waits until no order is on its way: the platform could carry it out after one
+// of the next leader. Cancelling the order would not help, because the platform may have received it already.
+func (term *leadership) endDecisions() {
+	term.mu.Lock()
+	term.noDecisions = true
+	term.mu.Unlock()
+	term.orders.Wait() // each ends within promoteCallTimeout
+	term.stopSupervision()
+}
+
+// beginOrder returns the time in which this host may order a promotion. It reports false if it may not. Otherwise the caller
+// calls orders.Done when the order has been answered or given up.
+func (term *leadership) beginOrder() (remaining time.Duration, allowed bool) {
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	if remaining = term.remaining(); remaining <= 0 {
+		return 0, false
+	}
+	term.orders.Add(1)
+	return remaining, true
+}
+
 // takeTokens grants tokens. Once the reserve for the hand-over is used up, it returns the successor to forward the
 // request to.
 func (term *leadership) takeTokens(r TokenRequest) (reply TokenReply, successor *Host) {
@@ -290,12 +314,17 @@
 	return leader != nil && leader.revision > term.fence
 }
 
-// remainingLease returns the time for which this host may replace primaries: until its lease ends, or 0 during a
-// hand-over.
+// remainingLease returns the time for which this host may replace primaries: until its lease ends, or 0 once endDecisions was
+// called.
 func (term *leadership) remainingLease() time.Duration {
 	term.mu.Lock()
 	defer term.mu.Unlock()
-	if term.handingOver {
+	return term.remaining()
+}
+
+// remaining is remainingLease for callers that hold mu.
+func (term *leadership) remaining() time.Duration {
+	if term.noDecisions {
 		return 0
 	}
 	return term.leaseEnd.Sub(boottime.Now())
--- a/fleet/leader_test.go
+++ b/fleet/leader_test.go
@@ -1,11 +1,16 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/waxwingspindle/waxwingspindle/boottime"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
+	"github.com/waxwingspindle/waxwingspindle/share"
 )
 
 // Guards against a host with a narrow link that leads a large fleet because it noticed the end of the last lease a little
@@ -62,3 +67,42 @@
 	joined.hosts["a"], joined.hosts["b"], joined.hosts["c"] = Host{}, Host{}, Host{}
 	expect("a host has joined", joined, now.Add(1001*time.Millisecond), false)
 }
+
+// slowPromoter is a platform that answers an order when it is told to, whether the sender still waits or not.
+type slowPromoter struct {
+	received chan struct{}
+	answer   chan struct{}
+	answered atomic.Bool
+}
+
+func (p *slowPromoter) Promote(context.Context, model.Service, model.TargetID, uint64) error {
+	p.received <- struct{}{}
+	<-p.answer
+	p.answered.Store(true)
+	return nil
+}
+
+// Guards against a promotion that the platform carries out after one of the successor, because the leader offered its place while
+// an order was on its way.
+func TestHandOverWaitsForOrder(t *testing.T) {
+	s := newTestSupervisor(t, newMemoryStore())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s.stopSupervision, s.broker = cancel, share.NewBroker(boottime.Now())
+	platform := &slowPromoter{received: make(chan struct{}, 1), answer: make(chan struct{})}
+	s.agent.Promoter = platform
+	go s.orderPromotion(ctx, primacy.Candidate{ID: "b"})
+	<-platform.received
+	done := make(chan bool)
+	go func() {
+		s.handOver()
+		done <- platform.answered.Load()
+	}()
+	time.AfterFunc(100*time.Millisecond, func() { close(platform.answer) })
+	if answered := <-done; !answered {
+		t.Error("the leadership was offered while an order was on its way")
+	}
+	if s.orderPromotion(ctx, primacy.Candidate{ID: "c"}) {
+		t.Error("a leader that has handed over ordered a promotion")
+	}
+}
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -350,24 +350,34 @@
 	return group
 }
 
-// promote requests the promotion of a target, waits until it is the primary and returns its term. It reports false if
-// the lease has ended or the target does not become the primary within promotionTimeout.
-func (s *supervisor) promote(ctx context.Context, target primacy.Candidate, oldTerm uint64) (uint64, bool) {
+// orderPromotion requests the promotion of a target and waits for the answer of the platform. It reports false if this host may not
+// order promotions. Otherwise the target may become the primary, also without an answer.
+func (s *supervisor) orderPromotion(ctx context.Context, target primacy.Candidate) bool {
 	// A request that arrives after the end of the lease could reach the platform after one of the next leader.
-	remaining := s.remainingLease()
-	if remaining <= 0 {
-		return 0, false
+	remaining, allowed := s.beginOrder()
+	if !allowed {
+		return false
 	}
+	defer s.orders.Done()
 	s.orderedEpoch = s.agent.view.Load().documents[s.service].value.Epoch
-	callCtx, cancel := context.WithTimeout(ctx, min(promoteCallTimeout, remaining))
+	ctx, cancel := context.WithTimeout(ctx, min(promoteCallTimeout, remaining))
 	defer cancel()
 	started := boottime.Now()
 	s.log.Info("primary: ordering promotion", zap.String("target", string(target.ID)), zap.Uint64("epoch", s.orderedEpoch),
 		zap.Duration("lease_remaining", remaining))
-	if err := s.agent.Promoter.Promote(callCtx, s.service, target.ID, s.fence); err != nil {
+	if err := s.agent.Promoter.Promote(ctx, s.service, target.ID, s.fence); err != nil {
 		s.log.Warn("primary: promotion not confirmed", zap.String("target", string(target.ID)),
 			zap.Duration("took", boottime.Now().Sub(started)), zap.Duration("lease_remaining", s.remainingLease()), zap.Error(err))
 	}
+	return true
+}
+
+// promote orders the promotion of a target, waits until it is the primary and returns its term. It reports false if this host may
+// not order promotions or the target does not become the primary within promotionTimeout.
+func (s *supervisor) promote(ctx context.Context, target primacy.Candidate, oldTerm uint64) (uint64, bool) {
+	if !s.orderPromotion(ctx, target) {
+		return 0, false
+	}
 	deadline := boottime.Now().Add(promotionTimeout)
 	for ctx.Err() == nil && boottime.Now().Before(deadline) {
 		if t, registered := s.agent.view.Load().targets[target.ID]; registered {
