A commit that comes after the end of the host's lease is not acknowledged

Cause: the lease was checked before a statement was sent, not when its answer came. A write that was held up on the link, or in the queue of a slow database, until the lease had ended could be committed by a primary that the leader had replaced without this host, and was acknowledged. Found by reading; no run has shown it to callers.

The host now checks its lease again when the answer of a commit has come, and answers INDOUBT if it has ended. Cost: one clock reading for each commit. Reads are not concerned.

TestCommitAfterEndOfLeaseIsNotAcknowledged fails without the change for a write and for a COMMIT (answered with success, want in_doubt). go test -race -count=3 ./frontend: pass.

--- a/frontend/fence.go
+++ b/frontend/fence.go
@@ -103,3 +103,18 @@
 	}
 	return o
 }
+
+// permissionEndedDetail is the detail of the answer to a write that may have been committed by a replaced primary.
+const permissionEndedDetail = "this host's permission to use the primary ended before the answer came"
+
+// mayAcknowledge reports whether a commit that a target has just confirmed may be acknowledged to the caller. The target may have
+// received the statement, or committed it, after this host's permission to use the primary had ended. The leader does not wait for
+// such a host, so that another target may have been promoted before the commit.
+func (s *session) mayAcknowledge(st Statement, c *targetConn, epoch uint64) bool {
+	if s.server.primaryAllowed(boottime.Now()) {
+		return true
+	}
+	s.log.Warn("statement: committed, but not acknowledged: the permission to use the primary has ended",
+		zap.String("id", shorten(st.ID)), zap.String("target", string(c.target.ID)), zap.Uint64("epoch", epoch))
+	return false
+}
--- a/frontend/primary_test.go
+++ b/frontend/primary_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -114,3 +115,71 @@
 		})
 	}
 }
+
+// lapsingConn is a connection to a target that commits everything. The permission of the host ends before its reply to the given
+// kind of statement.
+type lapsingConn struct {
+	server *Server
+	lapses StatementKind
+	state  TxnState
+}
+
+func (c *lapsingConn) Run(_ time.Time, commands []Command) (replies []Reply, sent bool, err error) {
+	for _, command := range commands {
+		switch command.Kind {
+		case Begin:
+			c.state = InTxn
+		case Commit, Rollback:
+			c.state = Idle
+		}
+		if command.Kind == c.lapses {
+			c.server.AllowPrimariesUntil(time.Time{})
+		}
+		replies = append(replies, Reply{State: c.state})
+	}
+	return replies, true, nil
+}
+
+func (*lapsingConn) Status(time.Time) (primacy.Status, error) {
+	return primacy.Status{Primary: true, Term: 1}, nil
+}
+
+func (*lapsingConn) Close() {}
+
+type lapsingDialer struct{ conn *lapsingConn }
+
+func (d lapsingDialer) Dial(context.Context, catalog.Target, model.Workspace) (Conn, model.Position, error) {
+	return d.conn, model.Position{Term: 1}, nil
+}
+
+// Guards against an acknowledgement of a write that was held up on its way to the target, or there, until the lease of the host had
+// ended: another target may have been promoted before the commit.
+func TestCommitAfterEndOfLeaseIsNotAcknowledged(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		lapses     StatementKind
+		statements []StatementKind
+		want       Code // of the answer to the last statement
+	}{
+		{"write", Write, []StatementKind{Write}, InDoubt},
+		{"commit", Commit, []StatementKind{Begin, Write, Commit}, InDoubt},
+		{"commit that wrote nothing", Commit, []StatementKind{Begin, Read, Commit}, Success},
+		{"read", Read, []StatementKind{Read}, Success},
+		{"no end", Invalid, []StatementKind{Begin, Write, Commit}, Success},
+	} {
+		conn := &lapsingConn{lapses: test.lapses}
+		s := New("z", lapsingDialer{conn}, zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
+		conn.server = s
+		s.AllowPrimariesUntil(boottime.Now().Add(time.Hour))
+		s.SetTargets("stock", []catalog.Target{{ID: "a", Service: "stock", DataCentre: "z", StartedAt: 1}}, maxConnections(4))
+		s.ApplyPrimaryDocument(primacy.Document{Service: "stock", Epoch: 1, Open: true, Primary: "a", Term: 1, Born: 1})
+		sess := newSelectingSession(s)
+		var last Answer
+		for i, kind := range test.statements {
+			last = sess.execute(boottime.Now(), Statement{ID: strconv.Itoa(i), Kind: kind, Args: "x"})
+		}
+		if last.Code != test.want {
+			t.Errorf("%s: answered with %s (%s), want %s", test.name, last.Code, last.Detail, test.want)
+		}
+	}
+}
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -342,6 +342,8 @@
 				s.elsewhere = OnOtherHost
 				return lastAnswer
 			}
+		case reply.Code == Success && op.isWrite && !s.mayAcknowledge(st, c, epoch):
+			return errorAnswer(InDoubt, permissionEndedDetail)
 		case reply.Code == Success:
 			if op.isWrite {
 				s.mark = HighWaterMark{Epoch: epoch, Position: reply.Position, CommittedAt: boottime.Now()}
--- a/frontend/transaction.go
+++ b/frontend/transaction.go
@@ -252,6 +252,10 @@
 		return errorAnswer(InDoubt, "the answer of the target to the commit was lost")
 	}
 	t.service.release(t.conn, reply.State != Idle)
+	if reply.Code == Success && t.wrote && !s.mayAcknowledge(st, t.conn, t.epoch) {
+		s.txn = nil
+		return errorAnswer(InDoubt, permissionEndedDetail)
+	}
 	if reply.Code == Success && t.wrote {
 		s.mark = HighWaterMark{Epoch: t.epoch, Position: reply.Position, CommittedAt: boottime.Now()}
 	}
