End the lease of a leader's key whose write was not confirmed

Cause: a host that gave up on writing the leader's key left the lease of the key alone. The store may execute the write seconds later; the key then names a host that does not lead, and nobody else can lead until the lease has ended, for up to 3 s. docs/proofs.md had no test for this path.

The host now ends that lease, so that a late write is refused (404) or undone. The fake store of the tests refuses an item whose lease has ended, as the platform's does; one test used a lease that it had not been granted.

TestLateLeadershipEndsWithItsLease fails without the change (the lease is never ended). go test -race -count=2 ./fleet: pass.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -137,8 +137,10 @@
 		Puts: []metastore.Item{{Key: leaderKey, Lease: lease,
 			Value: mustEncode(Leader{Host: a.Self.ID, Incarnation: a.Self.Incarnation})}}})
 	if err != nil {
-		if errors.Is(err, metastore.ErrConflict) {
-			a.revoke(lease)
+		a.Log.Info("leader: key not written", zap.Uint64("expected_revision", expectedRevision), zap.Error(err))
+		if !errors.Is(err, metastore.ErrNotExecuted) {
+			// A write without a reply may take effect later. The key would name a host that does not lead, until the lease ends.
+			go a.revoke(lease)
 		}
 		return nil, 0
 	}
--- a/fleet/leader_test.go
+++ b/fleet/leader_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/metastore"
 	"github.com/waxwingspindle/waxwingspindle/model"
 	"github.com/waxwingspindle/waxwingspindle/primacy"
 	"github.com/waxwingspindle/waxwingspindle/share"
@@ -106,3 +108,31 @@
 		t.Error("a leader that has handed over ordered a promotion")
 	}
 }
+
+// Guards against a leader's key that is written late, after the host has given up on it: no host would lead until the lease ends.
+func TestLateLeadershipEndsWithItsLease(t *testing.T) {
+	store := newMemoryStore()
+	a := newRegisteringAgent(store, 1)
+	store.setDelay(true)
+	if term, _ := a.acquireLeadership(t.Context(), 0); term != nil {
+		t.Fatal("the host leads without a reply of the store")
+	}
+	revoked := func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return len(store.delayedRevocations) > 0
+	}
+	for deadline := time.Now().Add(10 * time.Second); !revoked(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the lease of the key was not ended")
+		}
+	}
+	late := store.delayed[0]
+	store.applyDelayed()
+	if item, exists := store.items[leaderKey]; exists {
+		t.Errorf("the key names %s, which does not lead", item.Value)
+	}
+	if _, err := store.apply(late); !errors.Is(err, metastore.ErrLeaseEnded) {
+		t.Errorf("the write after the end of the lease ended with %v", err)
+	}
+}
--- a/fleet/register_test.go
+++ b/fleet/register_test.go
@@ -109,6 +109,11 @@
 			return 0, metastore.ErrConflict
 		}
 	}
+	for _, put := range txn.Puts {
+		if put.Lease != 0 && !s.leases[put.Lease] {
+			return 0, metastore.ErrLeaseEnded
+		}
+	}
 	s.revision++
 	for _, put := range txn.Puts {
 		put.Revision = s.revision
@@ -321,6 +326,7 @@
 // primary before the first decision.
 func TestFirstDecisionNeedsNoConfirmation(t *testing.T) {
 	store := newMemoryStore()
+	store.leases[1] = true
 	a := &Agent{Config: Config{Self: Host{ID: "host"}, Store: store, Log: zap.NewNop()},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
 		unconfirmed: map[model.Service]uint64{}, lease: 1}
