A forwarded transaction does not begin after its rollback

Cause: when the first statement of a forwarded transaction gets no answer, the origin rolls it back and begins it elsewhere. A rollback over a new connection can overtake the statement, which then began a transaction that only txIdleMs ended, or nothing where that is not configured.

A host remembers rollbacks of unknown transactions for 30 s and refuses their first statement. Connections that a host opens have TCP_USER_TIMEOUT now, like those that it accepts, so that the kernel stops delivering 10 s after the last acknowledgement; the memory covers that.

--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -356,10 +356,19 @@
 func (s *Server) forwardedTxnSession(key txnKey, f ForwardRequest) (*session, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	sess := s.forwardedTxns[key]
+	if sess == nil && f.Statement.Kind == Rollback {
+		s.endedTxns.add(boottime.Now(), key) // its first statement may be on the way still
+	}
 	if !f.BeginTxn {
-		return s.forwardedTxns[key], nil
+		return sess, nil
+	}
+	if s.endedTxns.contains(key) {
+		s.log.Info("forward: transaction arrived after its end", zap.String("origin", string(key.origin)),
+			zap.Uint64("transaction", key.txn), zap.String("id", shorten(f.Statement.ID)))
+		return nil, nil
 	}
-	sess := s.newForwardedSession(f)
+	sess = s.newForwardedSession(f)
 	sess.onIdleRollback = func() { s.removeForwardedTxn(key) }
 	svc := s.services[f.Route.Service]
 	if svc == nil {
@@ -370,6 +379,42 @@
 	return sess, nil
 }
 
+// endedTxnMemory is the time for which a host remembers that a transaction has ended whose first statement it has not seen. It is
+// longer than the network goes on to deliver a statement that its sender has given up on, see package socket.
+const endedTxnMemory = 30 * time.Second
+
+// endedTxns are the transactions of other hosts that were rolled back before their first statement arrived. A rollback overtakes the
+// statement when the origin has replaced its connection, or when this host was frozen. The statement would begin a transaction that
+// nobody ends.
+type endedTxns struct {
+	keys  map[txnKey]bool
+	order []endedTxn // oldest first
+}
+
+// endedTxn is a transaction and the time at which it was rolled back.
+type endedTxn struct {
+	key txnKey
+	at  time.Time
+}
+
+// add remembers a transaction, and forgets those of more than endedTxnMemory ago.
+func (e *endedTxns) add(now time.Time, key txnKey) {
+	old := 0
+	for old < len(e.order) && now.Sub(e.order[old].at) > endedTxnMemory {
+		delete(e.keys, e.order[old].key)
+		old++
+	}
+	e.order = e.order[old:]
+	if e.keys == nil {
+		e.keys = map[txnKey]bool{}
+	}
+	if !e.keys[key] {
+		e.keys[key], e.order = true, append(e.order, endedTxn{key, now})
+	}
+}
+
+func (e *endedTxns) contains(key txnKey) bool { return e.keys[key] }
+
 // removeForwardedTxn removes a transaction of another host that has ended.
 func (s *Server) removeForwardedTxn(key txnKey) {
 	s.mu.Lock()
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -54,6 +54,7 @@
 	sessions map[*session]CallerConn
 	// forwardedTxns holds the sessions of transactions that this host runs for other hosts.
 	forwardedTxns map[txnKey]*session
+	endedTxns     endedTxns
 
 	forwarder Forwarder     // nil if all statements run on this host
 	lastTxnID atomic.Uint64 // number of the last transaction that was forwarded
--- a/socket/expiring.go
+++ b/socket/expiring.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/waxwingspindle/waxwingspindle/boottime"
 )
 
@@ -54,23 +52,14 @@
 	if remaining < time.Millisecond {
 		return 0, ErrExpired
 	}
-	if err := c.setUserTimeout(remaining); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
-
-// setUserTimeout makes the kernel drop the connection if the peer acknowledges nothing for the given time.
-func (c *expiringConn) setUserTimeout(d time.Duration) error {
 	raw, err := c.tcp.SyscallConn()
 	if err != nil {
-		return err
+		return 0, err
 	}
-	var optionErr error
-	err = raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-	})
-	return errors.Join(err, optionErr)
+	if err := setUserTimeout(raw, remaining); err != nil { // the kernel repeats the data until then
+		return 0, err
+	}
+	return c.Conn.Write(p)
 }
 
 // Close implements net.Conn. It resets the connection.
--- a/socket/expiring_test.go
+++ b/socket/expiring_test.go
@@ -101,18 +101,46 @@
 	if _, err := io.WriteString(conn, "request"); err != nil {
 		t.Fatal(err)
 	}
-	raw, err := conn.tcp.SyscallConn()
+	checkDelivery(t, conn.tcp, expiry)
+}
+
+// checkDelivery checks that the kernel repeats data on a connection for the limit at most.
+func checkDelivery(t *testing.T, conn *net.TCPConn, limit time.Duration) {
+	t.Helper()
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
-	var timeout int
+	var milliseconds int
 	if controlErr := raw.Control(func(fd uintptr) {
-		timeout, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		milliseconds, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
 	}); controlErr != nil || err != nil {
 		t.Fatal(controlErr, err)
 	}
-	if limit := time.Duration(timeout) * time.Millisecond; limit <= 0 || limit > expiry {
-		t.Errorf("the kernel repeats data for %s, want more than 0 and at most %s", limit, expiry)
+	if d := time.Duration(milliseconds) * time.Millisecond; d <= 0 || d > limit {
+		t.Errorf("the kernel repeats data for %s, want more than 0 and at most %s", d, limit)
+	}
+}
+
+// Guards against statements that the kernel delivers minutes after their sender has closed the connection.
+func TestDeliveryIsLimited(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	dialed, err := Dialer(dialTimeout).Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	for _, conn := range []net.Conn{dialed, accepted} {
+		checkDelivery(t, conn.(*net.TCPConn), tcpUserTimeout)
 	}
 }
 
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -16,24 +16,31 @@
 // work.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
 
-// tcpUserTimeout is the time after which the kernel closes a connection whose peer acknowledges no data or does not read.
-// It exceeds all deadlines of callers.
+// tcpUserTimeout is the time after which the kernel closes a connection whose peer acknowledges no data or does not read. It also
+// ends the delivery of what was sent on a connection that has been closed since, which the kernel would repeat for minutes. It exceeds
+// all deadlines of callers.
 const tcpUserTimeout = 10 * time.Second
 
 // Listen opens a TCP listener whose connections use KeepAlive and tcpUserTimeout.
 func Listen(address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: KeepAlive, Control: func(_, _ string, c syscall.RawConn) error {
-		var optionErr error
-		err := c.Control(func(fd uintptr) {
-			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
-				int(tcpUserTimeout.Milliseconds()))
-		})
-		return errors.Join(err, optionErr)
-	}}
+	config := net.ListenConfig{KeepAliveConfig: KeepAlive, Control: limitDelivery}
 	return config.Listen(context.Background(), "tcp", address)
 }
 
-// Dialer returns a dialer whose connections use KeepAlive. With a timeout of zero only the context limits dialing.
+// Dialer returns a dialer whose connections use KeepAlive and tcpUserTimeout. With a timeout of zero only the context limits
+// dialing.
 func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive}
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive, Control: limitDelivery}
+}
+
+// limitDelivery sets tcpUserTimeout for a new socket.
+func limitDelivery(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, tcpUserTimeout) }
+
+// setUserTimeout sets the time after which the kernel closes a connection whose peer acknowledges no data.
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
+	var optionErr error
+	err := c.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	return errors.Join(err, optionErr)
 }
