Soak: links that deliver what they held, and a leader that is cut off as it replaces a primary

Each link has a relay now that can hold data and deliver it later, unless the sender has reset the connection. Two new faults use it: a held link of any kind, and a drained primary whose leader loses its links to the store and the promotion API between its decision and its order, for longer than its lease.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -54,8 +56,13 @@
 			sys.addViolation(NoUnexpectedExit, "settings of host %d: %v", f.Host, err)
 		}
 		return activeFault{}, false
-	case LinkBlackholed, LinkResponsesDropped, LinkDelayed, LinkReset:
+	case LinkBlackholed, LinkResponsesDropped, LinkDelayed, LinkReset, LinkHeld:
 		end = sys.injectLinkFault(number, f, window)
+	case LeaderCutOff:
+		var possible bool
+		if end, possible = sys.cutLeaderOff(rand.New(rand.NewPCG(sys.options.Seed, uint64(number)))); !possible {
+			return activeFault{}, false
+		}
 	case KeyChanged:
 		sys.rotateKey()
 		return activeFault{}, false
@@ -131,6 +138,9 @@
 	if f.Link == LinkToDatabase {
 		link, window.Host, window.DatabasesOnly = databaseLink(f.Database), allHosts, true
 	}
+	if f.Kind == LinkHeld {
+		return sys.proxies.hold(link)
+	}
 	name := fmt.Sprintf("fault-%d", number)
 	if err := sys.proxies.inject(link, name, f.Kind); err != nil {
 		sys.addViolation(NoUnexpectedExit, "proxy %s: %v", link, err)
@@ -142,6 +152,69 @@
 	}
 }
 
+// maxCutDelay is the longest time between a decision to replace the primary and the cut of LeaderCutOff. Statements that run at the
+// old primary delay the order of the promotion by up to 0.4 s.
+const maxCutDelay = 400 * time.Millisecond
+
+// decisionPollInterval is the interval between checks whether the leader has decided to replace the primary.
+const decisionPollInterval = 2 * time.Millisecond
+
+// cutLeaderOff drains the primary and holds the leader's links to the platform while it replaces the primary, until the returned
+// function is called.
+func (sys *system) cutLeaderOff(random *rand.Rand) (end func(), possible bool) {
+	primary := -1
+	for i := range databaseCount {
+		if sys.group.Member(i) == sys.group.Primary() {
+			primary = i
+		}
+	}
+	if primary < 0 {
+		return nil, false
+	}
+	endDrain, possible := sys.injectDatabaseFault(Fault{Kind: DatabaseDrained, Database: primary})
+	if !possible {
+		return nil, false
+	}
+	ended, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for !sys.replacingPrimary() {
+			select {
+			case <-ended:
+				return
+			case <-time.After(decisionPollInterval):
+			}
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(maxCutDelay))))
+		leader := sys.leader()
+		if leader < 0 {
+			return
+		}
+		for _, link := range []LinkKind{LinkToStore, LinkToDuties} {
+			defer sys.proxies.hold(hostLink(link, leader))()
+		}
+		sys.print("host %d, which leads, is cut off from the platform", leader)
+		<-ended
+	}()
+	return func() {
+		close(ended)
+		<-done
+		endDrain()
+	}, true
+}
+
+// replacingPrimary reports whether the leader has decided to replace the primary and not yet stored another one.
+func (sys *system) replacingPrimary() bool {
+	value, _ := sys.store.Get("waxwingspindle/primary/" + serviceName)
+	return strings.Contains(string(value), `"Open":false`)
+}
+
+// leader returns the number of the host that the store names as the leader, or -1.
+func (sys *system) leader() int {
+	value, _ := sys.store.Get("waxwingspindle/leader")
+	return slices.IndexFunc(sys.hosts, func(h *host) bool { return strings.Contains(string(value), fmt.Sprintf(`"host-%d"`, h.number)) })
+}
+
 // adjustActiveFaults changes the number of active faults of a kind and applies the result to the stand-ins.
 func (sys *system) adjustActiveFaults(kind FaultKind, change int) {
 	sys.mu.Lock()
--- a/soak/links.go
+++ b/soak/links.go
@@ -9,39 +9,62 @@
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
+
+	"github.com/waxwingspindle/waxwingspindle/internal/loopback"
 )
 
-// proxySet holds the fault-injecting proxies between hosts, callers and stand-ins.
+// proxySet holds the fault-injecting proxies between hosts, callers and stand-ins. In front of each of them is a relay, which can
+// hold what is sent and deliver it later; a proxy can only discard or delay it.
 type proxySet struct {
 	server *toxiproxy.ApiServer
 
 	mu      sync.Mutex
 	proxies map[string]*toxiproxy.Proxy
+	relays  map[string]*loopback.Relay
+	holds   map[string]int // number of faults that hold a link
 }
 
 func newProxySet() *proxySet {
 	return &proxySet{server: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
-		proxies: map[string]*toxiproxy.Proxy{}}
+		proxies: map[string]*toxiproxy.Proxy{}, relays: map[string]*loopback.Relay{}, holds: map[string]int{}}
 }
 
-// add starts a proxy to an upstream address on a free port and returns the proxy's address.
+// add starts a relay and a proxy to an upstream address on free ports and returns the relay's address.
 func (s *proxySet) add(name, upstream string) (string, error) {
 	p := toxiproxy.NewProxy(s.server, name, "127.0.0.1:0", upstream)
 	if err := p.Start(); err != nil {
 		return "", trace.Wrap(err)
 	}
+	relay, err := loopback.NewRelay("127.0.0.1:0", p.Listen)
+	if err != nil {
+		p.Stop()
+		return "", trace.Wrap(err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.proxies[name] = p
-	return p.Listen, nil
+	s.proxies[name], s.relays[name] = p, relay
+	return relay.Address, nil
 }
 
 func (s *proxySet) close() {
-	for _, p := range s.proxies {
+	for name, p := range s.proxies {
+		s.relays[name].Close()
 		p.Stop()
 	}
 }
 
+// hold holds what is sent over a link, and returns a function that ends this. The link is released when no fault holds it.
+func (s *proxySet) hold(link string) (release func()) {
+	change := func(n int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.holds[link] += n
+		s.relays[link].SetHeld(s.holds[link] > 0)
+	}
+	change(1)
+	return func() { change(-1) }
+}
+
 type toxic struct {
 	Name       string         `json:"name"`
 	Type       string         `json:"type"`
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -27,6 +27,10 @@
 	LinkResponsesDropped FaultKind = "link drops responses"
 	LinkDelayed          FaultKind = "link delayed"
 	LinkReset            FaultKind = "link reset"
+	LinkHeld             FaultKind = "link delivers all data when the fault ends"
+	// LeaderCutOff drains the primary and, as the leader replaces it, holds the leader's links to the platform until its lease has
+	// ended. What the leader has sent arrives when another host leads.
+	LeaderCutOff FaultKind = "leader cut off from the platform while it replaces the primary"
 
 	StoreDown           FaultKind = "store down"
 	StoreSlow           FaultKind = "store slow"
@@ -61,6 +65,7 @@
 // Kinds of links.
 const (
 	LinkToStore    LinkKind = "host to store"
+	LinkToDuties   LinkKind = "host to promotion API"
 	LinkToDatabase LinkKind = "hosts to database"
 	LinkToHost     LinkKind = "hosts to host"
 	LinkToCallers  LinkKind = "callers to host"
@@ -102,7 +107,8 @@
 	for at := time.Duration(0); ; {
 		at += time.Duration(random.Int64N(int64(maxFaultGap)))
 		if at >= length {
-			return append(plan, generateEvacuations(seed, databases, length)...)
+			plan = append(plan, generateEvacuations(seed, databases, length)...)
+			return append(plan, generateHeldLinks(seed, hosts, databases, length)...)
 		}
 		pick, kind := random.IntN(total), FaultKind("")
 		for _, w := range faultWeights {
@@ -157,6 +163,33 @@
 	}
 }
 
+// heldLinkSpacing is the mean time between the starts of two faults that hold links. A hand-over to another leader takes 4 s.
+const heldLinkSpacing = 5 * time.Second
+
+// minLeaderCut is the shortest duration of LeaderCutOff: another host leads by then.
+const minLeaderCut = 4500 * time.Millisecond
+
+// generateHeldLinks returns the faults of a plan that hold what is sent over a link and deliver it later, in turn a single link and
+// the links of a leader that replaces a primary. They have a random source of their own, like evacuations.
+func generateHeldLinks(seed uint64, hosts, databases int, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 4))
+	links := append([]LinkKind{LinkToDuties}, linkKinds...)
+	var plan []Fault
+	for at, leader := time.Duration(0), true; ; leader = !leader {
+		at += time.Duration(random.Int64N(int64(2 * heldLinkSpacing)))
+		if at >= length {
+			return plan
+		}
+		f := Fault{Start: at, Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
+			Kind: LinkHeld, Host: random.IntN(hosts), Database: random.IntN(databases), Link: links[random.IntN(len(links))]}
+		if leader {
+			f.Kind, f.Duration = LeaderCutOff, max(f.Duration, minLeaderCut)
+		}
+		f.Duration = min(f.Duration, length-at)
+		plan = append(plan, f)
+	}
+}
+
 // planSteps returns the starts and ends of the faults of a plan in chronological order.
 func planSteps(plan []Fault) []planStep {
 	var all []planStep
--- a/soak/system.go
+++ b/soak/system.go
@@ -142,7 +142,7 @@
 func (sys *system) newHost(number int) (*host, error) {
 	h := &host{number: number, settingsFile: filepath.Join(sys.options.Dir, fmt.Sprintf("host-%d.ini", number)),
 		logFile: filepath.Join(sys.options.Dir, fmt.Sprintf("host-%d.log", number))}
-	var metrics, advertised, store string
+	var metrics, advertised, store, duties string
 	for i, address := range []*string{&h.listenAddress, &h.healthAddress, &h.peerAddress, &metrics} {
 		*address = fmt.Sprintf("%s:%d", sys.hostIP, firstPort+number*portsPerHost+i)
 	}
@@ -151,7 +151,8 @@
 		upstream string
 		address  *string
 	}{{LinkToCallers, h.listenAddress, &h.callerAddress}, {LinkToHost, h.peerAddress, &advertised},
-		{LinkToStore, strings.TrimPrefix(sys.servers[0].URL, "http://"), &store}} {
+		{LinkToStore, strings.TrimPrefix(sys.servers[0].URL, "http://"), &store},
+		{LinkToDuties, strings.TrimPrefix(sys.servers[1].URL, "http://"), &duties}} {
 		var err error
 		if *link.address, err = sys.proxies.add(hostLink(link.peer, number), link.upstream); err != nil {
 			return nil, err
@@ -161,7 +162,7 @@
 		"seeds = %s\nadvertise = %s\nmetrics = %s\nstore = %s\nduties = %s\ndrain_seconds = %d\n"+
 		"evacuation_ms = %d\n", number,
 		1+number%3, h.listenAddress, h.healthAddress, h.peerAddress, strings.Join(sys.seedAddresses, ","), advertised,
-		metrics, store, strings.TrimPrefix(sys.servers[1].URL, "http://"), drainSeconds, evacuationBound.Milliseconds())
+		metrics, store, duties, drainSeconds, evacuationBound.Milliseconds())
 	if sys.options.LoadControl {
 		text += "load_control = on\n"
 	}
