Statements and messages to other hosts do not arrive after they were given up

Cause: as with orders of promotions, closing a connection lets the kernel go on to deliver what was written, for minutes. A statement could be committed after its caller had got INDOUBT, and a message such as a registration through another host could be processed late.

A connection to a target on which a command has no answer is reset when it is closed, and so is each connection to another host.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -188,6 +188,10 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
+	// A connection is closed with calls pending only when they are given up.
+	if err := socket.ResetOnClose(conn); err != nil {
+		return nil, &dialError{errors.Join(err, conn.Close())}
+	}
 	limits := p.limits
 	if p.counter != nil {
 		limits.Written = p.counter(address)
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -379,8 +379,8 @@
 	return sess, nil
 }
 
-// endedTxnMemory is the time for which a host remembers that a transaction has ended whose first statement it has not seen. It is
-// longer than the network goes on to deliver a statement that its sender has given up on, see package socket.
+// endedTxnMemory is the time for which a host remembers that a transaction has ended whose first statement it has not seen. The origin
+// resets the connection of a statement that it gives up, so what is late has arrived at this host already.
 const endedTxnMemory = 30 * time.Second
 
 // endedTxns are the transactions of other hosts that were rolled back before their first statement arrived. A rollback overtakes the
--- a/socket/expiring.go
+++ b/socket/expiring.go
@@ -27,7 +27,7 @@
 		return nil, err
 	}
 	c := &expiringConn{Conn: conn, tcp: conn.(*net.TCPConn), expiry: expiry, now: boottime.Now}
-	if err := c.tcp.SetLinger(0); err != nil { // closing sends a reset
+	if err := ResetOnClose(conn); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
 	c.scheduleCheck()
--- a/socket/expiring_test.go
+++ b/socket/expiring_test.go
@@ -101,11 +101,13 @@
 	if _, err := io.WriteString(conn, "request"); err != nil {
 		t.Fatal(err)
 	}
-	checkDelivery(t, conn.tcp, expiry)
+	if d := userTimeout(t, conn.tcp); d <= 0 || d > expiry {
+		t.Errorf("the kernel repeats data for %s, want more than 0 and at most %s", d, expiry)
+	}
 }
 
-// checkDelivery checks that the kernel repeats data on a connection for the limit at most.
-func checkDelivery(t *testing.T, conn *net.TCPConn, limit time.Duration) {
+// userTimeout returns the TCP_USER_TIMEOUT of a connection.
+func userTimeout(t *testing.T, conn *net.TCPConn) time.Duration {
 	t.Helper()
 	raw, err := conn.SyscallConn()
 	if err != nil {
@@ -117,30 +119,24 @@
 	}); controlErr != nil || err != nil {
 		t.Fatal(controlErr, err)
 	}
-	if d := time.Duration(milliseconds) * time.Millisecond; d <= 0 || d > limit {
-		t.Errorf("the kernel repeats data for %s, want more than 0 and at most %s", d, limit)
-	}
+	return time.Duration(milliseconds) * time.Millisecond
 }
 
-// Guards against statements that the kernel delivers minutes after their sender has closed the connection.
-func TestDeliveryIsLimited(t *testing.T) {
+// Guards against a late detection of silent connections: with TCP_USER_TIMEOUT the kernel ignores the number of unanswered probes, so
+// that connections to the store, to targets and to other hosts would stay silent for 10 s instead of 2 s.
+func TestDialedConnHasNoUserTimeout(t *testing.T) {
 	l, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	dialed, err := Dialer(dialTimeout).Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer dialed.Close()
-	accepted, err := l.Accept()
+	conn, err := Dialer(dialTimeout).Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer accepted.Close()
-	for _, conn := range []net.Conn{dialed, accepted} {
-		checkDelivery(t, conn.(*net.TCPConn), tcpUserTimeout)
+	defer conn.Close()
+	if d := userTimeout(t, conn.(*net.TCPConn)); d != 0 {
+		t.Errorf("TCP_USER_TIMEOUT is %s, want none", d)
 	}
 }
 
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -16,25 +16,32 @@
 // work.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
 
-// tcpUserTimeout is the time after which the kernel closes a connection whose peer acknowledges no data or does not read. It also
-// ends the delivery of what was sent on a connection that has been closed since, which the kernel would repeat for minutes. It exceeds
-// all deadlines of callers.
+// tcpUserTimeout is the time after which the kernel closes a connection whose peer acknowledges no data or does not read.
+// It exceeds all deadlines of callers.
 const tcpUserTimeout = 10 * time.Second
 
 // Listen opens a TCP listener whose connections use KeepAlive and tcpUserTimeout.
 func Listen(address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: KeepAlive, Control: limitDelivery}
+	config := net.ListenConfig{KeepAliveConfig: KeepAlive, Control: func(_, _ string, c syscall.RawConn) error {
+		return setUserTimeout(c, tcpUserTimeout)
+	}}
 	return config.Listen(context.Background(), "tcp", address)
 }
 
-// Dialer returns a dialer whose connections use KeepAlive and tcpUserTimeout. With a timeout of zero only the context limits
-// dialing.
+// Dialer returns a dialer whose connections use KeepAlive. With a timeout of zero only the context limits dialing. The connections
+// have no TCP_USER_TIMEOUT, which would replace the number of unanswered probes of KeepAlive.
 func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive, Control: limitDelivery}
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive}
 }
 
-// limitDelivery sets tcpUserTimeout for a new socket.
-func limitDelivery(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, tcpUserTimeout) }
+// ResetOnClose makes closing a TCP connection discard what the peer has not acknowledged. By default the kernel goes on to deliver it
+// after the connection has been closed, for minutes if the peer does not answer. It does nothing for other connections.
+func ResetOnClose(conn net.Conn) error {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(0)
+	}
+	return nil
+}
 
 // setUserTimeout sets the time after which the kernel closes a connection whose peer acknowledges no data.
 func setUserTimeout(c syscall.RawConn, d time.Duration) error {
