Calls of the store do not arrive after they were given up

For the client of our own stand-in this breaks an assumption: the proof of an outage (design.md 3.6) takes it that a swap takes effect within 30 s or never, but the kernel repeats data of a closed connection for minutes. Writes to the users' store are harmless through their conditions, but a late one can name a leader that does not lead.

Both clients reset their connections when they close them, by the same function as the connections to other hosts.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -184,14 +184,11 @@
 }
 
 func (p *peerClients) dial(address string) (*rpccodec.Client, error) {
-	conn, err := socket.Dialer(peerDialTimeout).Dial("tcp", address)
+	// A connection is closed with calls pending only when they are given up.
+	conn, err := socket.DialResetting(context.Background(), address, peerDialTimeout)
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	// A connection is closed with calls pending only when they are given up.
-	if err := socket.ResetOnClose(conn); err != nil {
-		return nil, &dialError{errors.Join(err, conn.Close())}
-	}
 	limits := p.limits
 	if p.counter != nil {
 		limits.Written = p.counter(address)
--- a/kvclient/kvclient.go
+++ b/kvclient/kvclient.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/waxwingspindle/waxwingspindle/gen/http/platform/client"
 	genplatform "github.com/waxwingspindle/waxwingspindle/gen/platform"
 	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/socket"
 )
 
 // Keys in the platform's key-value store.
@@ -21,7 +23,8 @@
 	RosterKey        = "waxwingspindle/roster"
 )
 
-// Timeouts of calls. The proof of an outage relies on swapTimeout: a swap takes effect within 30 s of being sent or never.
+// Timeouts of calls. The proof of an outage relies on swapTimeout: a swap takes effect within 30 s of being sent or never. So the
+// kernel must not go on to deliver a swap that was given up.
 const (
 	readTimeout = 2 * time.Second
 	swapTimeout = 5 * time.Second
@@ -75,12 +78,17 @@
 	if err != nil {
 		return nil, trace.BadParameter("platform URL %q: %v", baseURL, err)
 	}
-	httpClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
+	httpClient := &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
 	c := client.NewClient(u.Scheme, u.Host, httpClient, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	return &Client{api: genplatform.NewClient(c.Get(), c.Swap(), c.Watch(), c.GrantLease(), c.RenewLease(),
 		c.RevokeLease(), c.Hosts())}, nil
 }
 
+// dial opens a connection that delivers nothing after it has been closed.
+func dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return socket.DialResetting(ctx, address, 0)
+}
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/socket/expiring.go
+++ b/socket/expiring.go
@@ -22,14 +22,11 @@
 // kernel if this process is frozen or ends, and otherwise by closing the connection. Closing it earlier discards such data as well,
 // whereas a usual connection goes on to deliver it. Data that the peer's kernel has acknowledged cannot be taken back.
 func DialExpiring(ctx context.Context, address string, timeout time.Duration, expiry time.Time) (net.Conn, error) {
-	conn, err := Dialer(timeout).DialContext(ctx, "tcp", address)
+	conn, err := DialResetting(ctx, address, timeout)
 	if err != nil {
 		return nil, err
 	}
 	c := &expiringConn{Conn: conn, tcp: conn.(*net.TCPConn), expiry: expiry, now: boottime.Now}
-	if err := ResetOnClose(conn); err != nil {
-		return nil, errors.Join(err, conn.Close())
-	}
 	c.scheduleCheck()
 	return c, nil
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -34,6 +34,19 @@
 	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive}
 }
 
+// DialResetting opens a TCP connection with KeepAlive for which ResetOnClose was called. With a timeout of zero only the context limits
+// dialing.
+func DialResetting(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := Dialer(timeout).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := ResetOnClose(conn); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return conn, nil
+}
+
 // ResetOnClose makes closing a TCP connection discard what the peer has not acknowledged. By default the kernel goes on to deliver it
 // after the connection has been closed, for minutes if the peer does not answer. It does nothing for other connections.
 func ResetOnClose(conn net.Conn) error {
