--- a/fleet/late_test.go
+++ b/fleet/late_test.go
@@ -69,3 +69,12 @@
 		t.Errorf("the next leader has term %+v, want a token above %d", next, term.fence)
 	}
 }
+
+// Guards against a confirmation by a host that has started again since the leader asked: what it confirms is not what the leader wants
+// to know.
+func TestFenceOfEarlierIncarnationIsRefused(t *testing.T) {
+	a := newRegisteringAgent(newMemoryStore(), 2)
+	if err := (&Peer{a}).Fence(FenceRequest{Incarnation: 1}, &struct{}{}); !errors.Is(err, errOtherIncarnation) {
+		t.Errorf("the late request ended with %v", err)
+	}
+}
--- a/frontend/primary_test.go
+++ b/frontend/primary_test.go
@@ -183,3 +183,20 @@
 		}
 	}
 }
+
+// Guards against a decision that arrives after a later one, from a leader or a relay whose message was held up: the host would use a
+// primary that has been replaced.
+func TestLateDecisionIsIgnored(t *testing.T) {
+	s := newServiceWithDialer(failingDialer{})
+	for _, doc := range []primacy.Document{
+		{Service: "stock", Epoch: 2, Open: true, Primary: "a", Born: 100},
+		{Service: "stock", Epoch: 4, Open: true, Primary: "b", Born: 100},
+		{Service: "stock", Epoch: 3, Primary: "a", Born: 100},
+		{Service: "stock", Epoch: 2, Open: true, Primary: "a", Born: 100},
+	} {
+		s.applyDocument(doc)
+	}
+	if epoch, primary, usable := s.currentPrimary(); epoch != 4 || primary != "b" || !usable {
+		t.Errorf("primary %s of epoch %d, usable %t; want b of epoch 4", primary, epoch, usable)
+	}
+}
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -20,4 +20,6 @@
 		"a kill during a planned stop was recorded after it took effect, so the stop was blamed (soak test bug)"},
 	{504, 5, 30, 30 * time.Second, 0,
 		"a planned stop and a kill of one host ended together and both started it (soak test bug)"},
+	{5007, 5, 30, 30 * time.Second, 1,
+		"the order of a leader that was cut off arrived after one of the next leader (review/6)"},
 }
