A target that has not followed the last primary is promoted last

A target that has more than the last primary had when it was chosen, and has not followed it, comes last and is not promoted for 30 s. While no follower answers, a replica that lags waits for the other registered ones. The leader asks a silent primary again if nothing else can be promoted; before, such a service stayed closed.

--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -49,6 +49,8 @@
 	// unresolvedRevision is the revision of the last document whose successor was written without a reply, or 0.
 	unresolvedRevision uint64
 	orderedEpoch       uint64 // epoch of the last closed document for which a promotion was requested
+	closedEpoch        uint64 // epoch of the last closed document
+	closedAt           time.Time
 	coldProbes         coldProbes
 	evacuationBlocks   bool // no target may be reached, as logged last
 }
@@ -289,6 +291,10 @@
 	for ctx.Err() == nil && s.leaseValid() {
 		group := s.collectGroup(ctx, doc, probeSilent)
 		choice := primacy.Choose(group)
+		if !choice.Found && !choice.AwaitsCatchUp && !probeSilent {
+			probeSilent = true // the silent primary may be the only one that can go on
+			continue
+		}
 		if choice.AwaitsCatchUp {
 			if !waiting {
 				s.log.Info("primary: waiting for the commits of a draining target", zap.String("target", string(choice.Target.ID)),
@@ -300,7 +306,8 @@
 		}
 		if !choice.Found {
 			s.log.Info("primary: no target can be promoted", zap.Int("answered", len(group.Candidates)),
-				zap.Int("replicas", group.ReplicaCount))
+				zap.Int("unanswered_replicas", group.UnansweredReplicas), zap.Int("replicas", group.ReplicaCount),
+				zap.Any("terms", termsOf(group.Candidates)), zap.Uint64("old_term", doc.Term))
 			return choice, false
 		}
 		if !doc.Cause.WaitsForCatchUp() || choice.AlreadyPrimary ||
@@ -319,27 +326,32 @@
 // collectGroup probes all targets of the service concurrently.
 func (s *supervisor) collectGroup(ctx context.Context, doc primacy.Document, probeSilent bool) primacy.Group {
 	v := s.agent.view.Load()
-	group := primacy.Group{OldPrimary: doc.Primary, OldStartedAt: doc.Born, OldTerm: doc.Term, Cause: doc.Cause,
+	group := primacy.Group{OldPrimary: doc.Primary, OldStartedAt: doc.Born, OldTerm: doc.Term, OldReceived: doc.Received, Cause: doc.Cause,
 		SyncReplicas:     v.catalog.Services[s.service].SyncReplicas,
-		PromotionOrdered: s.orderedEpoch == doc.Epoch}
+		PromotionOrdered: s.orderedEpoch == doc.Epoch, ClosedFor: s.closedFor(doc.Epoch)}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, t := range v.targetsOf(s.service) {
 		if t.ID != doc.Primary {
 			group.ReplicaCount++
 		}
-		if t.ID == doc.Primary && doc.Cause == primacy.CauseUnreachable && !probeSilent ||
-			!v.evacuations.MayReach(boottime.Now(), t.DataCentre) {
+		if !v.evacuations.MayReach(boottime.Now(), t.DataCentre) {
+			continue
+		}
+		if t.ID == doc.Primary && doc.Cause == primacy.CauseUnreachable && !probeSilent {
 			continue
 		}
 		wg.Go(func() {
 			status, err := s.probe(ctx, t)
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
 				s.log.Info("primary: probe failed", zap.String("target", string(t.ID)), zap.Error(err))
+				if t.ID != doc.Primary {
+					group.UnansweredReplicas++
+				}
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
 			group.Candidates = append(group.Candidates, primacy.Candidate{ID: t.ID, StartedAt: t.StartedAt,
 				DataCentre: t.DataCentre, Draining: t.State == catalog.Draining,
 				Evacuated: v.evacuations.Evacuated(t.DataCentre), Cold: t.Cold(boottime.Now()), IsPrimary: status.Primary,
@@ -350,6 +362,24 @@
 	return group
 }
 
+// closedFor returns the time for which this host has known the closed document of an epoch.
+func (s *supervisor) closedFor(epoch uint64) time.Duration {
+	now := boottime.Now()
+	if s.closedEpoch != epoch {
+		s.closedEpoch, s.closedAt = epoch, now
+	}
+	return now.Sub(s.closedAt)
+}
+
+// termsOf returns the terms that the candidates hold, for logs.
+func termsOf(candidates []primacy.Candidate) map[model.TargetID]uint64 {
+	terms := make(map[model.TargetID]uint64, len(candidates))
+	for _, c := range candidates {
+		terms[c.ID] = c.Term
+	}
+	return terms
+}
+
 // orderPromotion requests the promotion of a target and waits for the answer of the platform. It reports false if this host may not
 // order promotions. Otherwise the target may become the primary, also without an answer.
 func (s *supervisor) orderPromotion(ctx context.Context, target primacy.Candidate) bool {
--- a/fleet/supervisor_test.go
+++ b/fleet/supervisor_test.go
@@ -108,3 +108,24 @@
 		t.Errorf("the stored decision is %+v, want a closed one of epoch 4", stored)
 	}
 }
+
+// Guards against a service that stays without a primary: the old one answers again, but it was silent moments ago and is not asked, and
+// no other target can be promoted.
+func TestSilentPrimaryIsAskedIfNoOtherCanBePromoted(t *testing.T) {
+	s := newTestSupervisor(t, newMemoryStore())
+	returned := primacy.Status{Primary: true, Term: 4, Received: model.Position{Term: 4, Offset: 60}}
+	diverged := primacy.Status{Primary: true, Term: 2, Received: model.Position{Term: 2, Offset: 80}}
+	s.agent.Prober = silentProber{statuses: map[model.TargetID]primacy.Status{"a": returned, "b": diverged}}
+	v := newClusterView()
+	v.catalog = &catalog.Catalog{Services: map[model.Service]catalog.Service{"stock": {}}}
+	for _, id := range []model.TargetID{"a", "b", "c"} {
+		v.targets[id] = catalog.Target{ID: id, Service: "stock"}
+	}
+	s.agent.view.Store(v)
+	doc := primacy.Document{Service: "stock", Epoch: 4, Primary: "a", Term: 4, Received: model.Position{Term: 2, Offset: 50},
+		Cause: primacy.CauseUnreachable}
+	choice, found := s.choosePrimary(t.Context(), doc, false)
+	if !found || choice.Target.ID != "a" || !choice.AlreadyPrimary {
+		t.Errorf("chosen %+v, want the old primary", choice)
+	}
+}
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -30,6 +30,10 @@
 	// maxEvacuationDelay is the time for which the replacement of an evacuated primary waits for hosts that do not report.
 	// Hosts stop using the primary after 2.5 s by themselves; a replacement takes 0.5 to 1 s.
 	maxEvacuationDelay = 1500 * time.Millisecond
+	// maxDivergedWait is the time for which a service stays without a primary rather than go on with commits that were lost before
+	// and without those of its last primary. A target that has crashed is back with its log within ten seconds; one that is lost for
+	// good takes its commits with it.
+	maxDivergedWait = 30 * time.Second
 	// maxObservationAge is the age up to which a host's observation counts. Hosts report every 250 ms.
 	maxObservationAge = time.Second
 )
@@ -193,6 +197,7 @@
 	OldPrimary   model.TargetID
 	OldStartedAt int64 // start time of the old primary during its term
 	OldTerm      uint64
+	OldReceived  model.Position // what the old primary had received when it was chosen
 	Cause        Cause
 	// ReplicaCount is the number of registered targets other than the old primary, which does not count after a restart either:
 	// it has no data then.
@@ -201,6 +206,30 @@
 	// PromotionOrdered means that a promotion has been requested since the document was closed, and may take effect late.
 	PromotionOrdered bool
 	Candidates       []Candidate // targets that replied
+	// UnansweredReplicas is the number of registered targets other than the old primary that may be asked and have not replied.
+	UnansweredReplicas int
+	ClosedFor          time.Duration // how long the leader has known the closed document
+}
+
+// followed reports whether a candidate has followed the old primary, or a later one.
+func (g Group) followed(c Candidate) bool { return c.Term >= g.OldTerm }
+
+// awaitsFollower reports whether none of the replicas has followed the old primary, and a target that has may reply later. The old
+// primary itself is awaited only if its log would be replaced by another one; a replica that only lags is promoted without it.
+func (g Group) awaitsFollower(replicas []Candidate) bool {
+	switch {
+	case slices.ContainsFunc(replicas, g.followed):
+		return false
+	case g.diverged(replicas[0]):
+		return g.ClosedFor < maxDivergedWait
+	}
+	return g.UnansweredReplicas > 0
+}
+
+// diverged reports whether a candidate has commits of an earlier primary that the old primary did not have. They were lost when the
+// old primary was promoted, and callers have read the log without them since.
+func (g Group) diverged(c Candidate) bool {
+	return !g.followed(c) && comparePositions(c.Received, g.OldReceived) > 0
 }
 
 // leaves reports whether the candidate must not be opened for use: it drains or is evacuated.
@@ -221,7 +250,8 @@
 
 // Choose selects the next primary. A target that is already the primary of a later term is chosen as it is. So is the old
 // primary if it was only unreachable and answers again, because it has all commits. Otherwise the replica with the most
-// advanced position is chosen. With synchronous replicas, enough replicas must reply that one of them has every
+// advanced position is chosen, but one that has commits which were lost when the old primary was promoted comes last. While no target
+// that has followed the old primary replies, nothing is chosen if another replica may have, see awaitsFollower. With synchronous replicas, enough replicas must reply that one of them has every
 // acknowledged commit. A draining target is chosen for use only if no other one replies: it hands its commits over to one that
 // stays. So does an evacuated one, which is never promoted for use. When no target can be promoted instead of an evacuated
 // primary and the evacuation has been withdrawn, the old primary is chosen as it is.
@@ -251,6 +281,9 @@
 	if len(replicas) == 0 || g.SyncReplicas > 0 && answered < g.ReplicaCount-g.SyncReplicas+1 {
 		return g.reopened()
 	}
+	if g.awaitsFollower(replicas) {
+		return g.reopened()
+	}
 	_, stays := staying(replicas)
 	if replicas[0].Evacuated && !stays {
 		return g.reopened()
@@ -270,13 +303,14 @@
 	return Choice{}
 }
 
-// replicas returns the candidates other than the old primary, those that received most first.
+// replicas returns the candidates other than the old primary, those that received most first and those that have diverged last.
 func (g Group) replicas() []Candidate {
 	replicas := slices.DeleteFunc(slices.Clone(g.Candidates), func(c Candidate) bool {
 		return c.ID == g.OldPrimary && c.StartedAt == g.OldStartedAt
 	})
 	slices.SortFunc(replicas, func(a, b Candidate) int {
-		return cmp.Or(compareReceived(b, a), cmp.Compare(a.leaving(), b.leaving()), compareCold(a, b), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(compareLast(g.diverged(a), g.diverged(b)), compareReceived(b, a), cmp.Compare(a.leaving(), b.leaving()),
+			compareLast(a.Cold, b.Cold), cmp.Compare(a.ID, b.ID))
 	})
 	return replicas
 }
@@ -311,8 +345,10 @@
 }
 
 // compareReceived orders targets by the position that they have received.
-func compareReceived(a, b Candidate) int {
-	return cmp.Or(cmp.Compare(a.Received.Term, b.Received.Term), cmp.Compare(a.Received.Offset, b.Received.Offset))
+func compareReceived(a, b Candidate) int { return comparePositions(a.Received, b.Received) }
+
+func comparePositions(a, b model.Position) int {
+	return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Offset, b.Offset))
 }
 
 // leaving returns a rank: 0 for a candidate that stays, 1 for one that drains, 2 for an evacuated one.
@@ -326,12 +362,12 @@
 	return 0
 }
 
-// compareCold orders cold targets after the others.
-func compareCold(a, b Candidate) int {
+// compareLast orders targets for which a condition holds after the others.
+func compareLast(a, b bool) int {
 	switch {
-	case a.Cold == b.Cold:
+	case a == b:
 		return 0
-	case a.Cold:
+	case a:
 		return 1
 	}
 	return -1
--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -210,6 +210,39 @@
 	}
 }
 
+// Guards against the promotion of a target that has not followed the last primary: the commits of its term are lost, and those come
+// back that were lost when it was promoted (review/7).
+func TestChooseKeepsLastTerm(t *testing.T) {
+	// Primary a of term 4 had received up to 2.50 of b, the primary before it, which went on to 2.80 while it was cut off.
+	diverged := Candidate{ID: "b", IsPrimary: true, Term: 2, Received: position(2, 80)}
+	lagging := Candidate{ID: "c", Term: 2, Received: position(2, 40)}
+	follower := Candidate{ID: "c", Term: 4, Received: position(4, 51)}
+	followerWithoutCommits := Candidate{ID: "c", Term: 4, Received: position(2, 45)}
+	tests := []struct {
+		name               string
+		candidates         []Candidate
+		unansweredReplicas int
+		closedFor          time.Duration
+		want               Choice
+	}{
+		{"the follower", []Candidate{diverged, follower}, 0, 0, Choice{Target: follower, Found: true}},
+		{"the follower that has received less", []Candidate{diverged, followerWithoutCommits}, 0, 0,
+			Choice{Target: followerWithoutCommits, Found: true}},
+		{"none while the old primary may return with its log", []Candidate{diverged}, 0, maxDivergedWait - time.Second, Choice{}},
+		{"the last one that is left", []Candidate{diverged}, 0, maxDivergedWait, Choice{Target: diverged, Found: true}},
+		{"one that lags, in place of the old primary", []Candidate{lagging}, 0, 0, Choice{Target: lagging, Found: true}},
+		{"one that lags, and not one that has diverged", []Candidate{diverged, lagging}, 0, 0, Choice{Target: lagging, Found: true}},
+		{"not one that lags while another may have followed", []Candidate{lagging}, 1, 0, Choice{}},
+	}
+	for _, test := range tests {
+		group := Group{OldPrimary: "a", OldStartedAt: 7, OldTerm: 4, OldReceived: position(2, 50), Cause: CauseUnreachable,
+			ReplicaCount: 2, Candidates: test.candidates, UnansweredReplicas: test.unansweredReplicas, ClosedFor: test.closedFor}
+		if diff := cmp.Diff(test.want, Choose(group)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
 // Guards against a planned replacement that loses commits which only the old primary has.
 func TestCaughtUp(t *testing.T) {
 	g := Group{OldPrimary: "a", OldStartedAt: 7,
