With synchronous replicas, a replica that has started again without its data does not count

Cause: nothing recorded with which start a replica had received commits, and replicas without an entry were not counted at all. The leader now stores in the decision which replicas have every commit, with their start times, and a replacement of the primary counts only those; if they are too few it waits for the old primary, for up to 30 s. The field is for the leader: messages between hosts are as before.

--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -51,6 +51,7 @@
 	orderedEpoch       uint64 // epoch of the last closed document for which a promotion was requested
 	closedEpoch        uint64 // epoch of the last closed document
 	closedAt           time.Time
+	copiesCheckedAt    time.Time // last attempt to record the copies
 	coldProbes         coldProbes
 	evacuationBlocks   bool // no target may be reached, as logged last
 }
@@ -66,6 +67,8 @@
 			s.replacePrimary(ctx, doc)
 		} else if cause := primacy.ReplacementCause(doc.value, s.observe(ctx, doc.value)); cause != primacy.CauseNone {
 			s.close(ctx, doc, cause)
+		} else {
+			s.recordCopies(ctx, doc)
 		}
 		sleep(ctx, superviseInterval)
 	}
@@ -211,7 +214,7 @@
 	next := doc.value
 	next.Epoch, next.Open = next.Epoch+1, true
 	next.Primary, next.Born, next.Term = choice.Target.ID, choice.Target.StartedAt, choice.Target.Term
-	next.Received = choice.Target.Received
+	next.Received, next.Copies = choice.Target.Received, doc.value.CopiesAfter(choice.Target.ID)
 	if !choice.AlreadyPrimary {
 		term, promotedInTime := s.promote(ctx, choice.Target, doc.value.Term)
 		if !promotedInTime {
@@ -327,11 +330,12 @@
 func (s *supervisor) collectGroup(ctx context.Context, doc primacy.Document, probeSilent bool) primacy.Group {
 	v := s.agent.view.Load()
 	group := primacy.Group{OldPrimary: doc.Primary, OldStartedAt: doc.Born, OldTerm: doc.Term, OldReceived: doc.Received, Cause: doc.Cause,
-		SyncReplicas:     v.catalog.Services[s.service].SyncReplicas,
+		SyncReplicas: v.catalog.Services[s.service].SyncReplicas, Copies: doc.Copies,
 		PromotionOrdered: s.orderedEpoch == doc.Epoch, ClosedFor: s.closedFor(doc.Epoch)}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, t := range v.targetsOf(s.service) {
+		group.Registered = append(group.Registered, t.ID)
 		if t.ID != doc.Primary {
 			group.ReplicaCount++
 		}
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,10 +31,9 @@
 	// maxEvacuationDelay is the time for which the replacement of an evacuated primary waits for hosts that do not report.
 	// Hosts stop using the primary after 2.5 s by themselves; a replacement takes 0.5 to 1 s.
 	maxEvacuationDelay = 1500 * time.Millisecond
-	// maxDivergedWait is the time for which a service stays without a primary rather than go on with commits that were lost before
-	// and without those of its last primary. A target that has crashed is back with its log within ten seconds; one that is lost for
-	// good takes its commits with it.
-	maxDivergedWait = 30 * time.Second
+	// maxLogWait is the time for which a service stays without a primary rather than go on without commits that a target may bring
+	// back. A target that has crashed is back with its log within ten seconds; one that is lost for good takes its commits with it.
+	maxLogWait = 30 * time.Second
 	// maxObservationAge is the age up to which a host's observation counts. Hosts report every 250 ms.
 	maxObservationAge = time.Second
 )
@@ -53,6 +53,10 @@
 	// Planned is true for a replacement that lets running transactions end first.
 	Planned bool
 	Cause   Cause // of the replacement that the document starts or completes
+	// Copies maps each target other than Primary that had every acknowledged commit when it was recorded to its start time. It has
+	// lost none of what it has received as long as its start time is the same. Only services with synchronous replicas have it. It is
+	// for the leader, so that messages between hosts do not carry it.
+	Copies map[model.TargetID]int64 `json:",omitempty" msgpack:"-"`
 }
 
 // First reports whether the document starts the first replacement of a service, so that no host has ever used a primary.
@@ -199,10 +203,13 @@
 	OldTerm      uint64
 	OldReceived  model.Position // what the old primary had received when it was chosen
 	Cause        Cause
+	Registered   []model.TargetID // targets with an entry
 	// ReplicaCount is the number of registered targets other than the old primary, which does not count after a restart either:
 	// it has no data then.
 	ReplicaCount int
 	SyncReplicas int
+	// Copies is that of the document. Targets in it may be the only ones that have a commit, also if their entries are gone.
+	Copies map[model.TargetID]int64
 	// PromotionOrdered means that a promotion has been requested since the document was closed, and may take effect late.
 	PromotionOrdered bool
 	Candidates       []Candidate // targets that replied
@@ -214,6 +221,31 @@
 // followed reports whether a candidate has followed the old primary, or a later one.
 func (g Group) followed(c Candidate) bool { return c.Term >= g.OldTerm }
 
+// awaitsCopy reports whether, with synchronous replicas, an acknowledged commit may be on none of the replicas that have replied, and
+// a target that has it may reply later. A replica that has started again since its copy was recorded may have lost commits.
+func (g Group) awaitsCopy(replicas []Candidate) bool {
+	if g.SyncReplicas == 0 || g.Copies != nil && g.ClosedFor >= maxLogWait {
+		return false
+	}
+	for _, old := range g.Candidates {
+		if old.ID == g.OldPrimary && old.StartedAt == g.OldStartedAt && compareReceived(replicas[0], old) >= 0 {
+			return false // nothing is missing
+		}
+	}
+	answered, holders := 0, g.ReplicaCount
+	for _, c := range replicas {
+		if startedAt, recorded := g.Copies[c.ID]; c.ID != g.OldPrimary && (g.Copies == nil || recorded && startedAt == c.StartedAt) {
+			answered++
+		}
+	}
+	for id := range g.Copies {
+		if id != g.OldPrimary && !slices.Contains(g.Registered, id) {
+			holders++
+		}
+	}
+	return answered < holders-g.SyncReplicas+1
+}
+
 // awaitsFollower reports whether none of the replicas has followed the old primary, and a target that has may reply later. The old
 // primary itself is awaited only if its log would be replaced by another one; a replica that only lags is promoted without it.
 func (g Group) awaitsFollower(replicas []Candidate) bool {
@@ -221,7 +253,7 @@
 	case slices.ContainsFunc(replicas, g.followed):
 		return false
 	case g.diverged(replicas[0]):
-		return g.ClosedFor < maxDivergedWait
+		return g.ClosedFor < maxLogWait
 	}
 	return g.UnansweredReplicas > 0
 }
@@ -232,6 +264,24 @@
 	return !g.followed(c) && comparePositions(c.Received, g.OldReceived) > 0
 }
 
+// HasEverything reports whether a replica has received everything that the primary had before the replica was asked.
+func HasEverything(replica, primary Status) bool {
+	return hasReceivedAll(Candidate{Term: replica.Term, Received: replica.Received},
+		Candidate{Term: primary.Term, Received: primary.Received})
+}
+
+// CopiesAfter returns the copies for the document in which next replaces the primary of a closed document. The old primary had
+// every commit, and next has no copy of itself.
+func (d Document) CopiesAfter(next model.TargetID) map[model.TargetID]int64 {
+	if d.Copies == nil {
+		return nil
+	}
+	copies := maps.Clone(d.Copies)
+	copies[d.Primary] = d.Born
+	delete(copies, next)
+	return copies
+}
+
 // leaves reports whether the candidate must not be opened for use: it drains or is evacuated.
 func (c Candidate) leaves() bool { return c.Draining || c.Evacuated }
 
@@ -272,13 +322,7 @@
 		}
 	}
 	replicas := g.replicas()
-	answered := 0
-	for _, c := range replicas {
-		if c.ID != g.OldPrimary {
-			answered++
-		}
-	}
-	if len(replicas) == 0 || g.SyncReplicas > 0 && answered < g.ReplicaCount-g.SyncReplicas+1 {
+	if len(replicas) == 0 || g.awaitsCopy(replicas) {
 		return g.reopened()
 	}
 	if g.awaitsFollower(replicas) {
--- a/primacy/primacy_test.go
+++ b/primacy/primacy_test.go
@@ -228,8 +228,8 @@
 		{"the follower", []Candidate{diverged, follower}, 0, 0, Choice{Target: follower, Found: true}},
 		{"the follower that has received less", []Candidate{diverged, followerWithoutCommits}, 0, 0,
 			Choice{Target: followerWithoutCommits, Found: true}},
-		{"none while the old primary may return with its log", []Candidate{diverged}, 0, maxDivergedWait - time.Second, Choice{}},
-		{"the last one that is left", []Candidate{diverged}, 0, maxDivergedWait, Choice{Target: diverged, Found: true}},
+		{"none while the old primary may return with its log", []Candidate{diverged}, 0, maxLogWait - time.Second, Choice{}},
+		{"the last one that is left", []Candidate{diverged}, 0, maxLogWait, Choice{Target: diverged, Found: true}},
 		{"one that lags, in place of the old primary", []Candidate{lagging}, 0, 0, Choice{Target: lagging, Found: true}},
 		{"one that lags, and not one that has diverged", []Candidate{diverged, lagging}, 0, 0, Choice{Target: lagging, Found: true}},
 		{"not one that lags while another may have followed", []Candidate{lagging}, 1, 0, Choice{}},
@@ -243,6 +243,63 @@
 	}
 }
 
+// Guards against the promotion of a replica that lacks acknowledged commits: with one synchronous replica, the other one may have been
+// the only one that received them, and has started again without its data or left since (review/10).
+func TestChooseAwaitsCopies(t *testing.T) {
+	old := Candidate{ID: "a", StartedAt: 7, IsPrimary: true, Term: 3, Received: position(3, 90)}
+	deaf := Candidate{ID: "c", StartedAt: 3, Term: 3, Received: position(3, 40)}
+	current := Candidate{ID: "b", StartedAt: 2, Term: 3, Received: position(3, 90)}
+	empty := Candidate{ID: "b", StartedAt: 8, Term: 3}
+	refilled := Candidate{ID: "b", StartedAt: 8, Term: 3, Received: position(3, 90)}
+	both := map[model.TargetID]int64{"b": 2, "c": 3}
+	tests := []struct {
+		name       string
+		registered []model.TargetID
+		copies     map[model.TargetID]int64
+		cause      Cause
+		candidates []Candidate
+		closedFor  time.Duration
+		want       Choice
+	}{
+		{"both have replied", []model.TargetID{"b", "c"}, both, CauseUnreachable, []Candidate{current, deaf}, 0,
+			Choice{Target: current, Found: true}},
+		{"one has started again", []model.TargetID{"b", "c"}, both, CauseUnreachable, []Candidate{empty, deaf}, 0, Choice{}},
+		{"one has left", []model.TargetID{"c"}, both, CauseUnreachable, []Candidate{deaf}, 0, Choice{}},
+		{"one was not recorded", []model.TargetID{"b", "c"}, map[model.TargetID]int64{"c": 3}, CauseUnreachable,
+			[]Candidate{current, deaf}, 0, Choice{}},
+		{"the old primary is back", []model.TargetID{"a", "b", "c"}, both, CauseUnreachable, []Candidate{old, empty, deaf}, 0,
+			Choice{Target: old, AlreadyPrimary: true, Found: true}},
+		{"one has started again, and has everything that the draining primary has", []model.TargetID{"a", "b", "c"}, both,
+			CauseDraining, []Candidate{old, refilled, deaf}, 0, Choice{Target: refilled, Found: true}},
+		{"what is lost for good is not awaited", []model.TargetID{"b", "c"}, both, CauseUnreachable, []Candidate{empty, deaf},
+			maxLogWait, Choice{Target: deaf, Found: true}},
+	}
+	for _, test := range tests {
+		replicas := 0
+		for _, id := range test.registered {
+			if id != "a" {
+				replicas++
+			}
+		}
+		group := Group{OldPrimary: "a", OldStartedAt: 7, OldTerm: 3, Cause: test.cause, Registered: test.registered, ReplicaCount: replicas,
+			SyncReplicas: 1, Copies: test.copies, Candidates: test.candidates, ClosedFor: test.closedFor}
+		if diff := cmp.Diff(test.want, Choose(group)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
+// Guards against copies that are forgotten with a change of primary, and against a new primary that counts as a copy of itself.
+func TestCopiesAfter(t *testing.T) {
+	d := Document{Primary: "a", Born: 7, Copies: map[model.TargetID]int64{"b": 2, "c": 3}}
+	if diff := cmp.Diff(map[model.TargetID]int64{"a": 7, "c": 3}, d.CopiesAfter("b")); diff != "" {
+		t.Errorf("copies (-want +got):\n%s", diff)
+	}
+	if copies := (Document{Primary: "a"}).CopiesAfter("b"); copies != nil {
+		t.Errorf("copies %v without synchronous replicas", copies)
+	}
+}
+
 // Guards against a planned replacement that loses commits which only the old primary has.
 func TestCaughtUp(t *testing.T) {
 	g := Group{OldPrimary: "a", OldStartedAt: 7,
