A process that starts takes it that a draining target has been draining for long

Cause: a planned replacement waits for hosts that do not report, for 4 s from the time at which the process first saw the target drain. A leader that was killed after 3.6 s led again 0.8 s later and waited for 4 s more.

A target that drains when a process first sees it counts as draining since ever. The other hosts count as before; TestDrainingSinceSurvivesLeaderChange lists the target as ready first, because its case is a host that saw the change.

--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -115,6 +115,7 @@
 func TestDrainingSinceSurvivesLeaderChange(t *testing.T) {
 	v, start := newClusterView(), time.Unix(1000, 0)
 	draining := catalog.Target{ID: "a", Service: "s", State: catalog.Draining}
+	v.setTarget(catalog.Target{ID: "a", Service: "s", State: catalog.Ready}, start.Add(-time.Second))
 	v.setTarget(draining, start)
 	v.setTarget(draining, start.Add(3*time.Second)) // listed again, as by a new leader
 	if got := v.clone().drainingSince["a"]; !got.Equal(start) {
@@ -126,6 +127,17 @@
 	}
 }
 
+// Guards against a leader that has just started and waits anew for hosts that do not report, while a target has been draining for long:
+// its time may be over (review/9).
+func TestDrainingTargetAtFirstSight(t *testing.T) {
+	v, start := newClusterView(), time.Unix(1000, 0)
+	v.setTarget(catalog.Target{ID: "a", Service: "s", State: catalog.Draining}, start)
+	health := primacy.Health{Registered: true, Draining: true, DrainingFor: start.Sub(v.drainingSince["a"])}
+	if cause := primacy.ReplacementCause(primacy.Document{Service: "s", Open: true, Primary: "a"}, health); cause != primacy.CauseDraining {
+		t.Errorf("cause %q, want %q", cause, primacy.CauseDraining)
+	}
+}
+
 // Guards against a document that can never be stored because its write is conditional on the revision of an earlier
 // one: documents sent by the leader carry no revision.
 func TestStoreRevisionReplacesRelayedOne(t *testing.T) {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -66,7 +66,8 @@
 type clusterView struct {
 	catalog *catalog.Catalog
 	targets map[model.TargetID]catalog.Target
-	// drainingSince holds the times at which this host first saw targets draining, independent of the current leader.
+	// drainingSince holds the times at which targets began to drain as seen by this host, independent of the current leader. It is the
+	// zero time for a target that drained when this host first saw it, as after a start: it may have to be left at once.
 	drainingSince map[model.TargetID]time.Time
 	hosts         map[model.HostID]Host
 	expected      []placement.Candidate // registered hosts and recently departed ones, sorted
@@ -135,11 +136,17 @@
 
 // setTarget applies the entry of a target.
 func (v *clusterView) setTarget(t catalog.Target, now time.Time) {
+	_, known := v.targets[t.ID]
+	_, recorded := v.drainingSince[t.ID]
 	v.targets[t.ID] = t
-	if t.State != catalog.Draining {
+	switch {
+	case t.State != catalog.Draining:
 		delete(v.drainingSince, t.ID)
-	} else if _, recorded := v.drainingSince[t.ID]; !recorded {
+	case recorded:
+	case known:
 		v.drainingSince[t.ID] = now
+	default:
+		v.drainingSince[t.ID] = time.Time{}
 	}
 }
 
