The test of repeated token requests runs in virtual time

The product behaved as intended; the test compared real times.

The clients of a host open their connections through a function now, and the test gives them pipes to the broker in a bubble of testing/synctest. Cases and expectations are the same.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -67,10 +67,16 @@
 	limits   rpccodec.Limits      // of the responses
 	// counter returns the function that counts the bytes sent to an address; may be nil.
 	counter func(address string) func(method string, size int)
+	connect func(address string) (net.Conn, error)
 }
 
 func newPeerClients() *peerClients {
-	return &peerClients{clients: map[string]*rpccodec.Client{}, lastUsed: map[string]time.Time{}}
+	return &peerClients{clients: map[string]*rpccodec.Client{}, lastUsed: map[string]time.Time{}, connect: connectToPeer}
+}
+
+// connectToPeer opens a connection to another host. A connection is closed with calls pending only when they are given up.
+func connectToPeer(address string) (net.Conn, error) {
+	return socket.DialResetting(context.Background(), address, peerDialTimeout)
 }
 
 // closeIdle closes the connections that were not used within unusedPeerTimeout, which is longer than any call over them
@@ -184,8 +190,7 @@
 }
 
 func (p *peerClients) dial(address string) (*rpccodec.Client, error) {
-	// A connection is closed with calls pending only when they are given up.
-	conn, err := socket.DialResetting(context.Background(), address, peerDialTimeout)
+	conn, err := p.connect(address)
 	if err != nil {
 		return nil, &dialError{err}
 	}
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -6,6 +6,7 @@
 	"net/rpc"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/waxwingspindle/waxwingspindle/boottime"
@@ -42,30 +43,50 @@
 		{"first reply late", 2 * tokenTimeout, 2, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			broker := startPeer(t, "broker", map[string]any{"Peer": &slowBroker{delay: test.delay}})
-			a := &Agent{controlClients: newPeerClients(), statementClients: newPeerClients()}
-			late := make(chan float64, 2)
-			started := time.Now()
-			reply, err := a.requestTokens(broker, TokenRequest{Workspace: "w", Tokens: 1},
-				func(_ model.Workspace, n float64) { late <- n })
-			if took := time.Since(started); err != nil || reply.Granted != test.wantGranted || took > tokenTimeout {
-				t.Errorf("granted %v after %v, error %v; want %v within %v", reply.Granted, took, err, test.wantGranted,
-					tokenTimeout)
-			}
-			select {
-			case n := <-late:
-				if n != test.wantLate {
-					t.Errorf("%v late tokens, want %v", n, test.wantLate)
+			synctest.Test(t, func(t *testing.T) {
+				server := newPeerServer(t, map[string]any{"Peer": &slowBroker{delay: test.delay}})
+				a := &Agent{controlClients: newPipeClients(t, server), statementClients: newPipeClients(t, server)}
+				late := make(chan float64, 2)
+				started := time.Now()
+				reply, err := a.requestTokens(Host{ID: "broker"}, TokenRequest{Workspace: "w", Tokens: 1},
+					func(_ model.Workspace, n float64) { late <- n })
+				if took := time.Since(started); err != nil || reply.Granted != test.wantGranted || took > tokenTimeout {
+					t.Errorf("granted %v after %v, error %v; want %v within %v", reply.Granted, took, err, test.wantGranted,
+						tokenTimeout)
 				}
-			case <-time.After(3 * tokenTimeout):
-				if test.wantLate > 0 {
-					t.Error("the tokens of the late reply are lost")
+				select {
+				case n := <-late:
+					if n != test.wantLate {
+						t.Errorf("%v late tokens, want %v", n, test.wantLate)
+					}
+				case <-time.After(3 * tokenTimeout):
+					if test.wantLate > 0 {
+						t.Error("the tokens of the late reply are lost")
+					}
 				}
-			}
+			})
 		})
 	}
 }
 
+// newPipeClients returns clients whose connections are pipes to a server, which work in the virtual time of package synctest. They are
+// closed at the end of the test.
+func newPipeClients(t *testing.T, server *rpc.Server) *peerClients {
+	t.Helper()
+	p := newPeerClients()
+	p.connect = func(string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go rpccodec.Serve(server, far, &rpccodec.CallCounter{})
+		return near, nil
+	}
+	t.Cleanup(func() {
+		for address, client := range p.clients {
+			p.closeClient(address, client)
+		}
+	})
+	return p
+}
+
 // Slow is an RPC service whose replies are delayed by the caller's argument.
 type Slow struct{}
 
@@ -84,6 +105,18 @@
 	return startPeer(t, "slow", map[string]any{"Slow": Slow{}, "Peer": Slow{}})
 }
 
+// newPeerServer returns a server of RPC services under the given names.
+func newPeerServer(t *testing.T, services map[string]any) *rpc.Server {
+	t.Helper()
+	server := rpc.NewServer()
+	for name, service := range services {
+		if err := server.RegisterName(name, service); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return server
+}
+
 // startPeer serves RPC services under the given names.
 func startPeer(t *testing.T, id model.HostID, services map[string]any) Host {
 	t.Helper()
@@ -92,12 +125,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	server := rpc.NewServer()
-	for name, service := range services {
-		if err := server.RegisterName(name, service); err != nil {
-			t.Fatal(err)
-		}
-	}
+	server := newPeerServer(t, services)
 	go func() {
 		for {
 			conn, err := listener.Accept()
