--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,6 +23,7 @@
 	history           []event // events after compactedRevision
 	compactedRevision uint64  // watches that start before it get status 410
 	leases            map[int64]*lease
+	era               uint64        // number of returns from a copy; sent with each answer once it is above 0
 	changed           chan struct{} // closed and replaced at each change
 
 	refuseRequest func(r *http.Request) bool          // requests to answer with status 503
@@ -101,6 +103,51 @@
 	s.notifyWatchers()
 }
 
+// Copy is an earlier state of a store.
+type Copy struct {
+	revision uint64
+	items    map[string]item
+	leases   map[int64]time.Duration // times to live
+}
+
+// Copy returns a copy of the current state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{revision: s.revision, items: maps.Clone(s.items), leases: map[int64]time.Duration{}}
+	for id, l := range s.leases {
+		c.leases[id] = l.ttl
+	}
+	return c
+}
+
+// Restore brings the store back from an earlier copy: what was written since is gone, except for the keys of the operator and of the
+// databases, which are written again, and revisions are given out again. Leases of the copy run from now on.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.items
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+	s.era++
+	s.revision, s.items, s.history, s.compactedRevision = c.revision, maps.Clone(c.items), nil, c.revision
+	s.leases = map[int64]*lease{}
+	for id, ttl := range c.leases {
+		s.leases[id] = &lease{ttl, time.AfterFunc(ttl, func() { s.endLease(id) })}
+	}
+	for key, i := range current {
+		if !strings.HasPrefix(key, systemPrefix) && !bytes.Equal(s.items[key].Value, i.Value) {
+			s.revision++
+			s.put(key, i.Value, 0)
+		}
+	}
+	s.notifyWatchers()
+}
+
+// systemPrefix precedes the keys that the hosts write.
+const systemPrefix = "waxwingspindle/"
+
 // Put stores the JSON encoding of value under key.
 func (s *Store) Put(key string, value any) {
 	data, err := json.Marshal(value)
@@ -199,10 +246,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	status, response := s.serve(r, path)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	if dropped {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
 	w.WriteHeader(status)
 	if response != nil {
 		_ = json.NewEncoder(w).Encode(response) // fails only if the client has disconnected
@@ -258,7 +311,8 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events, revision, changed, compacted := []event{}, s.revision, s.changed, after < s.compactedRevision
+		events, revision, changed, compacted := []event{}, s.revision, s.changed,
+			after < s.compactedRevision || after > s.revision
 		for _, e := range s.history {
 			if e.Rev > after && strings.HasPrefix(e.Key, query.Get("prefix")) {
 				events = append(events, e)
