Primaries stay safe when the store comes back from a copy

Hosts register again and go on; those that have just started wait for the leader. A leader whose own key is in the copy campaigns again at once.

TestReplacementWaitsForLostRegistrations fails without the wait. go test -race ./fleet: pass.

--- /dev/null
+++ b/fleet/era_test.go
@@ -0,0 +1,195 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/waxwingspindle/waxwingspindle/boottime"
+	"github.com/waxwingspindle/waxwingspindle/catalog"
+	"github.com/waxwingspindle/waxwingspindle/metastore"
+	"github.com/waxwingspindle/waxwingspindle/model"
+	"github.com/waxwingspindle/waxwingspindle/primacy"
+)
+
+// newSupervisorAfterReturn returns a supervisor whose agent leads since the store came back from a copy, and the documents that the
+// agent knows and those that the store has.
+func newSupervisorAfterReturn(t *testing.T, known, stored primacy.Document) (*supervisor, *memoryStore) {
+	t.Helper()
+	store := newMemoryStore()
+	store.revision = metastore.RevisionInEra(1, 100)
+	s := newTestSupervisor(t, store)
+	key := primaryPrefix + "stock"
+	if _, err := store.Commit(t.Context(), metastore.Txn{Puts: []metastore.Item{{Key: key, Value: mustEncode(stored)}}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.agent.runAndWait(t.Context(), func(c *control) {
+		c.view.catalog = &catalog.Catalog{Services: map[model.Service]catalog.Service{"stock": {}}}
+		c.view.documents["stock"] = versioned[primacy.Document]{known, 90} // of era 0
+		for _, id := range []model.TargetID{"a", "b"} {
+			c.view.targets[id] = catalog.Target{ID: id, Service: "stock"}
+		}
+		c.pending.targets, c.pending.documents = true, true
+		c.publish()
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return s, store
+}
+
+func (s *memoryStore) document(t *testing.T, service string) (doc primacy.Document) {
+	t.Helper()
+	if err := json.Unmarshal(s.items[primaryPrefix+service].Value, &doc); err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+// Guards against a decision that is gone with what the store has lost: hosts that start would use the primary before it.
+func TestLeaderRestoresLostDecisions(t *testing.T) {
+	known := primacy.Document{Service: "stock", Epoch: 5, Open: true, Primary: "b", Term: 3}
+	stored := primacy.Document{Service: "stock", Epoch: 3, Open: true, Primary: "a", Term: 2}
+	s, store := newSupervisorAfterReturn(t, known, stored)
+	s.agent.Prober = silentProber{statuses: map[model.TargetID]primacy.Status{"b": {Primary: true, Term: 3}}}
+	if !s.settle(t.Context()) {
+		t.Fatal("the leader has not reconciled the decisions")
+	}
+	want := known
+	want.Epoch = 1<<firstEpochBit | 6
+	if diff := cmp.Diff(want, store.document(t, "stock")); diff != "" {
+		t.Errorf("stored decision (-want +got):\n%s", diff)
+	}
+	v := s.agent.view.Load()
+	if !v.reconciled(s.fence) || !v.settling {
+		t.Errorf("reconciled %t, replacements wait %t; want both", v.reconciled(s.fence), v.settling)
+	}
+	if lease := store.items[settlingKey].Lease; lease == 0 {
+		t.Error("the wait has no end")
+	}
+}
+
+// Guards against a primary that is used again although a target has been promoted after it, in a decision that nobody knows any more.
+func TestDecisionBeforeLostPromotionIsNotRestored(t *testing.T) {
+	doc := primacy.Document{Service: "stock", Epoch: 3, Open: true, Primary: "a", Term: 2}
+	s, store := newSupervisorAfterReturn(t, doc, doc)
+	s.agent.Prober = silentProber{statuses: map[model.TargetID]primacy.Status{"a": {Primary: true, Term: 2}, "b": {Primary: true, Term: 3}}}
+	if !s.settle(t.Context()) {
+		t.Fatal("the leader has not reconciled the decisions")
+	}
+	if stored := store.document(t, "stock"); stored.Open || stored.Cause != primacy.CauseDemoted {
+		t.Errorf("stored decision %+v, want a closed one", stored)
+	}
+}
+
+// Guards against a promotion while a host may use the old primary whose registration is not in the copy, so that the leader does not
+// know of it.
+func TestReplacementWaitsForLostRegistrations(t *testing.T) {
+	doc := primacy.Document{Service: "stock", Epoch: 1<<firstEpochBit | 4, Primary: "a", Term: 2, Cause: primacy.CauseUnreachable}
+	s, store := newSupervisorAfterReturn(t, doc, doc)
+	setSettling := func(exists bool) {
+		txn := metastore.Txn{Puts: []metastore.Item{{Key: settlingKey}}}
+		if !exists {
+			txn = metastore.Txn{Removes: []string{settlingKey}}
+		}
+		revision, err := store.Commit(t.Context(), txn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		event := metastore.Event{Item: metastore.Item{Key: settlingKey, Revision: revision}, Removed: !exists}
+		if err := s.agent.runAndWait(t.Context(), func(c *control) {
+			c.applyControlKeys(prefixChange{events: []metastore.Event{event}})
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	setSettling(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*replacePollInterval)
+	defer cancel()
+	if s.awaitFenced(ctx, doc) {
+		t.Error("the primary is replaced while permissions of before may last")
+	}
+	setSettling(false)
+	ctx, cancel = context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if !s.awaitFenced(ctx, doc) {
+		t.Error("the primary is not replaced after all permissions have ended")
+	}
+}
+
+// Guards against a host that registers after the store has come back and uses a primary that has been replaced in a decision that the
+// store has lost, and against hosts that stop serving although they know all decisions.
+func TestPermissionAfterReturnFromCopy(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		registered bool // until the store came back
+		reconciled bool
+		permitted  bool
+	}{
+		{"a host that has just started", false, false, false},
+		{"the same, and the decisions are reconciled", false, true, true},
+		{"a host whose permission had not ended", true, false, true},
+	} {
+		a := newRegisteringAgent(newMemoryStore(), 1)
+		a.fencedByLeader, a.fencedViaStore, a.unconfirmed = map[model.Service]uint64{}, map[model.Service]uint64{}, map[model.Service]uint64{}
+		v := newClusterView()
+		v.era.value = EraDocument{1, test.reconciled}
+		a.view.Store(v)
+		if test.registered {
+			a.permissionEnd = boottime.Now().Add(time.Second)
+		}
+		r := Registration{Lease: metastore.LeaseInEra(1, 5), Revision: metastore.RevisionInEra(1, 10)}
+		a.setRegistration(r, boottime.Now())
+		until := boottime.Now().Add(time.Hour)
+		a.allowPrimaries(r.Lease, until)
+		if permitted := a.permissionEnd.Equal(until); permitted != test.permitted {
+			t.Errorf("%s: permitted %t, want %t", test.name, permitted, test.permitted)
+		}
+		if waits := a.pendingPermission.Equal(until); waits == test.permitted {
+			t.Errorf("%s: the permission waits for the leader: %t", test.name, waits)
+		}
+	}
+}
+
+// Guards against a permission that is given back by the return of the store: the host had stopped because its registration was gone, so
+// that primaries may have been replaced without it.
+func TestLostRegistrationIsNotContinuous(t *testing.T) {
+	a := newRegisteringAgent(newMemoryStore(), 1)
+	a.view.Store(newClusterView())
+	a.setRegistration(Registration{Lease: 5, Revision: 10}, boottime.Now())
+	a.allowPrimaries(5, boottime.Now().Add(time.Hour))
+	gone := metastore.Event{Item: metastore.Item{Key: hostPrefix + "host", Revision: 12}, Removed: true}
+	a.checkRegistration(prefixChange{events: []metastore.Event{gone}})
+	r := Registration{Lease: metastore.LeaseInEra(1, 5), Revision: metastore.RevisionInEra(1, 10)}
+	a.setRegistration(r, boottime.Now())
+	if a.allowPrimaries(r.Lease, boottime.Now().Add(time.Hour)); a.pendingPermission.IsZero() {
+		t.Error("the host may use primaries before the decisions are reconciled")
+	}
+}
+
+// Guards against writes of decisions that can never succeed, because they are conditional on revisions of an earlier history.
+func TestDecisionsAreRebased(t *testing.T) {
+	v := newClusterView()
+	c := &control{view: v, agent: newRegisteringAgent(newMemoryStore(), 1), departed: map[model.HostID]departure{}}
+	c.agent.events = make(chan func(*control), eventQueueLength)
+	known := primacy.Document{Service: "s", Epoch: 5, Open: true, Primary: "b"}
+	v.documents["s"], v.documents["lost"] = versioned[primacy.Document]{known, 90}, versioned[primacy.Document]{known, 91}
+	earlier := primacy.Document{Service: "s", Epoch: 3, Open: true, Primary: "a"}
+	revision := metastore.RevisionInEra(1, 40)
+	change := prefixChange{complete: true, revision: metastore.RevisionInEra(1, 60), events: []metastore.Event{
+		{Item: metastore.Item{Key: primaryPrefix + "s", Value: mustEncode(earlier), Revision: revision}}}}
+	v.rebaseDocuments(change)
+	for _, e := range change.events {
+		if err := v.applyControlKey(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if doc := v.documents["s"]; doc.revision != revision || doc.value.Epoch != 5 {
+		t.Errorf("decision of epoch %d at revision %d, want 5 at %d", doc.value.Epoch, doc.revision, revision)
+	}
+	if doc := v.documents["lost"]; doc.revision != 0 || doc.value.Epoch != 5 {
+		t.Errorf("lost decision of epoch %d at revision %d, want 5 and no revision", doc.value.Epoch, doc.revision)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -153,6 +153,9 @@
 	registrationMu     sync.Mutex               // guards the fields below
 	lease              metastore.Lease          // lease of the registration, 0 if not registered
 	registeredRevision uint64                   // store revision of the registration
+	permissionEnd      time.Time                // end of the last permission to use primaries, also if it was withdrawn since
+	pendingPermission  time.Time                // end of a permission that waits for reconciled decisions, or zero
+	continuous         bool                     // the last permission had not ended when this host registered
 	fencedByLeader     map[model.Service]uint64 // epochs that the leader has fenced by a direct request
 	fencedViaStore     map[model.Service]uint64 // epochs that this host confirms through the store
 	unconfirmed        map[model.Service]uint64 // epochs of closed documents that are not confirmed yet
@@ -162,6 +165,9 @@
 
 	leaderMu sync.Mutex
 	leading  *leadership // nil unless this host leads
+	// lastFence is the fencing token of the last term of this host. claiming is set while a term begins.
+	lastFence atomic.Uint64
+	claiming  atomic.Bool
 }
 
 // control is the state owned by the control goroutine.
@@ -426,9 +432,11 @@
 		return !strings.HasPrefix(e.Key, hostPrefix)
 	})
 	before := c.view.hosts
+	era := c.view.era.value
 	if change.complete {
 		c.view.hosts, c.view.leader = make(map[model.HostID]Host, len(before)), nil
-		c.view.routing = RoutingDocument{}
+		c.view.routing, c.view.era, c.view.settling = RoutingDocument{}, versioned[EraDocument]{}, false
+		c.view.rebaseDocuments(change)
 	}
 	now := boottime.Now()
 	for _, e := range change.events {
@@ -439,6 +447,9 @@
 			c.agent.Log.Error("store: value ignored", zap.String("key", e.Key), zap.Error(err))
 		}
 	}
+	if next := c.view.era.value; next.Reconciled && next != era {
+		go c.agent.releasePermission()
+	}
 	if change.complete {
 		for id, host := range before {
 			if _, registered := c.view.hosts[id]; !registered {
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -77,10 +77,12 @@
 	v := c.view
 	var expectedRevision uint64
 	if v.leader != nil {
-		if v.leader.value.Host != a.Self.ID || v.leader.value.Incarnation == a.Self.Incarnation {
+		restored := metastore.EraOf(v.leader.revision) > metastore.EraOf(a.lastFence.Load()) &&
+			!a.claiming.Load() && !a.isLeading()
+		if v.leader.value.Host != a.Self.ID || v.leader.value.Incarnation == a.Self.Incarnation && !restored {
 			return
 		}
-		expectedRevision = v.leader.revision // this host was the leader before it restarted
+		expectedRevision = v.leader.revision // this host was the leader before it restarted, or before the store lost its term
 	}
 	delay, eligible := v.campaignDelay(a.Self)
 	if expectedRevision == 0 && !eligible {
@@ -126,10 +128,12 @@
 func (a *Agent) acquireLeadership(ctx context.Context, expectedRevision uint64) (*leadership, time.Duration) {
 	callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
+	a.claiming.Store(true) // until the term has begun
 	sent := boottime.Now()
 	lease, ttl, err := a.Store.Grant(callCtx, leaderLease)
 	if err != nil {
 		a.Log.Info("leader: lease not granted", zap.Error(err))
+		a.claiming.Store(false)
 		return nil, 0
 	}
 	fence, err := a.Store.Commit(callCtx, metastore.Txn{
@@ -142,8 +146,10 @@
 			// A write without a reply may take effect later. The key would name a host that does not lead, until the lease ends.
 			go a.revoke(lease)
 		}
+		a.claiming.Store(false)
 		return nil, 0
 	}
+	a.lastFence.Store(fence)
 	return &leadership{agent: a, lease: lease, fence: fence, leaseEnd: sent.Add(ttl - leaseMargin),
 		reports: map[model.HostID]hostReport{}, supervised: map[model.Service]bool{}}, ttl
 }
@@ -159,8 +165,13 @@
 	broker.SetLimits(v.catalog.Limits, len(v.expected))
 	a.Log.Info("leader: this host leads", zap.Uint64("fence", term.fence))
 	a.setLeading(term)
-	go term.superviseServices(superviseCtx)
-	go term.decideRouting(superviseCtx)
+	a.claiming.Store(false)
+	go func() {
+		if term.settle(superviseCtx) {
+			go term.decideRouting(superviseCtx)
+			term.superviseServices(superviseCtx)
+		}
+	}()
 	term.keepLease(leaderCtx, ttl)
 	a.setLeading(nil)
 	a.Prober.Close()
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		attempts.reset()
-		a.setRegistration(r)
+		a.setRegistration(r, sent)
 		a.follower(controlPrefix, (*control).applyControlKeys).mergeItems(ctx, r.Documents)
 		if err := a.runAndWait(ctx, func(*control) {}); err != nil { // waits for all events posted before
 			return
@@ -187,8 +187,11 @@
 		err := a.renewLease(ctx, r.Lease)
 		a.recordRenewal(err)
 		if err != nil && !errors.Is(err, metastore.ErrLeaseEnded) {
-			if leaderErr := a.renewLeaseThroughLeader(r.Lease); leaderErr == nil {
+			switch leaderErr := a.renewLeaseThroughLeader(r.Lease); {
+			case leaderErr == nil:
 				err = nil
+			case leaderErr.Error() == metastore.ErrLeaseEnded.Error(): // as an answer of the other host, which has only the text
+				err = metastore.ErrLeaseEnded
 			}
 		}
 		dep.observe(err)
@@ -361,11 +364,12 @@
 	a.Log.Info("registration: ended", zap.Int64("lease", int64(lease)), zap.Error(err))
 }
 
-// setRegistration records a new registration of this host.
-func (a *Agent) setRegistration(r Registration) {
+// setRegistration records a new registration of this host, which it requested at the given time.
+func (a *Agent) setRegistration(r Registration, sent time.Time) {
 	a.registrationMu.Lock()
 	defer a.registrationMu.Unlock()
-	a.lease, a.registeredRevision = r.Lease, r.Revision
+	a.lease, a.registeredRevision, a.continuous = r.Lease, r.Revision, sent.Before(a.permissionEnd)
+	a.pendingPermission = time.Time{} // of an earlier registration
 }
 
 // isRegisteredUnder reports whether the current registration of this host has the lease.
@@ -382,7 +386,7 @@
 	if a.lease != lease {
 		return false
 	}
-	a.Server.AllowPrimariesUntil(until)
+	a.permitPrimaries(until)
 	return true
 }
 
@@ -417,4 +421,7 @@
 		zap.Uint64("seen_revision", max(revision, change.revision)))
 	a.Server.AllowPrimariesUntil(time.Time{})
 	a.lease = 0
+	if metastore.EraOf(max(revision, change.revision)) == metastore.EraOf(a.registeredRevision) {
+		a.permissionEnd = time.Time{} // primaries may have been replaced without this host
+	}
 }
--- a/fleet/register_test.go
+++ b/fleet/register_test.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	stopping.setRegistration(r)
+	stopping.setRegistration(r, boottime.Now())
 	store.setDelay(true)
 	stopping.Deregister(t.Context())
 	store.setDelay(false)
@@ -244,7 +244,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			a := newRegisteringAgent(nil, 1)
-			a.setRegistration(Registration{Lease: 5, Revision: 10})
+			a.setRegistration(Registration{Lease: 5, Revision: 10}, boottime.Now())
 			until := boottime.Now().Add(time.Hour)
 			a.allowPrimaries(5, until)
 			a.checkRegistration(test.change)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -75,6 +75,8 @@
 	documents     map[model.Service]versioned[primacy.Document]
 	plans         map[model.Service]placement.Plan // empty if statements are assigned by target
 	routing       RoutingDocument
+	era           versioned[EraDocument]
+	settling      bool                 // settlingKey exists
 	targetPlan    placement.TargetPlan // empty unless statements are assigned by target
 	byService     *targetIndex         // of a published view, as ordered
 	ordered       *hostOrder           // of a published view; nil in that of the control goroutine
@@ -101,6 +103,13 @@
 	if e.Key == routingKey {
 		return v.applyRouting(e)
 	}
+	if e.Key == eraKey {
+		return v.applyEra(e)
+	}
+	if e.Key == settlingKey {
+		v.settling = !e.Removed
+		return nil
+	}
 	if e.Key == leaderKey {
 		if v.leader = nil; e.Removed {
 			return nil
@@ -119,6 +128,9 @@
 		// A document sent by the leader carries no revision, which the next conditional write of the document needs.
 		if doc.Epoch > known.value.Epoch || doc.Epoch == known.value.Epoch && e.Revision > known.revision {
 			v.documents[model.Service(service)] = versioned[primacy.Document]{doc, e.Revision}
+		} else if metastore.EraOf(e.Revision) > metastore.EraOf(known.revision) {
+			// The store has lost the known document. The next write is conditional on the one that it has.
+			v.documents[model.Service(service)] = versioned[primacy.Document]{known.value, e.Revision}
 		}
 	}
 	return nil
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -102,7 +102,7 @@
 	if health.Draining {
 		health.DrainingFor = now.Sub(v.drainingSince[doc.Primary])
 	}
-	health.AllHostsReport = s.allHostsReport(v, now)
+	health.AllHostsReport = s.allHostsReport(v, now) && !v.settling // a planned replacement would wait with its primary closed
 	for id, o := range s.reports {
 		if observation, observes := o.byService[s.service]; observes && id != s.agent.Self.ID &&
 			now.Sub(o.at) <= primacy.MaxObservationAge() {
@@ -169,9 +169,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	key, value := primaryPrefix+string(s.service), mustEncode(doc)
-	revision, err := s.agent.Store.Commit(ctx, metastore.Txn{
-		Conditions: []metastore.Condition{{Key: key, Revision: expectedRevision}, {Key: leaderKey, Revision: s.fence}},
-		Puts:       []metastore.Item{{Key: key, Value: value}}})
+	conditions := []metastore.Condition{{Key: key, Revision: expectedRevision}, {Key: leaderKey, Revision: s.fence}}
+	if metastore.EraOf(s.fence) > 0 {
+		// The key is written at the beginning of each era, so that a write of an earlier one cannot take effect after that.
+		conditions = append(conditions, metastore.Condition{Key: eraKey, Revision: s.agent.view.Load().era.revision})
+	}
+	revision, err := s.agent.Store.Commit(ctx, metastore.Txn{Conditions: conditions,
+		Puts: []metastore.Item{{Key: key, Value: value}}})
 	if err != nil {
 		if !errors.Is(err, metastore.ErrConflict) && !errors.Is(err, metastore.ErrNotExecuted) {
 			s.unresolvedRevision = expectedRevision
@@ -271,7 +275,7 @@
 			pending++
 			go func() { results <- result{h, s.sendDocument(h, doc)} }()
 		}
-		if pending == 0 {
+		if pending == 0 && !s.agent.view.Load().settling {
 			return true
 		}
 		for range pending {
