Soak: the store comes back from a copy

A new fault makes the store unavailable for up to 3 s and brings it back from a copy of up to 5 s before. It has a random source of its own.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -214,8 +214,8 @@
 			}
 		}
 	}
-	wanted := len(faultWeights) + 3 // these have no weight
-	if len(kinds) != wanted || !kinds[DataCentreEvacuated] || !kinds[LinkHeld] || !kinds[LeaderCutOff] || overlapping == 0 {
+	wanted := len(faultWeights) + 4 // these have no weight
+	if len(kinds) != wanted || !kinds[DataCentreEvacuated] || !kinds[LinkHeld] || !kinds[LeaderCutOff] || !kinds[StoreRestored] || overlapping == 0 {
 		t.Errorf("%d of %d kinds, %d faults overlap", len(kinds), wanted, overlapping)
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -72,6 +72,8 @@
 	case StoreCompacted:
 		sys.store.Compact()
 		return activeFault{}, false
+	case StoreRestored:
+		end = sys.restoreStore(rand.New(rand.NewPCG(sys.options.Seed, uint64(number))))
 	case StoreDown, StoreSlow, StoreDropsResponses:
 		sys.adjustActiveFaults(f.Kind, 1)
 		end = func() { sys.adjustActiveFaults(f.Kind, -1) }
@@ -152,6 +154,45 @@
 	}
 }
 
+// maxCopyAge is the greatest age of the copy from which the store comes back.
+const maxCopyAge = 5 * time.Second
+
+// copyInterval is the interval between copies of the store.
+const copyInterval = 500 * time.Millisecond
+
+// copyStore copies the store periodically.
+func (sys *system) copyStore() {
+	for {
+		select {
+		case <-sys.stopAll:
+			return
+		case <-time.After(copyInterval):
+		}
+		copied := sys.store.Copy()
+		sys.mu.Lock()
+		sys.copies = append(sys.copies, copied)
+		if excess := len(sys.copies) - int(maxCopyAge/copyInterval); excess > 0 {
+			sys.copies = sys.copies[excess:]
+		}
+		sys.mu.Unlock()
+	}
+}
+
+// restoreStore makes the store unavailable, and returns a function that brings it back from an earlier copy.
+func (sys *system) restoreStore(random *rand.Rand) func() {
+	sys.adjustActiveFaults(StoreDown, 1)
+	sys.mu.Lock()
+	defer sys.mu.Unlock()
+	if len(sys.copies) == 0 {
+		return func() { sys.adjustActiveFaults(StoreDown, -1) }
+	}
+	copied := sys.copies[random.IntN(len(sys.copies))]
+	return func() {
+		sys.store.Restore(copied)
+		sys.adjustActiveFaults(StoreDown, -1)
+	}
+}
+
 // maxCutDelay is the longest time between a decision to replace the primary and the cut of LeaderCutOff. Statements that run at the
 // old primary delay the order of the promotion by up to 0.4 s.
 const maxCutDelay = 400 * time.Millisecond
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -36,6 +36,8 @@
 	StoreSlow           FaultKind = "store slow"
 	StoreDropsResponses FaultKind = "store drops responses"
 	StoreCompacted      FaultKind = "store history compacted"
+	// StoreRestored makes the store unavailable for the duration, and then brings it back from a copy of some seconds before.
+	StoreRestored FaultKind = "store back from a copy"
 
 	DatabaseCrashed        FaultKind = "database crashed"
 	DatabaseDataLost       FaultKind = "database restarted without data"
@@ -108,6 +110,7 @@
 		at += time.Duration(random.Int64N(int64(maxFaultGap)))
 		if at >= length {
 			plan = append(plan, generateEvacuations(seed, databases, length)...)
+			plan = append(plan, generateRestores(seed, length)...)
 			return append(plan, generateHeldLinks(seed, hosts, databases, length)...)
 		}
 		pick, kind := random.IntN(total), FaultKind("")
@@ -190,6 +193,28 @@
 	}
 }
 
+// restoreSpacing is the mean time between two returns of the store from a copy, and maxStoreAbsence the longest time without it before
+// one.
+const (
+	restoreSpacing  = 20 * time.Second
+	maxStoreAbsence = 3 * time.Second
+)
+
+// generateRestores returns the faults of a plan after which the store has lost what it had acknowledged. They have a random source of
+// their own, like evacuations.
+func generateRestores(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 5))
+	var plan []Fault
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.Int64N(int64(2 * restoreSpacing)))
+		if at >= length {
+			return plan
+		}
+		absence := minFaultDuration + time.Duration(random.Int64N(int64(maxStoreAbsence-minFaultDuration)))
+		plan = append(plan, Fault{Start: at, Duration: min(absence, length-at), Kind: StoreRestored})
+	}
+}
+
 // planSteps returns the starts and ends of the faults of a plan in chronological order.
 func planSteps(plan []Fault) []planStep {
 	var all []planStep
--- a/soak/system.go
+++ b/soak/system.go
@@ -81,6 +81,7 @@
 	limitedRate  float64
 	codeCounts   map[string]int
 	activeFaults map[FaultKind]int // number of active faults of the stand-ins by kind
+	copies       []lines.Copy      // of the store, oldest first
 	violations   []Violation       // violations not found by CheckInvariants, such as unexpected exits
 }
 
@@ -117,6 +118,7 @@
 		}
 	}
 	sys.background.Go(sys.runBalancer)
+	sys.background.Go(sys.copyStore)
 	return sys, nil
 }
 
