Era: the decisions count as reconciled only if they could be collected

Found by reading: if the control goroutine did not answer in time, the leader had no decisions to restore and marked the era as reconciled. It tries again now. The constant of the epochs is named after what it is.

go test -race ./fleet, staticcheck: pass.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -27,9 +27,9 @@
 	concurrentRestores = 32
 	// documentsTimeout bounds the question for the decisions that another host knows.
 	documentsTimeout = 500 * time.Millisecond
-	// firstEpochBit separates the epochs of decisions in different eras, so that those of an era are higher than all earlier ones, also
-	// than lost ones.
-	firstEpochBit = 32
+	// epochBits is the number of bits of an epoch below the era, so that the epochs of an era are higher than all earlier ones, also than
+	// lost ones.
+	epochBits = 32
 )
 
 // EraDocument records how far the leader has got after the store came back from a copy.
@@ -100,7 +100,12 @@
 	if v := a.view.Load(); v.era.value.Era != era && !term.beginSettling(ctx, era, v.era.revision) {
 		return false
 	}
-	return term.restoreDocuments(ctx, era, term.collectDocuments(ctx)) &&
+	latest, err := term.collectDocuments(ctx)
+	if err != nil {
+		a.Log.Warn("primary: collecting decisions failed", zap.Error(err))
+		return false
+	}
+	return term.restoreDocuments(ctx, era, latest) &&
 		term.writeEra(ctx, EraDocument{era, true}, a.view.Load().era.revision, 0)
 }
 
@@ -146,7 +151,7 @@
 }
 
 // collectDocuments returns the decisions with the highest epochs that this host and the others know.
-func (term *leadership) collectDocuments(ctx context.Context) map[model.Service]primacy.Document {
+func (term *leadership) collectDocuments(ctx context.Context) (map[model.Service]primacy.Document, error) {
 	a := term.agent
 	hosts := map[model.HostID]Host{}
 	if err := a.runAndWait(ctx, func(c *control) {
@@ -157,7 +162,7 @@
 			hosts[id] = h
 		}
 	}); err != nil {
-		return nil
+		return nil, err
 	}
 	type answer struct {
 		host      model.HostID
@@ -187,7 +192,7 @@
 			}
 		}
 	}
-	return latest
+	return latest, nil
 }
 
 // restoreDocuments stores the decisions with epochs of the era, several at a time: a fleet has hundreds.
@@ -197,7 +202,7 @@
 	var restored []primacy.Document
 	slots := make(chan struct{}, concurrentRestores)
 	for service, doc := range latest {
-		if doc.Epoch>>firstEpochBit >= era {
+		if doc.Epoch>>epochBits >= era {
 			continue
 		}
 		slots <- struct{}{}
@@ -224,7 +229,7 @@
 func (term *leadership) restoredDocument(ctx context.Context, era uint64, doc primacy.Document) primacy.Document {
 	s := &supervisor{leadership: term, service: doc.Service}
 	next := doc
-	next.Epoch = era<<firstEpochBit | (doc.Epoch&(1<<firstEpochBit-1) + 1)
+	next.Epoch = era<<epochBits | (doc.Epoch&(1<<epochBits-1) + 1)
 	for _, t := range term.agent.view.Load().targetsOf(doc.Service) {
 		if status, err := s.probe(ctx, t); err == nil && status.Term > doc.Term && doc.Term > 0 {
 			next.Open, next.Cause = false, primacy.CauseDemoted
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -58,7 +58,7 @@
 		t.Fatal("the leader has not reconciled the decisions")
 	}
 	want := known
-	want.Epoch = 1<<firstEpochBit | 6
+	want.Epoch = 1<<epochBits | 6
 	if diff := cmp.Diff(want, store.document(t, "stock")); diff != "" {
 		t.Errorf("stored decision (-want +got):\n%s", diff)
 	}
@@ -87,7 +87,7 @@
 // Guards against a promotion while a host may use the old primary whose registration is not in the copy, so that the leader does not
 // know of it.
 func TestReplacementWaitsForLostRegistrations(t *testing.T) {
-	doc := primacy.Document{Service: "stock", Epoch: 1<<firstEpochBit | 4, Primary: "a", Term: 2, Cause: primacy.CauseUnreachable}
+	doc := primacy.Document{Service: "stock", Epoch: 1<<epochBits | 4, Primary: "a", Term: 2, Cause: primacy.CauseUnreachable}
 	s, store := newSupervisorAfterReturn(t, doc, doc)
 	setSettling := func(exists bool) {
 		txn := metastore.Txn{Puts: []metastore.Item{{Key: settlingKey}}}
