Stand-in: a store that comes back from a copy loses no removal of the operator

A data centre had been evacuated and the request withdrawn; the store came back from a copy with the request, and the stand-in wrote only the operator's present keys again, so that the evacuation stayed in force. With one synchronous replica and its other copies gone, the leader rightly promoted nothing ('primary: no target can be promoted', one of three targets never asked; 'evacuation: requested' without an end at host-0).

The users' page says that what the operator and the databases wrote is written again; a removal is part of that. The stand-in removes again what they had removed. The product is unchanged.

--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -22,4 +22,6 @@
 		"a planned stop and a kill of one host ended together and both started it (soak test bug)"},
 	{5007, 5, 30, 30 * time.Second, 1,
 		"the order of a leader that was cut off arrived after one of the next leader (review/6)"},
+	{9011, 5, 30, 30 * time.Second, 1,
+		"the store came back with an evacuation that had been withdrawn since the copy (stand-in bug)"},
 }
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -122,7 +122,7 @@
 }
 
 // Restore brings the store back from an earlier copy: what was written since is gone, except for the keys of the operator and of the
-// databases, which are written again, and revisions are given out again. Leases of the copy run from now on.
+// databases, which are written or removed again, and revisions are given out again. Leases of the copy run from now on.
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,6 +142,12 @@
 			s.put(key, i.Value, 0)
 		}
 	}
+	for key := range c.items {
+		if _, exists := current[key]; !exists && !strings.HasPrefix(key, systemPrefix) {
+			s.revision++
+			s.remove(key)
+		}
+	}
 	s.notifyWatchers()
 }
 
