Comment of primacy.Choose: lines of usual length, and where copies are awaited

One line had grown to 170 columns, and the comment did not name awaitsCopy. Comment only; gofmt, vet, staticcheck and go test -race ./primacy pass.

--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -301,10 +301,11 @@
 // Choose selects the next primary. A target that is already the primary of a later term is chosen as it is. So is the old
 // primary if it was only unreachable and answers again, because it has all commits. Otherwise the replica with the most
 // advanced position is chosen, but one that has commits which were lost when the old primary was promoted comes last. While no target
-// that has followed the old primary replies, nothing is chosen if another replica may have, see awaitsFollower. With synchronous replicas, enough replicas must reply that one of them has every
-// acknowledged commit. A draining target is chosen for use only if no other one replies: it hands its commits over to one that
-// stays. So does an evacuated one, which is never promoted for use. When no target can be promoted instead of an evacuated
-// primary and the evacuation has been withdrawn, the old primary is chosen as it is.
+// that has followed the old primary replies, nothing is chosen if another replica may have, see awaitsFollower. With synchronous
+// replicas, enough replicas must reply that one of them has every acknowledged commit, see awaitsCopy. A draining target is chosen
+// for use only if no other one replies: it hands its commits over to one that stays. So does an evacuated one, which is never
+// promoted for use. When no target can be promoted instead of an evacuated primary and the evacuation has been withdrawn, the old
+// primary is chosen as it is.
 func Choose(g Group) Choice {
 	candidates := slices.Clone(g.Candidates)
 	slices.SortFunc(candidates, func(a, b Candidate) int {
