Logs: the position that a forwarded read required, and the era of the store

Cause: the log of a read that missed a commit named the mark of its session but not the position that the replica had to have reached, and only the leader logged that the store is in a later era. Change: 'forwarded statement: answered' has the term of the mark and the required position; each host logs 'store: in a later era' once, with the prefix in which it saw the era. No statement gets another line.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -39,6 +39,16 @@
 	Reconciled bool
 }
 
+// observeEra records the era of a revision that this host has seen.
+func (a *Agent) observeEra(prefix string, revision uint64) {
+	era := metastore.EraOf(revision)
+	known := a.storeEra.Load()
+	if era > known && a.storeEra.CompareAndSwap(known, era) {
+		a.Log.Info("store: in a later era", zap.Uint64("era", era), zap.Uint64("last_era", known), zap.String("prefix", prefix),
+			zap.Uint64("revision", revision))
+	}
+}
+
 // applyEra applies an event of eraKey.
 func (v *clusterView) applyEra(e metastore.Event) error {
 	if v.era = (versioned[EraDocument]{}); e.Removed {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -146,8 +146,9 @@
 	// lastRelay is the time at which the last request that got a fresh relayed reply was sent, lastStoreReply the time of
 	// the last reply of the store for any prefix, both as boottime.Now in nanoseconds.
 	lastRelay, lastStoreReply atomic.Int64
-	lastBrokerReply           atomic.Int64 // time of the last report that a broker has answered; initially the start
-	leaderUnreachable         atomic.Bool  // the last report to the leader failed
+	storeEra                  atomic.Uint64 // latest era of the store that this host has seen
+	lastBrokerReply           atomic.Int64  // time of the last report that a broker has answered; initially the start
+	leaderUnreachable         atomic.Bool   // the last report to the leader failed
 
 	storeConfirmMu     sync.Mutex               // serializes confirmations written to the store
 	registrationMu     sync.Mutex               // guards the fields below
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -212,6 +212,7 @@
 	apply := f.apply
 	if len(events) > 0 {
 		f.revision = max(f.revision, revision)
+		f.agent.observeEra(f.prefix, revision)
 	}
 	f.agent.followMu.Unlock()
 	if len(events) > 0 {
@@ -280,6 +281,7 @@
 		}
 	}
 	f.revision = state.Revision
+	f.agent.observeEra(f.prefix, state.Revision)
 	f.relayUrgent = true
 	f.compactRemovals()
 	apply := f.apply
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -338,8 +338,9 @@
 	s.log.Info("forwarded statement: answered", zap.String("id", shorten(f.Statement.ID)),
 		zap.Stringer("code", a.Code), zap.String("detail", shorten(a.Detail)), zap.Duration("took", boottime.Now().Sub(started)),
 		zap.String("service", string(f.Route.Service)), zap.String("workspace", string(f.Workspace)),
-		zap.String("on", s.executedOn), zap.Uint64("mark_epoch", s.mark.Epoch),
-		zap.Uint64("mark_offset", s.mark.Position.Offset))
+		zap.String("on", s.executedOn), zap.Uint64("mark_epoch", s.mark.Epoch), zap.Uint64("mark_term", s.mark.Position.Term),
+		zap.Uint64("mark_offset", s.mark.Position.Offset), zap.Uint64("required_term", s.required.Term),
+		zap.Uint64("required_offset", s.required.Offset))
 }
 
 // loadState replaces the session's state by the state that its origin sent with the request.
--- a/frontend/session.go
+++ b/frontend/session.go
@@ -90,10 +90,11 @@
 	state      sessionState
 	holder     StateHolder // counts the memory of state; nil if nobody does
 	mark       HighWaterMark
-	executedOn string       // target or host that the last statement was sent to, for logs
-	mayHaveRun bool         // a target may have run a statement of the current operation
-	elsewhere  Elsewhere    // why the last statement should run on another host; only set if the target was selected
-	targetLoad balance.Load // that the last host reported for the selected target
+	executedOn string         // target or host that the last statement was sent to, for logs
+	required   model.Position // that the replica had to have reached for the last statement, zero on the primary; for logs
+	mayHaveRun bool           // a target may have run a statement of the current operation
+	elsewhere  Elsewhere      // why the last statement should run on another host; only set if the target was selected
+	targetLoad balance.Load   // that the last host reported for the selected target
 
 	runningStatement atomic.Pointer[string] // id of the statement that has no answer yet, or nil
 
@@ -460,6 +461,7 @@
 	}
 	epoch, id, open := op.service.currentPrimary()
 	if g.conn.target.ID == id && open {
+		s.required = model.Position{}
 		return g.conn, epoch, model.Position{}, Answer{}
 	}
 	if request.PrimaryOnly {
@@ -469,6 +471,7 @@
 		}
 		return nil, 0, minPosition, errorAnswer(Busy, "the primary is being replaced")
 	}
+	s.required = minPosition
 	return g.conn, 0, minPosition, Answer{}
 }
 
