A restored decision leaves the primary in place

Cause: the epoch of a decision was taken for the identity of the primary's tenure. Between two epochs there used to be a closed decision that each host confirms, so that commits of the lower one precede every position of the higher one. A decision that the leader restores after a return of the store has a higher epoch without that step, and hosts apply it up to 0.25 s apart: a host that has it discarded the mark of a commit made under the other epoch, and dropped the positions, the confirmed role and the transactions of a primary that had not changed.

Change: whether a mark matters is decided by terms, which name the log. No message changes.

--- a/frontend/dial.go
+++ b/frontend/dial.go
@@ -19,7 +19,7 @@
 	if s.promotionSeen && now.Sub(s.docAppliedAt) < promotionSettleTime && !s.server.selectsTargets() {
 		return false
 	}
-	return s.verifiedEpoch != s.doc.Epoch || now.Sub(s.primaryReachedAt) > verifyPrimaryAfter || s.highestPosition.Offset == 0
+	return s.verifiedTenure != s.tenureSince || now.Sub(s.primaryReachedAt) > verifyPrimaryAfter || s.highestPosition.Offset == 0
 }
 
 // dial opens a connection to a target. If the target is the primary it checks that it has not lost its data: it must have
@@ -27,7 +27,7 @@
 // has started again without its data is a replica.
 func (s *service) dial(ctx context.Context, t catalog.Target, workspace model.Workspace) (Conn, model.Position, error) {
 	s.mu.Lock()
-	doc, minPosition := s.doc, s.minPrimaryPosition(boottime.Now())
+	doc, tenure, minPosition := s.doc, s.tenureSince, s.minPrimaryPosition(boottime.Now())
 	verify := t.ID == doc.Primary && doc.Open && s.needsVerification(boottime.Now())
 	s.mu.Unlock()
 	conn, position, err := s.server.dialer.Dial(ctx, t, workspace)
@@ -42,7 +42,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.doc.Epoch != doc.Epoch {
+	if s.tenureSince != tenure {
 		return conn, position, nil // the target is not known to be the primary any more
 	}
 	if err != nil {
@@ -51,7 +51,7 @@
 	}
 	if verify {
 		s.pool.CountRequests(boottime.Now(), t.ID, 1)
-		s.verifiedEpoch = doc.Epoch
+		s.verifiedTenure = tenure
 	}
 	return conn, position, nil
 }
--- a/frontend/fence.go
+++ b/frontend/fence.go
@@ -21,9 +21,16 @@
 	}
 	now := boottime.Now()
 	old := s.doc
-	s.log.Info("primary: decision applied", zap.Uint64("epoch", doc.Epoch), zap.Bool("open", doc.Open),
+	continues := doc.Continues(old)
+	s.log.Info("primary: decision applied", zap.Uint64("epoch", doc.Epoch), zap.Bool("open", doc.Open), zap.Bool("continues", continues),
 		zap.String("target", string(doc.Primary)), zap.Uint64("term", doc.Term), zap.String("cause", string(doc.Cause)))
 	s.doc = doc
+	if continues {
+		s.fencedEpoch = doc.Epoch
+		s.updatePoolPrimary(now)
+		return true
+	}
+	s.tenureSince = doc.Epoch
 	s.promotionSeen = doc.Open && !old.Open && old.Epoch == doc.Epoch-1 && old.Epoch > 0
 	s.highestPosition = model.Position{}
 	s.docAppliedAt, s.primaryReachedAt, s.primaryFailingSince = now, now, time.Time{}
--- a/frontend/restored_orders_test.go
+++ b/frontend/restored_orders_test.go
@@ -137,7 +137,7 @@
 func (w *restoredWorld) state() string {
 	var b strings.Builder
 	for _, s := range w.hosts {
-		fmt.Fprint(&b, s.doc.Epoch, s.doc.Open, s.samplesEpoch)
+		fmt.Fprint(&b, s.doc.Epoch, s.doc.Open, s.tenureSince, s.samplesTenure, s.samplesTerm)
 		for _, sample := range s.samples.Recent(time.Time{}, 0, 100) {
 			fmt.Fprint(&b, " ", w.now().Sub(sample.At), sample.Position)
 		}
--- a/frontend/select.go
+++ b/frontend/select.go
@@ -253,7 +253,7 @@
 		s.log.Info("position: not fetched", zap.String("primary", string(primary)), zap.Error(err))
 		return
 	}
-	if epoch == s.doc.Epoch && s.doc.Open {
+	if s.inTenure(epoch) && s.doc.Open {
 		for _, sample := range samples {
 			s.addSample(sample.At, sample.Position)
 		}
@@ -262,8 +262,8 @@
 
 // addSample adds a position that the primary of the current decision had at the given time. The caller holds s.mu.
 func (s *service) addSample(at time.Time, position model.Position) {
-	if s.samplesEpoch != s.doc.Epoch {
-		s.samples, s.samplesEpoch = &routing.PositionSamples{}, s.doc.Epoch
+	if s.samplesTenure != s.tenureSince {
+		s.samples, s.samplesTenure, s.samplesTerm = &routing.PositionSamples{}, s.tenureSince, s.doc.Term
 	}
 	s.samples.Add(at, position)
 	s.highestPosition = s.highestPosition.Max(position)
@@ -296,7 +296,7 @@
 	if !s.primaryUsable() || !s.server.primaryAllowed(now) {
 		return 0, nil, false
 	}
-	if s.samplesEpoch == s.doc.Epoch && now.Sub(s.samples.LatestTime()) <= maxPositionAge {
+	if s.samplesTenure == s.tenureSince && now.Sub(s.samples.LatestTime()) <= maxPositionAge {
 		samples = s.samples.Recent(now.Add(-positionHistory), positionGap, maxPositions)
 	}
 	return s.doc.Epoch, samples, true
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -63,14 +63,16 @@
 	targets             map[model.TargetID]catalog.Target
 	connectionLimits    func(model.TargetID) ConnectionLimits // of this host
 	doc                 primacy.Document
+	tenureSince         uint64                       // epoch of the first decision that doc continues, see primacy.Document.Continues
 	fencedEpoch         uint64                       // no connection of an epoch below this one is in use
-	samples             *routing.PositionSamples     // log positions over time of the primary of samplesEpoch
-	samplesEpoch        uint64                       // epoch of the document under which samples were taken
+	samples             *routing.PositionSamples     // log positions over time of the primary of samplesTenure
+	samplesTenure       uint64                       // tenureSince when the samples were taken
+	samplesTerm         uint64                       // term of that primary
 	lastReplyAt         map[model.TargetID]time.Time // time of the last reply of each target
 	averageReadTime     time.Duration                // moving average
 	docAppliedAt        time.Time                    // when doc was applied
 	promotionSeen       bool                         // this host has applied the closed document that precedes doc
-	verifiedEpoch       uint64                       // epoch whose primary has confirmed its role to this host
+	verifiedTenure      uint64                       // tenureSince when the primary last confirmed its role to this host
 	highestPosition     model.Position               // highest position that the primary of doc has reported
 	primaryReachedAt    time.Time                    // time of the last reply of the primary of doc, initially docAppliedAt
 	primaryFailingSince time.Time                    // time of the first failure since that reply, or zero
@@ -309,7 +311,7 @@
 	}
 	if epoch != 0 {
 		s.mu.Lock()
-		allowed := s.primaryUsable() && s.doc.Epoch == epoch && c.target.StartedAt == s.doc.Born && s.conns[c.id] == c &&
+		allowed := s.primaryUsable() && s.inTenure(epoch) && c.target.StartedAt == s.doc.Born && s.conns[c.id] == c &&
 			s.server.primaryAllowed(sentAt)
 		s.mu.Unlock()
 		if !allowed {
@@ -467,7 +469,7 @@
 	defer cancel()
 	sentAt := boottime.Now()
 	s.mu.Lock()
-	epoch := s.doc.Epoch
+	tenure := s.tenureSince
 	s.mu.Unlock()
 	conn, position, err := s.dial(ctx, t, workspace)
 	if err != nil {
@@ -476,13 +478,17 @@
 	conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.doc.Epoch != epoch {
-		return // another decision was applied
+	if s.tenureSince != tenure {
+		return // another primary was decided on, or this one anew
 	}
 	s.log.Info("target: primary reachable again", zap.String("target", string(t.ID)))
 	s.recordReply(sentAt, boottime.Now(), t, position)
 }
 
+// inTenure reports whether the primary of a decision is that of the current one, without a replacement in between. The caller holds
+// s.mu.
+func (s *service) inTenure(epoch uint64) bool { return s.tenureSince <= epoch && epoch <= s.doc.Epoch }
+
 // currentPrimary returns the epoch and the primary of the current decision, and whether it may be used.
 func (s *service) currentPrimary() (epoch uint64, primary model.TargetID, usable bool) {
 	s.mu.Lock()
@@ -508,8 +514,11 @@
 	if !found {
 		return model.Position{}, time.Time{}, false
 	}
-	if mark.Epoch < s.samplesEpoch || mark.Epoch == s.samplesEpoch && mark.Position.Offset <= position.Offset {
-		return position, at, true // commits of earlier epochs that survived precede every position of this epoch
+	// Terms and not epochs tell whether the commit was made under the same primary: the hosts apply a decision that the leader has
+	// restored at different times, and commit under both epochs meanwhile.
+	term := mark.Position.Term
+	if term < s.samplesTerm || term == s.samplesTerm && mark.Position.Offset <= position.Offset {
+		return position, at, true // commits of earlier terms that survived precede every position of this one
 	}
 	return mark.Position, mark.CommittedAt, true
 }
--- a/frontend/session_test.go
+++ b/frontend/session_test.go
@@ -81,7 +81,7 @@
 // observed within the maximum staleness, cover the session's last commit, and belong to the current primary.
 func TestReadRequirement(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := &service{samples: &routing.PositionSamples{}, samplesEpoch: 4}
+	s := &service{samples: &routing.PositionSamples{}, samplesTenure: 4, samplesTerm: 2}
 	s.doc.Epoch = 5 // the primary of epoch 4 is being replaced
 	addSample := func(ago time.Duration, offset uint64) {
 		s.samples.Add(now.Add(-ago), model.Position{Term: 2, Offset: offset})
--- a/primacy/primacy.go
+++ b/primacy/primacy.go
@@ -62,6 +62,12 @@
 // First reports whether the document starts the first replacement of a service, so that no host has ever used a primary.
 func (d Document) First() bool { return !d.Open && d.Primary == "" && d.Epoch == 1 }
 
+// Continues reports whether a decision after last leaves its primary in place: the same process of the same target leads in the same
+// term. The leader stores a decision again with a higher epoch after the store has come back from a copy.
+func (d Document) Continues(last Document) bool {
+	return d.Open && last.Open && d.Primary == last.Primary && d.Born == last.Born && d.Term == last.Term
+}
+
 // Cause is the reason why a primary is replaced.
 type Cause string
 
