The term of a leader ends with the era of the store

While the store is back from a copy, its key and lease are gone, so that the next leader leads at once, and the last one still believes in its term for up to 3 s. Now a term ends with the first revision of a later era that the host sees. - A host confirmed a closed decision of the last leader although it had applied a restored one, which opens the primary again. Now it answers with an error. - The next leader restored decisions from what the hosts knew, which the last leader could close a moment later. Now it collects them once more after the time of a leader's lease (3 s), if there are any. Hosts that run go on meanwhile; a host that starts in these 3 s waits for the reconciled decisions, as before, but longer.

Evidence: TestLeaderOfEarlierEraPromotesNothing, TestHostWithLaterDecisionDoesNotConfirmEarlierOne and TestDecisionsAreRestoredAfterTheLastLease failed before (all hosts counted as fenced; the earlier decision was confirmed; restored after 2.7 s). No message changes.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -111,6 +111,11 @@
 		return false
 	}
 	latest, err := term.collectDocuments(ctx)
+	if wait := leaderLease - boottime.Now().Sub(term.began); err == nil && len(latest) > 0 && wait > 0 {
+		// The leader of the last era may order promotions until its lease has ended on its own clock, although the store has lost it.
+		sleep(ctx, wait)
+		latest, err = term.collectDocuments(ctx)
+	}
 	if err != nil {
 		a.Log.Warn("primary: collecting decisions failed", zap.Error(err))
 		return false
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"testing"
 	"time"
 
@@ -193,3 +194,48 @@
 		t.Errorf("lost decision of epoch %d at revision %d, want 5 and no revision", doc.value.Epoch, doc.revision)
 	}
 }
+
+// Guards against a promotion by a leader whose term has ended with the era of the store: the hosts that it has to fence are not in its
+// list any more, because their registrations are not in the copy.
+func TestLeaderOfEarlierEraPromotesNothing(t *testing.T) {
+	s := newTestSupervisor(t, newMemoryStore())
+	doc := primacy.Document{Service: "stock", Epoch: 5, Primary: "a", Term: 2, Cause: primacy.CauseUnreachable}
+	listed := PrefixState{Revision: metastore.RevisionInEra(1, 40)}
+	s.agent.follower(controlPrefix, (*control).applyControlKeys).replaceState(t.Context(), listed, true)
+	if s.listedEpoch = doc.Epoch; s.awaitFenced(t.Context(), doc) {
+		t.Error("all hosts count as fenced")
+	}
+	if _, allowed := s.beginOrder(); allowed {
+		t.Error("a promotion may be ordered")
+	}
+}
+
+// Guards against a promotion beside hosts that use the old primary: one that has a later decision, which the leader of another era has
+// restored, has not confirmed an earlier one.
+func TestHostWithLaterDecisionDoesNotConfirmEarlierOne(t *testing.T) {
+	s := newTestSupervisor(t, newMemoryStore())
+	peer := &Peer{s.agent}
+	restored := primacy.Document{Service: "stock", Epoch: 1<<epochBits | 5, Open: true, Primary: "a", Term: 2}
+	if err := peer.Fence(FenceRequest{Incarnation: 1, Document: restored}, &struct{}{}); err != nil {
+		t.Fatal(err)
+	}
+	closed := primacy.Document{Service: "stock", Epoch: 5, Primary: "a", Term: 2}
+	if err := peer.Fence(FenceRequest{Incarnation: 1, Document: closed}, &struct{}{}); !errors.Is(err, errLaterDecision) {
+		t.Errorf("the host answered the earlier decision with %v", err)
+	}
+}
+
+// Guards against a decision that is restored while the leader of the earlier era may still have it replaced: its lease is lost with the
+// store, so that the next one leads at once.
+func TestDecisionsAreRestoredAfterTheLastLease(t *testing.T) {
+	doc := primacy.Document{Service: "stock", Epoch: 5, Open: true, Primary: "a", Term: 2}
+	s, _ := newSupervisorAfterReturn(t, doc, doc)
+	s.agent.Prober = silentProber{}
+	s.began = boottime.Now().Add(300*time.Millisecond - leaderLease)
+	if !s.settle(t.Context()) {
+		t.Fatal("the leader has not reconciled the decisions")
+	}
+	if took := boottime.Now().Sub(s.began); took < leaderLease {
+		t.Errorf("the decisions were restored %v after the term began, a lease lasts %v", took, leaderLease)
+	}
+}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -40,6 +40,7 @@
 	agent           *Agent
 	lease           metastore.Lease
 	fence           uint64 // revision at which this host became the leader, used as fencing token
+	began           time.Time
 	stop            context.CancelFunc
 	stopSupervision context.CancelFunc // stops the replacement of primaries
 
@@ -150,7 +151,7 @@
 		return nil, 0
 	}
 	a.lastFence.Store(fence)
-	return &leadership{agent: a, lease: lease, fence: fence, leaseEnd: sent.Add(ttl - leaseMargin),
+	return &leadership{agent: a, lease: lease, fence: fence, began: boottime.Now(), leaseEnd: sent.Add(ttl - leaseMargin),
 		reports: map[model.HostID]hostReport{}, supervised: map[model.Service]bool{}}, ttl
 }
 
@@ -328,7 +329,7 @@
 }
 
 // remainingLease returns the time for which this host may replace primaries: until its lease ends, or 0 once endDecisions was
-// called.
+// called or a later era of the store was seen, which has lost the lease.
 func (term *leadership) remainingLease() time.Duration {
 	term.mu.Lock()
 	defer term.mu.Unlock()
@@ -337,7 +338,7 @@
 
 // remaining is remainingLease for callers that hold mu.
 func (term *leadership) remaining() time.Duration {
-	if term.noDecisions {
+	if term.noDecisions || metastore.EraOf(term.fence) < term.agent.storeEra.Load() {
 		return 0
 	}
 	return term.leaseEnd.Sub(boottime.Now())
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -32,6 +32,7 @@
 	errCountedElsewhere = errors.New("another broker may count this host still")
 	errStoreSilent      = errors.New("this host does not hear the store")
 	errOtherIncarnation = errors.New("this host has another incarnation")
+	errLaterDecision    = errors.New("this host knows a later decision")
 )
 
 // tokenTimeout bounds a token request to the broker. A caller waits for the reply, which takes some milliseconds.
@@ -322,6 +323,9 @@
 		return errOtherIncarnation
 	}
 	a.Server.ApplyPrimaryDocument(r.Document)
+	if a.Server.DecisionEpoch(r.Document.Service) > r.Document.Epoch {
+		return errLaterDecision // which may have opened the primary again
+	}
 	a.registrationMu.Lock()
 	a.fencedByLeader[r.Document.Service] = max(a.fencedByLeader[r.Document.Service], r.Document.Epoch)
 	a.registrationMu.Unlock()
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -154,6 +154,12 @@
 	return s.service(doc.Service).applyDocument(doc)
 }
 
+// DecisionEpoch returns the epoch of the decision about the primary of a service that is in force on this host, or 0.
+func (s *Server) DecisionEpoch(name model.Service) uint64 {
+	epoch, _, _ := s.service(name).currentPrimary()
+	return epoch
+}
+
 // PrimaryObservations returns, for each service whose targets this host may connect to, whether and since when it reaches the
 // primary. A host of a large fleet connects to the targets of few services.
 func (s *Server) PrimaryObservations() map[model.Service]primacy.Observation {
