Hosts use primaries on while the store has lost their registrations

Cause: a host whose registration is gone stopped using primaries until it was registered again. That is needed where the leader may have replaced a primary without it. After a return no primary is replaced until all permissions of before have ended (settling, 9 s), and the term of the last leader is over for a host that sees the later era, so that the permission stands until its own end.

Change: a registration, or its lease, that is gone with an era leaves the permission as it is; one that is gone within an era ends it at once, as before. Evidence: TestPermissionOutlivesLostRegistration failed before, for the lost registration and for the lost lease.

--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -239,3 +239,31 @@
 		t.Errorf("the decisions were restored %v after the term began, a lease lasts %v", took, leaderLease)
 	}
 }
+
+// Guards against statements that fail at each return of the store, because hosts stop using primaries until they are registered again.
+func TestPermissionOutlivesLostRegistration(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		revision  uint64 // at which the registration is gone
+		permitted bool
+	}{
+		{"lost by the store", metastore.RevisionInEra(2, 10), true},
+		{"removed", metastore.RevisionInEra(1, 30), false},
+	} {
+		a := newRegisteringAgent(newMemoryStore(), 1)
+		a.view.Store(newClusterView())
+		lease := metastore.LeaseInEra(1, 5)
+		a.setRegistration(Registration{Lease: lease, Revision: metastore.RevisionInEra(1, 20)}, boottime.Now())
+		a.continuous = true
+		a.allowPrimaries(lease, boottime.Now().Add(time.Hour))
+		a.observeEra(controlPrefix, test.revision)
+		a.checkRegistration(prefixChange{complete: true, revision: test.revision})
+		a.endPermission(t.Context(), lease)
+		if a.lease != 0 {
+			t.Errorf("%s: the host does not register again", test.name)
+		}
+		if permitted := a.Server.PrimaryAllowed(boottime.Now()); permitted != test.permitted {
+			t.Errorf("%s: primaries are used %t, want %t", test.name, permitted, test.permitted)
+		}
+	}
+}
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -61,7 +61,7 @@
 			zap.Uint64("revision", r.Revision))
 		a.enforceDocuments()
 		a.keepRegistrationLease(ctx, r, sent)
-		a.Server.AllowPrimariesUntil(time.Time{})
+		a.endPermission(ctx, r.Lease)
 	}
 }
 
@@ -366,6 +366,7 @@
 
 // setRegistration records a new registration of this host, which it requested at the given time.
 func (a *Agent) setRegistration(r Registration, sent time.Time) {
+	a.observeEra(hostPrefix, r.Revision)
 	a.registrationMu.Lock()
 	defer a.registrationMu.Unlock()
 	a.lease, a.registeredRevision, a.continuous = r.Lease, r.Revision, sent.Before(a.permissionEnd)
@@ -390,8 +391,9 @@
 	return true
 }
 
-// checkRegistration stops the use of primaries if a change shows that this host's registration has been removed or replaced: the
-// leader does not fence a host that it does not know, even if its lease lives on. The host then registers again.
+// checkRegistration has the host register again if a change shows that its registration is gone or has been replaced, and stops the use
+// of primaries until then unless the store has lost the registration: the leader does not fence a host that it does not know, even if
+// its lease lives on.
 func (a *Agent) checkRegistration(change prefixChange) {
 	key := hostPrefix + string(a.Self.ID)
 	a.registrationMu.Lock()
@@ -416,12 +418,20 @@
 	if !gone {
 		return
 	}
-	a.Log.Warn("registration: gone, primaries are not used until the host is registered again",
-		zap.Int64("lease", int64(a.lease)), zap.Uint64("registered_revision", a.registeredRevision),
-		zap.Uint64("seen_revision", max(revision, change.revision)))
-	a.Server.AllowPrimariesUntil(time.Time{})
+	a.Log.Warn("registration: gone", zap.Int64("lease", int64(a.lease)), zap.Uint64("registered_revision", a.registeredRevision),
+		zap.Uint64("seen_revision", max(revision, change.revision)), zap.Time("permission_end", a.permissionEnd))
 	a.lease = 0
-	if metastore.EraOf(max(revision, change.revision)) == metastore.EraOf(a.registeredRevision) {
-		a.permissionEnd = time.Time{} // primaries may have been replaced without this host
+	if metastore.EraOf(max(revision, change.revision)) > metastore.EraOf(a.registeredRevision) {
+		return // no primary is replaced until all permissions of before have ended, see settlingKey
 	}
+	a.Server.AllowPrimariesUntil(time.Time{})
+	a.permissionEnd = time.Time{} // primaries may have been replaced without this host
+}
+
+// endPermission stops the use of primaries after the lease of the registration has ended, unless the store has lost the lease.
+func (a *Agent) endPermission(ctx context.Context, lease metastore.Lease) {
+	if ctx.Err() == nil && !lease.IsOfEra(a.storeEra.Load()) {
+		return
+	}
+	a.Server.AllowPrimariesUntil(time.Time{})
 }
--- a/frontend/fence.go
+++ b/frontend/fence.go
@@ -118,7 +118,7 @@
 // received the statement, or committed it, after this host's permission to use the primary had ended. The leader does not wait for
 // such a host, so that another target may have been promoted before the commit.
 func (s *session) mayAcknowledge(st Statement, c *targetConn, epoch uint64) bool {
-	if s.server.primaryAllowed(boottime.Now()) {
+	if s.server.PrimaryAllowed(boottime.Now()) {
 		return true
 	}
 	s.log.Warn("statement: committed, but not acknowledged: the permission to use the primary has ended",
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -316,7 +316,7 @@
 	switch {
 	case s.Draining():
 		return ErrDraining
-	case !s.primaryAllowed(now) || !s.service(f.Route.Service).canConnect():
+	case !s.PrimaryAllowed(now) || !s.service(f.Route.Service).canConnect():
 		return ErrCannotServe
 	case f.Target == "" && s.service(f.Route.Service).cannotRun(now, f.needsPrimary(), f.Route.MaxStaleness),
 		f.Target != "" && s.service(f.Route.Service).cannotUse(now, f.Target):
--- a/frontend/select.go
+++ b/frontend/select.go
@@ -293,7 +293,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
-	if !s.primaryUsable() || !s.server.primaryAllowed(now) {
+	if !s.primaryUsable() || !s.server.PrimaryAllowed(now) {
 		return 0, nil, false
 	}
 	if s.samplesTenure == s.tenureSince && now.Sub(s.samples.LatestTime()) <= maxPositionAge {
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -175,7 +175,8 @@
 // AllowPrimariesUntil permits this host to use primaries until the given boot time.
 func (s *Server) AllowPrimariesUntil(until time.Time) { s.primaryAllowedUntil.Store(until.UnixNano()) }
 
-func (s *Server) primaryAllowed(now time.Time) bool {
+// PrimaryAllowed reports whether this host may use primaries at a boot time.
+func (s *Server) PrimaryAllowed(now time.Time) bool {
 	return now.UnixNano() < s.primaryAllowedUntil.Load()
 }
 
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -220,7 +220,7 @@
 	}
 	if id == s.doc.Primary {
 		s.primaryReachedAt, s.primaryFailingSince = now, time.Time{}
-		if s.doc.Open && s.server.primaryAllowed(sentAt) {
+		if s.doc.Open && s.server.PrimaryAllowed(sentAt) {
 			s.addSample(sentAt, position)
 		}
 		return
@@ -312,7 +312,7 @@
 	if epoch != 0 {
 		s.mu.Lock()
 		allowed := s.primaryUsable() && s.inTenure(epoch) && c.target.StartedAt == s.doc.Born && s.conns[c.id] == c &&
-			s.server.primaryAllowed(sentAt)
+			s.server.PrimaryAllowed(sentAt)
 		s.mu.Unlock()
 		if !allowed {
 			return Reply{}, false, errPrimaryNotAllowed
