Entries of targets from a copy of the store are not taken for later ones

Callers could see: a target that drains counted as ready again for as long as the store had the entry of the copy, and its drain was counted anew after that (DRAIN allows 7 s in all); one that had started again changed back to its earlier process and lost its connections twice; one that had left was connected to again; a draining one whose entry is not in the copy was given up at once.

Cause: an entry was later if its revision was, but in a copy the order of revisions says nothing about the order in which a target wrote. Change: in a later era, entries are ordered by the target's start and its own count of reports (sequence, decoded so far only to check its type).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -89,6 +89,7 @@
 	State          TargetState
 	ReportsPrimary bool  // whether the target considers itself the primary, which may be out of date
 	StartedAt      int64 // Unix time in milliseconds; a restarted target has no connections from before
+	Sequence       int64 // of the target's reports since its start
 	// ColdFor is how long the target stays cold, that is slow, after it has written its entry.
 	ColdFor time.Duration
 	// ColdUntil is the boot time at which the target is no longer cold, as seen by the host that has read its entry. It is zero
@@ -96,5 +97,10 @@
 	ColdUntil time.Time
 }
 
+// Before reports whether the target has written t before the entry later, in the same or an earlier process.
+func (t Target) Before(later Target) bool {
+	return t.StartedAt < later.StartedAt || t.StartedAt == later.StartedAt && t.Sequence < later.Sequence
+}
+
 // Cold reports whether the target is cold at the given boot time.
 func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
--- a/fleet/evacuate_test.go
+++ b/fleet/evacuate_test.go
@@ -32,7 +32,7 @@
 		}}
 	a.view.Store(a.newClusterView())
 	a.follower(a.configurationPrefix(), (*control).applyOperatorKeys)
-	return a, &control{agent: a, view: a.newClusterView(), removed: map[model.TargetID]time.Time{},
+	return a, &control{agent: a, view: a.newClusterView(), entries: newTargetEntries(),
 		departed: map[model.HostID]departure{}}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -175,10 +175,10 @@
 type control struct {
 	agent                 *Agent
 	view                  *clusterView
-	removed               map[model.TargetID]time.Time // targets whose entries have disappeared, with the time
-	departed              map[model.HostID]departure   // hosts whose registration has disappeared
-	configurationRevision uint64                       // of the last configuration that was decoded
-	acquiring             bool                         // an attempt to become the leader is in progress
+	entries               targetEntries
+	departed              map[model.HostID]departure // hosts whose registration has disappeared
+	configurationRevision uint64                     // of the last configuration that was decoded
+	acquiring             bool                       // an attempt to become the leader is in progress
 	planInputs            planInputs
 	pending               pendingChanges // changes that are not published yet
 	passedOn              passedOn
@@ -230,8 +230,7 @@
 }
 
 func newControl(a *Agent) *control {
-	return &control{agent: a, view: a.newClusterView(), removed: map[model.TargetID]time.Time{},
-		departed: map[model.HostID]departure{}}
+	return &control{agent: a, view: a.newClusterView(), entries: newTargetEntries(), departed: map[model.HostID]departure{}}
 }
 
 func (a *Agent) newClusterView() *clusterView {
@@ -277,7 +276,7 @@
 			c.publish()
 		case <-ticker.C:
 			c.trackOperatorKeys()
-			c.removeExpired()
+			c.expireEntries()
 			c.expireDepartures()
 			if !a.isLeading() { // a leader keeps its connections, so that it can fence hosts at once
 				a.controlClients.closeIdle(boottime.Now())
@@ -351,80 +350,6 @@
 	}
 }
 
-// applyTargets applies changes of the target entries.
-func (c *control) applyTargets(change prefixChange) {
-	now := boottime.Now()
-	listed := map[model.TargetID]bool{}
-	for _, e := range change.events {
-		name := strings.TrimPrefix(e.Key, c.agent.Decoders.TargetPrefix)
-		id := model.TargetID(name)
-		if e.Removed {
-			c.markRemoved(id, now)
-			continue
-		}
-		var t catalog.Target
-		err := guard.Decode(func() (err error) {
-			t, err = c.agent.Decoders.Target(name, e.Value)
-			return err
-		})
-		if err != nil {
-			c.agent.Log.Warn("targets: entry ignored", zap.String("key", e.Key), zap.Error(err))
-			c.markRemoved(id, now)
-			continue
-		}
-		listed[id] = true
-		delete(c.removed, id)
-		known, ok := c.view.targets[id]
-		c.setColdUntil(&t, known, change.complete, now)
-		if !ok || known != t {
-			c.agent.Log.Info("targets: entry applied", zap.String("target", name), zap.Uint64("revision", e.Revision),
-				zap.String("service", string(t.Service)), zap.Bool("draining", t.State == catalog.Draining),
-				zap.Bool("says_primary", t.ReportsPrimary), zap.Int64("born", t.StartedAt))
-		}
-		c.view.setTarget(t, now)
-	}
-	c.pending.targets = true
-	if change.complete {
-		for id := range c.view.targets {
-			if !listed[id] {
-				c.markRemoved(id, now)
-			}
-		}
-	}
-	c.removeExpired()
-	c.publish()
-}
-
-// markRemoved records that the entry of a target has disappeared. A draining target expires at once.
-func (c *control) markRemoved(id model.TargetID, now time.Time) {
-	t, known := c.view.targets[id]
-	if _, marked := c.removed[id]; !known || marked {
-		return
-	}
-	c.removed[id] = now
-	if t.State == catalog.Draining {
-		c.removed[id] = now.Add(-removalGrace)
-	}
-}
-
-// removeExpired removes targets whose entries have been missing for removalGrace.
-func (c *control) removeExpired() {
-	now, changed := boottime.Now(), false
-	for id, since := range c.removed {
-		if now.Sub(since) >= removalGrace {
-			c.agent.Log.Info("targets: removed", zap.String("target", string(id)), zap.Duration("missing", now.Sub(since)))
-			delete(c.removed, id)
-			delete(c.view.targets, id)
-			delete(c.view.drainingSince, id)
-			changed = true
-		}
-	}
-	if changed {
-		c.pending.targets = true
-		c.publish()
-	}
-}
-
 // applyControlKeys applies changes of the control keys (see controlPrefix). Registrations of other hosts are published
 // after a short delay, the rest at once.
 func (c *control) applyControlKeys(change prefixChange) {
--- a/fleet/publish_test.go
+++ b/fleet/publish_test.go
@@ -42,8 +42,8 @@
 	gone := s.targets[1]
 	gone.Revision = firstHostRevision + 102
 	h.change(t, platform.TargetPrefix, metastore.Event{Item: gone, Removed: true})
-	h.control.removed["target-000-1"] = boottime.Now().Add(-2 * removalGrace)
-	h.control.removeExpired()
+	h.control.entries.removed["target-000-1"] = boottime.Now().Add(-2 * removalGrace)
+	h.control.expireEntries()
 	if got := len(h.control.passedOn.targets["service-00"].list); got != 2 {
 		t.Errorf("the service has %d targets after one has left", got)
 	}
--- a/fleet/supervisor_test.go
+++ b/fleet/supervisor_test.go
@@ -25,7 +25,7 @@
 	a.fencedByLeader, a.fencedViaStore = map[model.Service]uint64{}, map[model.Service]uint64{}
 	a.unconfirmed = map[model.Service]uint64{}
 	a.view.Store(newClusterView())
-	c := &control{agent: a, view: newClusterView(), removed: map[model.TargetID]time.Time{},
+	c := &control{agent: a, view: newClusterView(), entries: newTargetEntries(),
 		departed: map[model.HostID]departure{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
