The assignment of statements to hosts outlives a return of the store

Callers could see: all connections moved twice, from hosts by target to hosts by workspace and back, when the store came back from a copy of before the leader had decided it.

Cause: a complete list without the key ended the assignment, and the leader decides it once a term only if it is not in force. Change: in a list, or a relayed removal, of a later era the assignment stays, and the leader stores it again. An operator who removes the key within an era has it decided again, as before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -176,6 +176,7 @@
 	agent                 *Agent
 	view                  *clusterView
 	entries               targetEntries
+	controlEra            uint64                     // latest era of the control keys
 	departed              map[model.HostID]departure // hosts whose registration has disappeared
 	configurationRevision uint64                     // of the last configuration that was decoded
 	acquiring             bool                       // an attempt to become the leader is in progress
@@ -361,18 +362,24 @@
 	era := c.view.era.value
 	if change.complete {
 		c.view.hosts, c.view.leader = make(map[model.HostID]Host, len(before)), nil
-		c.view.routing, c.view.era, c.view.settling = RoutingDocument{}, versioned[EraDocument]{}, false
+		c.view.era, c.view.settling = versioned[EraDocument]{}, false
 		c.view.rebaseDocuments(change)
+		c.rebaseRouting(change.revision)
 	}
 	now := boottime.Now()
 	for _, e := range change.events {
 		if id, isHost := strings.CutPrefix(e.Key, hostPrefix); isHost && !change.complete && e.Removed {
 			c.recordDeparture(model.HostID(id), now)
 		}
+		if e.Key == routingKey && e.Removed && metastore.EraOf(e.Revision) > c.controlEra {
+			c.rebaseRouting(e.Revision)
+			continue
+		}
 		if err := c.view.applyControlKey(e); err != nil {
 			c.agent.Log.Error("store: value ignored", zap.String("key", e.Key), zap.Error(err))
 		}
 	}
+	c.controlEra = max(c.controlEra, metastore.EraOf(change.lastRevision()))
 	if next := c.view.era.value; next.Reconciled && next != era {
 		go c.agent.releasePermission()
 	}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -64,6 +64,15 @@
 	events   []metastore.Event
 }
 
+// lastRevision returns the highest revision of the change.
+func (p prefixChange) lastRevision() uint64 {
+	last := p.revision
+	for _, e := range p.events {
+		last = max(last, e.Revision)
+	}
+	return last
+}
+
 // prefixFollower maintains a copy of one key prefix of the store. Its fields are guarded by the agent's followMu.
 type prefixFollower struct {
 	agent  *Agent
--- a/fleet/routing.go
+++ b/fleet/routing.go
@@ -41,8 +41,18 @@
 	Crossing time.Duration // round trip between data centres when the decision was made
 }
 
+// rebaseRouting prepares for the routing document of a complete list, or its absence, at a revision. One that the store has lost with
+// its last era stays in force, and the leader stores it again: each change moves all connections.
+func (c *control) rebaseRouting(revision uint64) {
+	c.view.routingStored = false
+	if metastore.EraOf(revision) <= c.controlEra {
+		c.view.routing = RoutingDocument{}
+	}
+}
+
 // applyRouting applies an event of routingKey.
 func (v *clusterView) applyRouting(e metastore.Event) error {
+	v.routingStored = !e.Removed
 	if v.routing = (RoutingDocument{}); e.Removed {
 		return nil
 	}
@@ -66,20 +76,25 @@
 func (term *leadership) decideRouting(ctx context.Context) {
 	for ctx.Err() == nil {
 		v := term.agent.view.Load()
-		if v.routing.ByTarget {
+		if v.routing.ByTarget && v.routingStored {
 			return
 		}
+		if v.routing.ByTarget {
+			term.writeRouting(ctx, v.routing)
+			sleep(ctx, routingCheckInterval)
+			continue
+		}
 		in := placement.RoutingInput{LoadControl: term.agent.LoadControl, LatencyTarget: tightestLatencyTarget(v.catalog),
 			Crossing: term.agent.measureCrossing(v)}
 		if byTarget, cause := placement.DecideRouting(in); byTarget {
-			term.writeRouting(ctx, RoutingDocument{ByTarget: true, Cause: cause, Crossing: in.Crossing}, in)
+			term.writeRouting(ctx, RoutingDocument{ByTarget: true, Cause: cause, Crossing: in.Crossing})
 		}
 		sleep(ctx, routingCheckInterval)
 	}
 }
 
 // writeRouting stores the document unless there is one already.
-func (term *leadership) writeRouting(ctx context.Context, doc RoutingDocument, in placement.RoutingInput) {
+func (term *leadership) writeRouting(ctx context.Context, doc RoutingDocument) {
 	if !term.leaseValid() {
 		return
 	}
@@ -90,7 +105,7 @@
 		Conditions: []metastore.Condition{{Key: routingKey}, {Key: leaderKey, Revision: term.fence}},
 		Puts:       []metastore.Item{{Key: routingKey, Value: value}}})
 	term.agent.Log.Info("routing: statements are assigned by target", zap.String("cause", doc.Cause),
-		zap.Duration("crossing", doc.Crossing), zap.Duration("latency_target", in.LatencyTarget), zap.Error(err))
+		zap.Duration("crossing", doc.Crossing), zap.Duration("latency_target", tightestLatencyTarget(term.agent.view.Load().catalog)), zap.Error(err))
 	if err != nil {
 		return // the next check finds the document, or writes it again
 	}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -75,6 +75,7 @@
 	documents     map[model.Service]versioned[primacy.Document]
 	plans         map[model.Service]placement.Plan // empty if statements are assigned by target
 	routing       RoutingDocument
+	routingStored bool // the store has routing
 	era           versioned[EraDocument]
 	settling      bool                 // settlingKey exists
 	targetPlan    placement.TargetPlan // empty unless statements are assigned by target
