Decisions are collected with their copies after a return of the store

Callers of a service with synchronous replicas could lose acknowledged commits: the leader restores a decision that only another host knows without the record of which replicas have every commit, because messages between hosts leave it out.

Change: the leader asks with a new method, Decisions, whose values are as in the store; hosts of earlier versions are asked with Documents. Evidence: TestCollectedDecisionsHaveTheirCopies fails with Documents.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -79,7 +79,8 @@
 	}
 }
 
-// Documents replies with the latest decision about the primary of each service that this host knows.
+// Documents replies with the latest decision about the primary of each service that this host knows, without their copies. Hosts of
+// later versions ask with Decisions.
 func (p *Peer) Documents(_ struct{}, reply *map[model.Service]primacy.Document) error {
 	*reply = map[model.Service]primacy.Document{}
 	for service, doc := range p.agent.view.Load().documents {
@@ -88,6 +89,34 @@
 	return nil
 }
 
+// Decisions replies with the latest decision about the primary of each service that this host knows, as it is stored. Documents leaves
+// the copies out.
+func (p *Peer) Decisions(_ struct{}, reply *map[model.Service][]byte) error {
+	*reply = map[model.Service][]byte{}
+	for service, doc := range p.agent.view.Load().documents {
+		(*reply)[service] = mustEncode(doc.value)
+	}
+	return nil
+}
+
+// decisionsOf asks a host for the decisions that it knows. Hosts of earlier versions have only the older method.
+func (a *Agent) decisionsOf(h Host) (map[model.Service]primacy.Document, error) {
+	var encoded map[model.Service][]byte
+	documents := map[model.Service]primacy.Document{}
+	err := callHost(a, h, "Peer.Decisions", (*Peer).Decisions, struct{}{}, &encoded, documentsTimeout)
+	if isUnknownMethod(err) {
+		err = callHost(a, h, "Peer.Documents", (*Peer).Documents, struct{}{}, &documents, documentsTimeout)
+	}
+	for service, value := range encoded {
+		var doc primacy.Document
+		if err := json.Unmarshal(value, &doc); err != nil {
+			return nil, err
+		}
+		documents[service] = doc
+	}
+	return documents, err
+}
+
 // settle prepares the replacement of primaries after the store has come back from a copy: it makes replacements wait until all
 // permissions of before have ended, and stores the latest decisions that any host knows. It reports false if the term ends first.
 func (term *leadership) settle(ctx context.Context) bool {
@@ -187,9 +216,8 @@
 	answers := make(chan answer, len(hosts))
 	for _, h := range hosts {
 		go func() {
-			r := answer{host: h.ID}
-			r.err = callHost(a, h, "Peer.Documents", (*Peer).Documents, struct{}{}, &r.documents, documentsTimeout)
-			answers <- r
+			documents, err := a.decisionsOf(h)
+			answers <- answer{h.ID, documents, err}
 		}()
 	}
 	latest := map[model.Service]primacy.Document{}
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -267,3 +267,32 @@
 		}
 	}
 }
+
+// Guards against a replica without its data that counts for synchronous replication, because the copies of the decision were lost on the
+// way from the host that knew it.
+func TestCollectedDecisionsHaveTheirCopies(t *testing.T) {
+	doc := primacy.Document{Service: "stock", Epoch: 6, Open: true, Primary: "a", Term: 2, Copies: map[model.TargetID]int64{"b": 100}}
+	known := doc
+	known.Epoch, known.Copies = 5, nil
+	s, _ := newSupervisorAfterReturn(t, known, known)
+	other := newEntryControl()
+	other.view.documents["stock"] = versioned[primacy.Document]{doc, 90}
+	other.pending.documents = true
+	other.publish()
+	peer := startPeer(t, "other", map[string]any{"Peer": &Peer{other.agent}})
+	s.agent.controlClients = newPeerClients()
+	if err := s.agent.runAndWait(t.Context(), func(c *control) {
+		c.view.hosts["other"] = peer
+		c.pending.hosts = true
+		c.publish()
+	}); err != nil {
+		t.Fatal(err)
+	}
+	latest, err := s.collectDocuments(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(doc, latest["stock"]); diff != "" {
+		t.Errorf("collected decision (-want +got):\n%s", diff)
+	}
+}
