Starting hosts learn what others have kept from before a return of the store

Callers could see: a host that starts just after a return serves with the configuration and the entries of the copy, while the others use later ones, until the operator and the databases have written them again: withdrawn keys, dropped routes, databases that drain.

Change: a host knows which configuration and which entries it has kept although the store has earlier ones. A host that starts in an era whose decisions are not reconciled asks the leader, the candidates and the seeds for them once (Kept); the answer is empty in ordinary operation. The configuration counts by its version, an entry by the target's own count. Cost: one message for each host that starts while an era is not reconciled, none otherwise.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -179,6 +179,8 @@
 	controlEra            uint64                     // latest era of the control keys
 	departed              map[model.HostID]departure // hosts whose registration has disappeared
 	configurationRevision uint64                     // of the last configuration that was decoded
+	configurationValue    []byte                     // encoded form of view.catalog
+	configurationOutdated bool                       // the store has an earlier version, from a copy
 	acquiring             bool                       // an attempt to become the leader is in progress
 	planInputs            planInputs
 	pending               pendingChanges // changes that are not published yet
@@ -260,6 +262,7 @@
 	go a.follow(ctx, controlPrefix, (*control).applyControlKeys)
 	go a.syncWithSeeds(ctx)
 	go a.keepRegistered(ctx)
+	go a.learnKept(ctx)
 	go a.reportLoop(ctx)
 	go a.deputyLoop(ctx)
 	go a.poolLoop(ctx)
@@ -331,11 +334,13 @@
 			continue // a configuration that is listed again may have a megabyte
 		}
 		c.configurationRevision = e.Revision
-		c.setConfiguration(e.Value)
+		c.setConfiguration(e.Value, true)
 	}
 }
 
-func (c *control) setConfiguration(value []byte) {
+// setConfiguration puts a configuration into effect unless a later version is in effect. stored is true if the store has it, and false
+// if another host has kept it.
+func (c *control) setConfiguration(value []byte, stored bool) {
 	var next *catalog.Catalog
 	err := guard.Decode(func() (err error) {
 		next, err = c.agent.Decoders.Configuration(value)
@@ -345,10 +350,16 @@
 		c.agent.Log.Error("configuration: rejected", zap.Error(err))
 		return
 	}
-	if next.Version > c.view.catalog.Version {
-		c.view.catalog = next
-		c.publish()
+	switch known := c.view.catalog.Version; {
+	case next.Version > known:
+		c.view.catalog, c.configurationValue, c.configurationOutdated = next, value, !stored
+	case stored && c.configurationOutdated != (next.Version < known):
+		c.configurationOutdated = next.Version < known
+		c.agent.Log.Info("configuration: version in the store", zap.Int64("version", next.Version), zap.Int64("in_force", known))
+	default:
+		return
 	}
+	c.publish()
 }
 
 // applyControlKeys applies changes of the control keys (see controlPrefix). Registrations of other hosts are published
--- a/fleet/publish.go
+++ b/fleet/publish.go
@@ -68,6 +68,7 @@
 	plansBefore := c.planInputs
 	c.updatePlans()
 	a := c.agent
+	c.view.kept = c.keep()
 	v := c.view.cloneChanged(a.view.Load(), c.pending)
 	a.view.Store(v)
 	for service, doc := range v.documents {
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -250,18 +250,8 @@
 // registerThroughPeer registers this host through another host that reaches the store. A host that has just started
 // knows only the seeds in its settings. done is false if none of the hosts registered it.
 func (a *Agent) registerThroughPeer() (r Registration, done bool) {
-	hosts := a.candidateHosts()
-	if leader, ok := a.view.Load().leaderHost(); ok {
-		hosts = append([]Host{leader}, hosts...)
-	}
-	for _, seed := range a.Seeds {
-		hosts = append(hosts, Host{ID: model.HostID(seed), Address: seed})
-	}
 	self := a.selfWithFences()
-	for _, h := range hosts {
-		if h.ID == self.ID {
-			continue
-		}
+	for _, h := range a.knownPeers() {
 		request := EnterRequest{self, a.knownHostRevision(self.ID)}
 		for range 2 { // the first reply may name another revision
 			reply := EnterReply{}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -77,7 +77,8 @@
 	routing       RoutingDocument
 	routingStored bool // the store has routing
 	era           versioned[EraDocument]
-	settling      bool                 // settlingKey exists
+	settling      bool // settlingKey exists
+	kept          keptState
 	targetPlan    placement.TargetPlan // empty unless statements are assigned by target
 	byService     *targetIndex         // of a published view, as ordered
 	ordered       *hostOrder           // of a published view; nil in that of the control goroutine
