Stand-in and soak: keys come back later than the store, and the store twice

Cause: the stand-in wrote the keys of the operator and of the databases again with the return itself, its databases did not count their reports, and two returns came within seconds only by chance.

--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -37,7 +37,7 @@
 		fleet.group.Member(0).Drain()
 		replaced(0)
 		time.Sleep(time.Second)
-		fleet.store.Restore(copied)
+		fleet.store.Restore(copied, nil)
 		time.Sleep(3 * time.Second)
 		fleet.waitFor("a host leads again", 10*time.Second, func() bool { return fleet.leader() >= 0 })
 	}) {
@@ -59,3 +59,36 @@
 	fleet.awaitWrites("after-drill", 15*time.Second)
 	fleet.checkTokens()
 }
+
+// Guards against writes that are lost or refused for longer than the lease of a leader, and against two hosts that order promotions, when
+// the store comes back twice within a second, from a copy of before the primary was replaced, while a host starts again.
+func TestStoreComesBackTwice(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.runWriters(func() {
+		copied := fleet.store.Copy()
+		old := fleet.group.Member(0)
+		old.Drain()
+		fleet.waitFor("the draining primary is replaced", 25*time.Second, func() bool {
+			p := fleet.group.Primary()
+			return p != nil && p != old
+		})
+		fleet.store.Restore(copied, func(string) time.Duration { return time.Second })
+		if err := fleet.hosts[2].shutDown(); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		fleet.store.Restore(copied, func(string) time.Duration { return 1500 * time.Millisecond })
+		fleet.hosts[2] = fleet.startHost("host-2", fleet.platformStore, fleet.promotionAPI)
+		fleet.waitFor("the host is ready", 10*time.Second, fleet.hosts[2].isReady)
+		fleet.waitFor("a host leads again", 10*time.Second, func() bool { return fleet.leader() >= 0 })
+		time.Sleep(4 * time.Second) // until the decisions are reconciled
+	})
+	fleet.awaitWrites("after-returns", 15*time.Second)
+	fleet.checkTokens()
+	old := fleet.group.Member(0).ID
+	for _, e := range fleet.group.ExecutedStatements() {
+		if e.Database == old && e.Committed && e.At.After(time.Now().Add(-3*time.Second)) {
+			t.Errorf("%s was committed at %s, which has been replaced", e.ID, e.Database)
+		}
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -157,6 +157,9 @@
 // maxCopyAge is the greatest age of the copy from which the store comes back.
 const maxCopyAge = 5 * time.Second
 
+// maxRewriteDelay is the longest time until the operator and the databases have written their keys again after the store has come back.
+const maxRewriteDelay = 1500 * time.Millisecond
+
 // copyInterval is the interval between copies of the store.
 const copyInterval = 500 * time.Millisecond
 
@@ -188,7 +191,7 @@
 	}
 	copied := sys.copies[random.IntN(len(sys.copies))]
 	return func() {
-		sys.store.Restore(copied)
+		sys.store.Restore(copied, func(string) time.Duration { return time.Duration(random.Int64N(int64(maxRewriteDelay))) })
 		sys.adjustActiveFaults(StoreDown, -1)
 	}
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -110,8 +110,11 @@
 		at += time.Duration(random.Int64N(int64(maxFaultGap)))
 		if at >= length {
 			plan = append(plan, generateEvacuations(seed, databases, length)...)
-			plan = append(plan, generateRestores(seed, length)...)
-			return append(plan, generateHeldLinks(seed, hosts, databases, length)...)
+			restores := generateRestores(seed, length)
+			plan = append(plan, restores...)
+			plan = append(plan, generateHeldLinks(seed, hosts, databases, length)...)
+			// Last, so that the numbers of the others, from which they draw, stay the same.
+			return append(plan, generateSecondRestores(seed, restores, length)...)
 		}
 		pick, kind := random.IntN(total), FaultKind("")
 		for _, w := range faultWeights {
@@ -215,6 +218,23 @@
 	}
 }
 
+// maxReturnGap is the longest time between two returns of the store of generateSecondRestores: hosts have registered again by then, but
+// their decisions may not be reconciled.
+const maxReturnGap = 3 * time.Second
+
+// generateSecondRestores returns a second return of the store shortly after half of those of generateRestores.
+func generateSecondRestores(seed uint64, first []Fault, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 6))
+	var plan []Fault
+	for _, f := range first {
+		start := f.Start + f.Duration + time.Duration(random.Int64N(int64(maxReturnGap)))
+		if random.IntN(2) == 0 && start+minFaultDuration < length {
+			plan = append(plan, Fault{Start: start, Duration: minFaultDuration, Kind: StoreRestored})
+		}
+	}
+	return plan
+}
+
 // planSteps returns the starts and ends of the faults of a plan in chronological order.
 func planSteps(plan []Fault) []planStep {
 	var all []planStep
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -85,6 +85,7 @@
 	coldRemaining      time.Duration
 	advertisedAddress  string // address in the store entry; differs from Address behind a proxy
 	incarnation        int64  // "born" in the store entry; incremented by a restart without data
+	sequence           int    // of the reports since the start
 	term               uint64
 	log                []*Commit
 	applied            int // number of log entries visible to reads
@@ -289,6 +290,7 @@
 		_ = conn.Close() // the client detects the closed connection
 	}
 	m.incarnation++
+	m.sequence = 0
 	m.log, m.applied, m.primary = nil, 0, false
 }
 
@@ -300,8 +302,9 @@
 	if m.primary {
 		role = "primary"
 	}
+	m.sequence++
 	entry := map[string]any{"service": g.Service, "address": m.advertisedAddress, "zone": m.dataCentre, "slots": 3,
-		"state": state, "dbRole": role, "sequence": 1, "born": m.incarnation,
+		"state": state, "dbRole": role, "sequence": m.sequence, "born": m.incarnation,
 		"coldRemainingMs": m.coldRemaining.Milliseconds()}
 	g.mu.Unlock()
 	if state == "gone" {
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -23,8 +23,9 @@
 	history           []event // events after compactedRevision
 	compactedRevision uint64  // watches that start before it get status 410
 	leases            map[int64]*lease
-	era               uint64        // number of returns from a copy; sent with each answer once it is above 0
-	changed           chan struct{} // closed and replaced at each change
+	foreign           map[string][]byte // last values of the keys of the operator and of the databases
+	era               uint64            // number of returns from a copy; sent with each answer once it is above 0
+	changed           chan struct{}     // closed and replaced at each change
 
 	refuseRequest func(r *http.Request) bool          // requests to answer with status 503
 	dropResponse  func(r *http.Request) bool          // requests to execute without a response
@@ -53,7 +54,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
+	return &Store{revision: 1, items: map[string]item{}, foreign: map[string][]byte{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
 		callCounts: map[string]int{}}
 }
 
@@ -121,12 +122,12 @@
 	return c
 }
 
-// Restore brings the store back from an earlier copy: what was written since is gone, except for the keys of the operator and of the
-// databases, which are written or removed again, and revisions are given out again. Leases of the copy run from now on.
-func (s *Store) Restore(c Copy) {
+// Restore brings the store back from an earlier copy: what was written since is gone, and revisions are given out again. Leases of the
+// copy run from now on. The operator and the databases write, or remove, their keys again after the delay of the key, which may be nil
+// for none.
+func (s *Store) Restore(c Copy, delay func(key string) time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	current := s.items
 	for _, l := range s.leases {
 		l.timer.Stop()
 	}
@@ -136,21 +137,42 @@
 	for id, ttl := range c.leases {
 		s.leases[id] = &lease{ttl, time.AfterFunc(ttl, func() { s.endLease(id) })}
 	}
-	for key, i := range current {
-		if !strings.HasPrefix(key, systemPrefix) && !bytes.Equal(s.items[key].Value, i.Value) {
-			s.revision++
-			s.put(key, i.Value, 0)
+	keys := maps.Clone(s.foreign)
+	for key, i := range c.items {
+		if !strings.HasPrefix(key, systemPrefix) {
+			keys[key] = i.Value
 		}
 	}
-	for key := range c.items {
-		if _, exists := current[key]; !exists && !strings.HasPrefix(key, systemPrefix) {
-			s.revision++
-			s.remove(key)
+	for key := range keys {
+		if pause := time.Duration(0); delay != nil {
+			if pause = delay(key); pause > 0 {
+				time.AfterFunc(pause, func() {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					s.writeAgain(key)
+					s.notifyWatchers()
+				})
+				continue
+			}
 		}
+		s.writeAgain(key)
 	}
 	s.notifyWatchers()
 }
 
+// writeAgain writes or removes a key that is not the hosts' as its owner did last. The caller holds s.mu.
+func (s *Store) writeAgain(key string) {
+	value, exists := s.foreign[key]
+	switch stored, found := s.items[key]; {
+	case exists && (!found || !bytes.Equal(stored.Value, value)):
+		s.revision++
+		s.put(key, value, 0)
+	case !exists && found:
+		s.revision++
+		s.remove(key)
+	}
+}
+
 // systemPrefix precedes the keys that the hosts write.
 const systemPrefix = "waxwingspindle/"
 
@@ -169,6 +191,9 @@
 	defer s.mu.Unlock()
 	s.revision++
 	s.put(key, value, 0)
+	if !strings.HasPrefix(key, systemPrefix) {
+		s.foreign[key] = value
+	}
 	s.notifyWatchers()
 }
 
@@ -178,6 +203,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	s.remove(key)
+	delete(s.foreign, key)
 	s.notifyWatchers()
 }
 
