A leader that was registered until the return restores decisions at once

Cause: the wait for the lease of the last leader protects a decision that this leader closes after the next one has collected the decisions. Change: a host does not confirm a decision of a leader whose term began in an earlier era than it has seen (FenceInEra; hosts of earlier versions have Fence). A next leader that was registered until the return is one of the hosts that the last leader has to fence: it knows the closed decision, or refuses it. Only one that was not registered waits. A host whose queue of events is full does not confirm, because it does not know the decision yet.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -140,8 +141,8 @@
 		return false
 	}
 	latest, err := term.collectDocuments(ctx)
-	if wait := leaderLease - boottime.Now().Sub(term.began); err == nil && len(latest) > 0 && wait > 0 {
-		// The leader of the last era may order promotions until its lease has ended on its own clock, although the store has lost it.
+	if wait := leaderLease - boottime.Now().Sub(term.began); err == nil && len(latest) > 0 && wait > 0 && !a.wasRegistered() {
+		// The leader of the last era may replace primaries until its lease has ended on its own clock, although the store has lost it.
 		sleep(ctx, wait)
 		latest, err = term.collectDocuments(ctx)
 	}
@@ -194,18 +195,33 @@
 	return a.runAndWait(ctx, func(c *control) { c.applyControlKeys(prefixChange{events: events}) })
 }
 
-// collectDocuments returns the decisions with the highest epochs that this host and the others know.
-func (term *leadership) collectDocuments(ctx context.Context) (map[model.Service]primacy.Document, error) {
-	a := term.agent
+// wasRegistered reports whether this host was registered, with a permission that had not ended, when it registered in the present era.
+// The last leader had to fence it then: it either knows a closed decision of that leader, or does not confirm it any more, see
+// FenceInEra.
+func (a *Agent) wasRegistered() bool {
+	a.registrationMu.Lock()
+	defer a.registrationMu.Unlock()
+	return a.continuous
+}
+
+// registeredBefore returns the hosts that are registered, or were until shortly before: they may not have registered again yet after a
+// return of the store.
+func (a *Agent) registeredBefore(ctx context.Context) (map[model.HostID]Host, error) {
 	hosts := map[model.HostID]Host{}
-	if err := a.runAndWait(ctx, func(c *control) {
-		for id, d := range c.departed { // they may not have registered again yet
+	err := a.runAndWait(ctx, func(c *control) {
+		for id, d := range c.departed {
 			hosts[id] = d.host
 		}
-		for id, h := range c.view.hosts {
-			hosts[id] = h
-		}
-	}); err != nil {
+		maps.Copy(hosts, c.view.hosts)
+	})
+	return hosts, err
+}
+
+// collectDocuments returns the decisions with the highest epochs that this host and the others know.
+func (term *leadership) collectDocuments(ctx context.Context) (map[model.Service]primacy.Document, error) {
+	a := term.agent
+	hosts, err := a.registeredBefore(ctx)
+	if err != nil {
 		return nil, err
 	}
 	type answer struct {
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -296,3 +296,38 @@
 		t.Errorf("collected decision (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a wait for the lease of the last leader that is not needed, in which no primary is supervised.
+func TestRegisteredLeaderRestoresDecisionsAtOnce(t *testing.T) {
+	doc := primacy.Document{Service: "stock", Epoch: 5, Open: true, Primary: "a", Term: 2}
+	s, _ := newSupervisorAfterReturn(t, doc, doc)
+	s.agent.Prober, s.agent.continuous, s.began = silentProber{}, true, boottime.Now()
+	if !s.settle(t.Context()) {
+		t.Fatal("the leader has not reconciled the decisions")
+	}
+	if took := boottime.Now().Sub(s.began); took >= leaderLease {
+		t.Errorf("the decisions were restored after %v", took)
+	}
+}
+
+// Guards against a decision of the last leader that is confirmed by a host which restores the one before, or has it restored.
+func TestHostInLaterEraConfirmsNoEarlierLeader(t *testing.T) {
+	s := newTestSupervisor(t, newMemoryStore())
+	peer := &Peer{s.agent}
+	closed := primacy.Document{Service: "stock", Epoch: 5, Primary: "a", Term: 2}
+	request := EraFenceRequest{Era: 1, Fence: FenceRequest{Incarnation: 1, Document: closed}}
+	if err := peer.FenceInEra(request, &struct{}{}); err != nil {
+		t.Errorf("the leader of the present era is answered with %v", err)
+	}
+	if err := s.agent.runAndWait(t.Context(), func(*control) {}); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.agent.view.Load().documents["stock"].value.Epoch; got != 5 {
+		t.Errorf("the confirmed decision is not known: epoch %d", got)
+	}
+	s.agent.observeEra(controlPrefix, metastore.RevisionInEra(2, 1))
+	request.Fence.Document.Epoch = 6
+	if err := peer.FenceInEra(request, &struct{}{}); !errors.Is(err, errEarlierTerm) {
+		t.Errorf("the leader of an earlier era is answered with %v", err)
+	}
+}
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -33,6 +33,8 @@
 	errStoreSilent      = errors.New("this host does not hear the store")
 	errOtherIncarnation = errors.New("this host has another incarnation")
 	errLaterDecision    = errors.New("this host knows a later decision")
+	errEarlierTerm      = errors.New("the leader's term has ended with an earlier era of the store")
+	errEventsQueued     = errors.New("too many events wait at this host")
 )
 
 // tokenTimeout bounds a token request to the broker. A caller waits for the reply, which takes some milliseconds.
@@ -331,7 +333,26 @@
 	a.registrationMu.Unlock()
 	select {
 	case a.events <- func(c *control) { c.setDocument(r.Document) }:
-	default: // the follower delivers it as well
+		return nil
+	default:
+		return errEventsQueued // the leader asks again
+	}
+}
+
+// EraFenceRequest is a FenceRequest with the era in which the leader's term began.
+type EraFenceRequest struct {
+	Era   uint64
+	Fence FenceRequest
+}
+
+// FenceInEra is Fence, but does not confirm a decision of a leader whose term has ended with an earlier era. A host that has confirmed one
+// knows it before it sees the next era, so that it is among the decisions which the next leader collects.
+func (p *Peer) FenceInEra(r EraFenceRequest, reply *struct{}) error {
+	if err := p.Fence(r.Fence, reply); err != nil {
+		return err
+	}
+	if p.agent.storeEra.Load() > r.Era { // after the decision is known
+		return errEarlierTerm
 	}
 	return nil
 }
--- a/fleet/supervisor.go
+++ b/fleet/supervisor.go
@@ -242,7 +242,12 @@
 // sendDocument puts a document into effect on a host.
 func (s *supervisor) sendDocument(h Host, doc primacy.Document) error {
 	request := FenceRequest{Incarnation: h.Incarnation, Document: doc}
-	return callHost(s.agent, h, "Peer.Fence", (*Peer).Fence, request, &struct{}{}, fenceTimeout)
+	err := callHost(s.agent, h, "Peer.FenceInEra", (*Peer).FenceInEra, EraFenceRequest{metastore.EraOf(s.fence), request}, &struct{}{},
+		fenceTimeout)
+	if isUnknownMethod(err) { // a host of an earlier version
+		err = callHost(s.agent, h, "Peer.Fence", (*Peer).Fence, request, &struct{}{}, fenceTimeout)
+	}
+	return err
 }
 
 // awaitFenced waits until every registered host has stopped using the old primary or is no longer registered. It
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -24,4 +24,8 @@
 		"the order of a leader that was cut off arrived after one of the next leader (review/6)"},
 	{9011, 5, 30, 30 * time.Second, 1,
 		"the store came back with an evacuation that had been withdrawn since the copy (stand-in bug)"},
+	{12027, 5, 30, 30 * time.Second, 1,
+		"the next leader waited for the lease of the last one, which it would have had to confirm, and nobody recorded the copies"},
+	{12031, 5, 30, 30 * time.Second, 1,
+		"open: two of three databases lost their data while returns of the store kept the service without a primary"},
 }
