--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -150,7 +150,7 @@
 	lastBrokerReply           atomic.Int64  // time of the last report that a broker has answered; initially the start
 	leaderUnreachable         atomic.Bool   // the last report to the leader failed
 
-	storeConfirmMu     sync.Mutex               // serializes confirmations written to the store
+	storeConfirm       chan struct{}            // holds a value while a confirmation is written to the store
 	registrationMu     sync.Mutex               // guards the fields below
 	lease              metastore.Lease          // lease of the registration, 0 if not registered
 	registeredRevision uint64                   // store revision of the registration
@@ -216,7 +216,7 @@
 		tokenPool:      tokenPool{timeout: poolTimeout},
 		successions:    make(chan successionOffer, 1), followers: map[string]*prefixFollower{},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
-		unconfirmed: map[model.Service]uint64{}}
+		unconfirmed: map[model.Service]uint64{}, storeConfirm: make(chan struct{}, 1)}
 	for _, clients := range []*peerClients{a.controlClients, a.statementClients, a.bulkTransfer.clients} {
 		clients.limits = c.LinkLimits
 		clients.limits.Registry = c.Registry
@@ -437,8 +437,8 @@
 	a.unconfirmed[doc.Service] = max(a.unconfirmed[doc.Service], doc.Epoch)
 	a.registrationMu.Unlock()
 	time.Sleep(confirmDelay)
-	a.storeConfirmMu.Lock() // each confirmation is conditional on the revision written by the previous one
-	defer a.storeConfirmMu.Unlock()
+	a.storeConfirm <- struct{}{} // each confirmation is conditional on the revision written by the previous one
+	defer func() { <-a.storeConfirm }()
 	txn, confirmed := a.confirmationTxn()
 	if len(confirmed) == 0 {
 		return
--- a/fleet/register_test.go
+++ b/fleet/register_test.go
@@ -297,7 +297,7 @@
 	a := &Agent{Config: Config{Self: Host{ID: "host"}, Store: store, Log: zap.NewNop()},
 		followers:      map[string]*prefixFollower{},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
-		unconfirmed: map[model.Service]uint64{}}
+		unconfirmed: map[model.Service]uint64{}, storeConfirm: make(chan struct{}, 1)}
 	r, err := a.registerHost(t.Context(), a.Self)
 	if err != nil {
 		t.Fatal(err)
@@ -329,7 +329,7 @@
 	store.leases[1] = true
 	a := &Agent{Config: Config{Self: Host{ID: "host"}, Store: store, Log: zap.NewNop()},
 		fencedByLeader: map[model.Service]uint64{}, fencedViaStore: map[model.Service]uint64{},
-		unconfirmed: map[model.Service]uint64{}, lease: 1}
+		unconfirmed: map[model.Service]uint64{}, lease: 1, storeConfirm: make(chan struct{}, 1)}
 	a.confirmViaStore(primacy.Document{Service: "a", Epoch: 1})
 	if store.revision != 1 {
 		t.Error("the first decision was confirmed through the store")
@@ -369,7 +369,7 @@
 // the primary was not in effect yet.
 func TestDocumentsAreInEffectBeforePrimariesAreAllowed(t *testing.T) {
 	server := frontend.New("z", nil, zap.NewNop(), frontend.NewMetrics(prometheus.NewRegistry()))
-	a := &Agent{Config: Config{Server: server, Log: zap.NewNop()}, unconfirmed: map[model.Service]uint64{}}
+	a := &Agent{Config: Config{Server: server, Log: zap.NewNop()}, unconfirmed: map[model.Service]uint64{}, storeConfirm: make(chan struct{}, 1)}
 	server.ApplyPrimaryDocument(primacy.Document{Service: "stock", Epoch: 2, Open: true, Primary: "old"})
 	closed := primacy.Document{Service: "stock", Epoch: 3, Primary: "old"}
 	v := newClusterView()
--- a/fleet/supervisor_test.go
+++ b/fleet/supervisor_test.go
@@ -23,7 +23,7 @@
 	a := newRegisteringAgent(store, 1)
 	a.events = make(chan func(*control), eventQueueLength)
 	a.fencedByLeader, a.fencedViaStore = map[model.Service]uint64{}, map[model.Service]uint64{}
-	a.unconfirmed = map[model.Service]uint64{}
+	a.unconfirmed, a.storeConfirm = map[model.Service]uint64{}, make(chan struct{}, 1)
 	a.view.Store(newClusterView())
 	c := &control{agent: a, view: newClusterView(), entries: newTargetEntries(),
 		departed: map[model.HostID]departure{}}
