--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -27,6 +27,8 @@
 func (silentPeer) Run(frontend.ForwardRequest, *frontend.ForwardReply) error { return nil }
 func (silentPeer) Report(ReportRequest, *SyncReply) error                    { return nil }
 func (silentPeer) Fence(FenceRequest, *struct{}) error                       { return nil }
+func (silentPeer) FenceInEra(EraFenceRequest, *struct{}) error               { return nil }
+func (silentPeer) Kept(KeptRequest, *KeptReply) error                        { return nil }
 func (silentPeer) Fetch(map[string]uint64, *[]byte) error                    { return nil }
 func (silentPeer) Take(TokenRequest, *TokenReply) error                      { return nil }
 func (silentPeer) Succeed(SuccessionRequest, *struct{}) error                { return nil }
@@ -91,7 +93,10 @@
 			Prepared:         map[string]frontend.PreparedStatement{"s": {Kind: frontend.PrepareRead, Shape: "x"}}},
 		"Peer.Report": ReportRequest{Host: "host-1", Observations: map[model.Service]primacy.Observation{"stock": {}},
 			Revisions: map[string]uint64{"op/config": 7}, Deposit: map[model.Workspace]float64{"workshop": 1.5}},
-		"Peer.Fence":   FenceRequest{Incarnation: 4, Document: primacy.Document{Service: "stock", Epoch: 3}},
+		"Peer.Fence": FenceRequest{Incarnation: 4, Document: primacy.Document{Service: "stock", Epoch: 3}},
+		"Peer.FenceInEra": EraFenceRequest{Era: 1,
+			Fence: FenceRequest{Incarnation: 4, Document: primacy.Document{Service: "stock", Epoch: 3}}},
+		"Peer.Kept":    KeptRequest{Era: 1, Version: 7},
 		"Peer.Fetch":   map[string]uint64{"op/config": 1, "servers/": 2},
 		"Peer.Take":    TokenRequest{Workspace: "workshop", Tokens: 2},
 		"Peer.Succeed": SuccessionRequest{Fence: 9},
