--- a/fleet/era.go
+++ b/fleet/era.go
@@ -204,24 +204,16 @@
 	return a.continuous
 }
 
-// registeredBefore returns the hosts that are registered, or were until shortly before: they may not have registered again yet after a
-// return of the store.
-func (a *Agent) registeredBefore(ctx context.Context) (map[model.HostID]Host, error) {
+// collectDocuments returns the decisions with the highest epochs that this host and the others know.
+func (term *leadership) collectDocuments(ctx context.Context) (map[model.Service]primacy.Document, error) {
+	a := term.agent
 	hosts := map[model.HostID]Host{}
-	err := a.runAndWait(ctx, func(c *control) {
-		for id, d := range c.departed {
+	if err := a.runAndWait(ctx, func(c *control) {
+		for id, d := range c.departed { // they may not have registered again yet
 			hosts[id] = d.host
 		}
 		maps.Copy(hosts, c.view.hosts)
-	})
-	return hosts, err
-}
-
-// collectDocuments returns the decisions with the highest epochs that this host and the others know.
-func (term *leadership) collectDocuments(ctx context.Context) (map[model.Service]primacy.Document, error) {
-	a := term.agent
-	hosts, err := a.registeredBefore(ctx)
-	if err != nil {
+	}); err != nil {
 		return nil, err
 	}
 	type answer struct {
--- a/fleet/kept.go
+++ b/fleet/kept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -83,7 +84,7 @@
 func (a *Agent) learnKept(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
 	defer cancel()
-	for ctx.Err() == nil && (a.storeEra.Load() == 0 || a.view.Load().catalog.Version == 0) {
+	for ctx.Err() == nil && a.view.Load().catalog.Version == 0 { // the era is known with the configuration
 		sleep(ctx, storePollInterval)
 	}
 	for ctx.Err() == nil && !a.view.Load().reconciled(metastore.RevisionInEra(a.storeEra.Load(), 1)) {
@@ -111,13 +112,7 @@
 	for _, seed := range a.Seeds {
 		hosts = append(hosts, Host{ID: model.HostID(seed), Address: seed})
 	}
-	others := hosts[:0]
-	for _, h := range hosts {
-		if h.ID != a.Self.ID {
-			others = append(others, h)
-		}
-	}
-	return others
+	return slices.DeleteFunc(hosts, func(h Host) bool { return h.ID == a.Self.ID })
 }
 
 // applyKept applies what another host has kept from before an era, unless this host has later ones.
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -408,10 +408,11 @@
 	if !gone {
 		return
 	}
+	seen := max(revision, change.revision)
 	a.Log.Warn("registration: gone", zap.Int64("lease", int64(a.lease)), zap.Uint64("registered_revision", a.registeredRevision),
-		zap.Uint64("seen_revision", max(revision, change.revision)), zap.Time("permission_end", a.permissionEnd))
+		zap.Uint64("seen_revision", seen), zap.Time("permission_end", a.permissionEnd))
 	a.lease = 0
-	if metastore.EraOf(max(revision, change.revision)) > metastore.EraOf(a.registeredRevision) {
+	if metastore.EraOf(seen) > metastore.EraOf(a.registeredRevision) {
 		return // no primary is replaced until all permissions of before have ended, see settlingKey
 	}
 	a.Server.AllowPrimariesUntil(time.Time{})
--- a/fleet/return_orders_test.go
+++ b/fleet/return_orders_test.go
@@ -66,8 +66,8 @@
 	listed   bool
 	stale    bool // the next list may be stale
 	watched  uint64
-	reply    func() string // applies an answer of the store that is on its way; names it if called with nil
-	replyIs  string
+	reply    func() // applies an answer of the store that is on its way; nil if there is none
+	replyIs  string // names that answer
 	relayed  []byte // changes that are on their way from the other host
 }
 
@@ -247,10 +247,9 @@
 }
 
 func (h *drillHost) setReply(era uint64, apply func()) {
-	h.reply = func() string {
+	h.reply = func() {
 		h.era = max(h.era, era)
 		apply()
-		return ""
 	}
 }
 
--- a/fleet/routing.go
+++ b/fleet/routing.go
@@ -79,22 +79,21 @@
 		if v.routing.ByTarget && v.routingStored {
 			return
 		}
-		if v.routing.ByTarget {
-			term.writeRouting(ctx, v.routing)
-			sleep(ctx, routingCheckInterval)
-			continue
+		doc, target := v.routing, tightestLatencyTarget(v.catalog)
+		if !doc.ByTarget {
+			in := placement.RoutingInput{LoadControl: term.agent.LoadControl, LatencyTarget: target, Crossing: term.agent.measureCrossing(v)}
+			doc.ByTarget, doc.Cause = placement.DecideRouting(in)
+			doc.Crossing = in.Crossing
 		}
-		in := placement.RoutingInput{LoadControl: term.agent.LoadControl, LatencyTarget: tightestLatencyTarget(v.catalog),
-			Crossing: term.agent.measureCrossing(v)}
-		if byTarget, cause := placement.DecideRouting(in); byTarget {
-			term.writeRouting(ctx, RoutingDocument{ByTarget: true, Cause: cause, Crossing: in.Crossing})
+		if doc.ByTarget {
+			term.writeRouting(ctx, doc, target)
 		}
 		sleep(ctx, routingCheckInterval)
 	}
 }
 
 // writeRouting stores the document unless there is one already.
-func (term *leadership) writeRouting(ctx context.Context, doc RoutingDocument) {
+func (term *leadership) writeRouting(ctx context.Context, doc RoutingDocument, latencyTarget time.Duration) {
 	if !term.leaseValid() {
 		return
 	}
@@ -105,7 +104,7 @@
 		Conditions: []metastore.Condition{{Key: routingKey}, {Key: leaderKey, Revision: term.fence}},
 		Puts:       []metastore.Item{{Key: routingKey, Value: value}}})
 	term.agent.Log.Info("routing: statements are assigned by target", zap.String("cause", doc.Cause),
-		zap.Duration("crossing", doc.Crossing), zap.Duration("latency_target", tightestLatencyTarget(term.agent.view.Load().catalog)), zap.Error(err))
+		zap.Duration("crossing", doc.Crossing), zap.Duration("latency_target", latencyTarget), zap.Error(err))
 	if err != nil {
 		return // the next check finds the document, or writes it again
 	}
--- a/fleet/virtual_fleet_test.go
+++ b/fleet/virtual_fleet_test.go
@@ -232,16 +232,21 @@
 	}
 }
 
+// pause waits between two operations of a caller, and reports false if the run has ended.
+func (f *virtualFleet) pause() bool {
+	select {
+	case <-f.ended:
+		return false
+	case <-time.After(virtualCallerPause):
+		return true
+	}
+}
+
 // runCaller runs a session that writes, and reads what it has written at the other hosts, until the run ends.
 func (f *virtualFleet) runCaller(number int) {
 	var mark frontend.HighWaterMark
 	written := ""
-	for i := 0; ; i++ {
-		select {
-		case <-f.ended:
-			return
-		case <-time.After(virtualCallerPause):
-		}
+	for i := 0; f.pause(); i++ {
 		id := fmt.Sprintf("w%d-%d", number, i)
 		write := frontend.Statement{ID: id, Kind: frontend.Write, Args: "item value"}
 		if reply, ok := f.run(number+i, "orders", write, frontend.HighWaterMark{}); ok {
@@ -270,12 +275,7 @@
 
 // runWriter writes at one host until the run ends, also while the others do not serve.
 func (f *virtualFleet) runWriter(host int) {
-	for i := 0; ; i++ {
-		select {
-		case <-f.ended:
-			return
-		case <-time.After(virtualCallerPause):
-		}
+	for i := 0; f.pause(); i++ {
 		write := frontend.Statement{ID: fmt.Sprintf("h%d-%d", host, i), Kind: frontend.Write, Args: "item value"}
 		if _, ok := f.run(host, "orders", write, frontend.HighWaterMark{}); ok {
 			f.targets.acknowledge(write.ID)
--- a/fleet/virtual_targets_test.go
+++ b/fleet/virtual_targets_test.go
@@ -92,8 +92,8 @@
 	if m.primary {
 		role = "primary"
 	}
-	m.group.store.Put("servers/"+string(m.id), map[string]any{"service": "stock", "address": "10.0.0.1:1000", "zone": "z", "slots": 8,
-		"state": m.state, "dbRole": role, "born": 1, "sequence": m.sequence, "coldRemainingMs": 0})
+	m.group.store.PutTarget(string(m.id), lines.TargetEntry{Service: "stock", Address: "10.0.0.1:1000", DataCentre: "z", Slots: 8,
+		State: m.state, Role: role, Born: 1, Sequence: m.sequence})
 }
 
 func (m *virtualTarget) position(entries int) model.Position {
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -303,15 +303,14 @@
 		role = "primary"
 	}
 	m.sequence++
-	entry := map[string]any{"service": g.Service, "address": m.advertisedAddress, "zone": m.dataCentre, "slots": 3,
-		"state": state, "dbRole": role, "sequence": m.sequence, "born": m.incarnation,
-		"coldRemainingMs": m.coldRemaining.Milliseconds()}
+	entry := TargetEntry{Service: g.Service, Address: m.advertisedAddress, DataCentre: m.dataCentre, Slots: 3, State: state, Role: role,
+		Sequence: m.sequence, Born: m.incarnation, ColdRemainingMs: m.coldRemaining.Milliseconds()}
 	g.mu.Unlock()
 	if state == "gone" {
-		g.store.Remove("servers/" + m.ID)
+		g.store.Remove(targetPrefix + m.ID)
 		return
 	}
-	g.store.Put("servers/"+m.ID, entry)
+	g.store.PutTarget(m.ID, entry)
 }
 
 // ServeHTTP implements the platform's promotion API.
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -197,6 +197,25 @@
 	s.notifyWatchers()
 }
 
+// targetPrefix precedes the id of a target in the key of its entry.
+const targetPrefix = "servers/"
+
+// TargetEntry is the entry that a target writes about itself.
+type TargetEntry struct {
+	Service         string `json:"service"`
+	Address         string `json:"address"`
+	DataCentre      string `json:"zone"`
+	Slots           int    `json:"slots"`
+	State           string `json:"state"`  // ready or draining
+	Role            string `json:"dbRole"` // primary or replica
+	Sequence        int    `json:"sequence"`
+	Born            int64  `json:"born"`
+	ColdRemainingMs int64  `json:"coldRemainingMs"`
+}
+
+// PutTarget stores the entry of a target.
+func (s *Store) PutTarget(id string, entry TargetEntry) { s.Put(targetPrefix+id, entry) }
+
 // Remove deletes a key.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
